feat: serve a request from intent file to backend server

Cause: there was no running path; every later part needs real seams to stand on. Conclusion: the interfaces in daemon/src/node and daemon/src/requests are the seams for the next parts.

--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,1 @@
+export * from './readIntents.js'
--- /dev/null
+++ b/packages/cli/src/readIntents.ts
@@ -0,0 +1,29 @@
+import { readdirSync, readFileSync } from 'node:fs'
+import path from 'node:path'
+import { checkIntents, intentSchema, parseTomlWith, type IntentFile, type Problem } from '@snipenotch/contracts'
+import { Err, Ok, type Result } from 'ts-results-es'
+
+export const INTENT_FILE_NAME = 'snipenotch.toml'
+
+/** Reads and checks every intent file below `directory`; all problems of all files are reported together. */
+export function readIntents (directory: string): Result<IntentFile[], Problem[]> {
+  const problems: Problem[] = []
+  const files: IntentFile[] = []
+  let names: string[]
+  try {
+    names = readdirSync(directory, { recursive: true, encoding: 'utf8' })
+  } catch (error) {
+    return Err([{ file: directory, key: '', found: error instanceof Error ? error.message : String(error), expected: 'a directory that can be read' }])
+  }
+  for (const name of names.filter((entry) => path.basename(entry) === INTENT_FILE_NAME).sort()) {
+    const file = path.join(directory, name)
+    const parsed = parseTomlWith(intentSchema, readFileSync(file, 'utf8'), file)
+    if (parsed.isErr()) problems.push(...parsed.error)
+    else files.push({ file, intent: parsed.value })
+  }
+  if (files.length === 0 && problems.length === 0) {
+    problems.push({ file: directory, key: '', found: 'no intent file', expected: `at least one ${INTENT_FILE_NAME}` })
+  }
+  problems.push(...checkIntents(files))
+  return problems.length > 0 ? Err(problems) : Ok(files)
+}
--- /dev/null
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -0,0 +1,26 @@
+/** Levels at which an event is logged. */
+export type EventLevel = 'debug' | 'info' | 'warn' | 'error'
+
+export interface EventDefinition {
+  readonly number: number
+  readonly level: EventLevel
+  readonly text: string
+}
+
+/**
+ * Numbered log events. 1xx daemon, 2xx configuration, 3xx peers, 4xx requests, 5xx rollouts, 6xx store, 7xx orders.
+ * `docs/events.md` lists the same numbers and texts; CI compares both.
+ */
+export const EVENTS = {
+  daemonStarted: { number: 100, level: 'info', text: 'daemon started' },
+  daemonStopping: { number: 101, level: 'info', text: 'daemon draining before shutdown' },
+  daemonStopped: { number: 102, level: 'info', text: 'daemon stopped' },
+  settingsInvalid: { number: 103, level: 'error', text: 'settings are invalid' },
+  internalError: { number: 104, level: 'error', text: 'unexpected internal error' },
+  configurationApplied: { number: 200, level: 'info', text: 'configuration applied' },
+  configurationRejected: { number: 201, level: 'error', text: 'configuration rejected; the one in force stays' },
+  storeUnavailable: { number: 600, level: 'warn', text: 'platform store unavailable' },
+  storeAvailable: { number: 601, level: 'info', text: 'platform store available again' }
+} as const satisfies Record<string, EventDefinition>
+
+export type EventName = keyof typeof EVENTS
--- /dev/null
+++ b/packages/contracts/src/reasons/reasons.ts
@@ -0,0 +1,51 @@
+/** Why a node refused a request; each has a counter. */
+export const REFUSAL_REASONS = [
+  'no-configuration',
+  'no-route',
+  'no-backend-server',
+  'method-not-routed',
+  'queue-full',
+  'deadline-passed',
+  'caller-over-share',
+  'draining',
+  'key-required',
+  'key-malformed',
+  'key-expired',
+  'key-home-gone',
+  'key-refused',
+  'key-mismatch',
+  'crash-suspect',
+  'backend-shedding',
+  'backend-unreachable',
+  'backend-failed',
+  'unauthenticated',
+  'head-malformed'
+] as const
+
+/** Why a node sent a request again; each has a counter. */
+export const RETRY_REASONS = [
+  'connect-failed',
+  'connection-lost',
+  'not-run',
+  'shed'
+] as const
+
+/** Why a node did not send a request again although it failed; each has a counter. */
+export const RETRY_STOP_REASONS = ['budget-spent', 'deadline-near', 'not-idempotent', 'body-consumed', 'no-other-server', 'attempt-limit'] as const
+
+/** Why a connection between nodes was closed; each has a counter. */
+export const CLOSE_REASONS = [
+  'frame-malformed',
+  'frame-oversized',
+  'message-invalid',
+  'handshake-refused',
+  'hello-missing',
+  'peer-silent',
+  'backlog-full',
+  'peer-limit'
+] as const
+
+export type RefusalReason = typeof REFUSAL_REASONS[number]
+export type RetryReason = typeof RETRY_REASONS[number]
+export type RetryStopReason = typeof RETRY_STOP_REASONS[number]
+export type CloseReason = typeof CLOSE_REASONS[number]
--- /dev/null
+++ b/packages/daemon/src/createDaemon.ts
@@ -0,0 +1,79 @@
+import type { Server } from 'node:http'
+import { createSystemClock, type DaemonSettings, type HostAndPort, parseAddress } from '@snipenotch/contracts'
+import { HttpObjectStore, HttpTableService } from '@snipenotch/platform'
+import { createAdminServer } from './admin/createAdminServer.js'
+import { createControlPlane } from './control/createControlPlane.js'
+import { createIdentity } from './node/createIdentity.js'
+import type { NodeContext } from './node/NodeContext.js'
+import { createCounters } from './observability/createCounters.js'
+import { createEventLog } from './observability/createEventLog.js'
+import { createRequestPlane } from './requests/createRequestPlane.js'
+
+export interface Daemon {
+  /** Resolves once all ports listen. */
+  readonly start: () => Promise<void>
+  /** Drains, announces that the host has left, closes the ports and resolves. */
+  readonly stop: () => Promise<void>
+}
+
+function createContext (settings: DaemonSettings): NodeContext {
+  const clock = createSystemClock()
+  return {
+    settings,
+    clock,
+    identity: createIdentity(settings, clock),
+    draw: Math.random,
+    log: createEventLog(settings),
+    counters: createCounters(),
+    table: new HttpTableService(settings.platform.table, settings.platform.timeout_ms),
+    objects: new HttpObjectStore(settings.platform.objects, settings.platform.timeout_ms)
+  }
+}
+
+function listenOn (server: Server, { host, port }: HostAndPort): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, () => {
+      server.off('error', reject)
+      resolve()
+    })
+  })
+}
+
+function closeServer (server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve())
+    server.closeIdleConnections()
+  })
+}
+
+/** Builds a daemon from checked settings; nothing happens until it is started. */
+export function createDaemon (settings: DaemonSettings): Daemon {
+  const context = createContext(settings)
+  const control = createControlPlane(context)
+  const requests = createRequestPlane(context, control.view)
+  const admin = createAdminServer(context, control, requests)
+  requests.peers.on('upgrade', control.acceptUpgrade)
+
+  return {
+    start: async () => {
+      await listenOn(requests.peers, parseAddress(settings.listen.peers))
+      await listenOn(requests.requests, parseAddress(settings.listen.requests))
+      await listenOn(admin, parseAddress(settings.listen.admin))
+      control.start()
+      requests.start()
+      if (settings.backend !== undefined) control.announce({ state: 'serving' })
+      context.log('daemonStarted', { incarnation: context.identity.incarnation, listen: settings.listen })
+    },
+    stop: async () => {
+      context.log('daemonStopping')
+      control.announce({ state: 'draining' })
+      await requests.drain()
+      control.announce({ state: 'left' })
+      control.stop()
+      admin.closeAllConnections()
+      await Promise.all([closeServer(requests.requests), closeServer(requests.peers), closeServer(admin)])
+      context.log('daemonStopped')
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,1 @@
+export * from './createDaemon.js'
--- /dev/null
+++ b/packages/daemon/src/node/NodeContext.ts
@@ -0,0 +1,18 @@
+import type { Clock, DaemonSettings } from '@snipenotch/contracts'
+import type { ObjectStore, TableService } from '@snipenotch/platform'
+import type { Counters } from '../observability/createCounters.js'
+import type { EventLog } from '../observability/createEventLog.js'
+import type { Identity } from './createIdentity.js'
+
+/** What every part of the daemon is built from. */
+export interface NodeContext {
+  readonly settings: DaemonSettings
+  readonly identity: Identity
+  readonly clock: Clock
+  /** Random numbers in 0..1 from a seeded source. */
+  readonly draw: () => number
+  readonly log: EventLog
+  readonly counters: Counters
+  readonly table: TableService
+  readonly objects: ObjectStore
+}
--- /dev/null
+++ b/packages/daemon/src/observability/createCounters.ts
@@ -0,0 +1,74 @@
+import type { CloseReason, RefusalReason, RetryReason, RetryStopReason } from '@snipenotch/contracts'
+import { build, type Histogram } from 'hdr-histogram-js'
+
+/** Names of counters with the label that tells their reasons apart. */
+export interface CounterLabels {
+  refusals: RefusalReason
+  retries: RetryReason
+  retry_stops: RetryStopReason
+  peer_closes: CloseReason
+  configurations: 'applied' | 'rejected' | 'conflicting'
+  store_calls: 'ok' | 'unavailable' | 'conflict'
+  control_bytes: 'sent' | 'received'
+  requests: 'entry' | 'home' | 'completed' | 'cancelled'
+  /** Rollout steps by their kind. */
+  rollouts: string
+}
+
+export type CounterName = keyof CounterLabels
+
+/** Latency histograms: the whole time at the entry node, the wait for a slot, and the backend server's own time. */
+export type HistogramName = 'request' | 'queue' | 'backend'
+
+export interface Counters {
+  readonly count: <Name extends CounterName>(name: Name, label: CounterLabels[Name], amount?: number) => void
+  readonly read: <Name extends CounterName>(name: Name, label: CounterLabels[Name]) => number
+  /** Records a latency in milliseconds. */
+  readonly record: (name: HistogramName, duration: number) => void
+  /** Prometheus text format. */
+  readonly format: () => string
+}
+
+const QUANTILES = [50, 90, 99, 99.9] as const
+
+/** Greatest latency that a histogram tells apart, in microseconds. */
+const MAX_LATENCY_US = 3_600_000_000
+
+/** Creates the counters and latency histograms of a daemon. */
+export function createCounters (): Counters {
+  const values = new Map<string, number>()
+  const histograms = new Map<HistogramName, Histogram>()
+
+  function formatHistogram (name: HistogramName, histogram: Histogram): string[] {
+    const metric = `snipenotch_${name}_milliseconds`
+    const quantiles = QUANTILES.map((quantile) =>
+      `${metric}{quantile="${quantile / 100}"} ${histogram.getValueAtPercentile(quantile) / 1000}`)
+    return [`# TYPE ${metric} summary`, ...quantiles, `${metric}_count ${histogram.totalCount}`]
+  }
+
+  return {
+    count: (name, label, amount = 1) => {
+      const key = `${name}\n${label}`
+      values.set(key, (values.get(key) ?? 0) + amount)
+    },
+    read: (name, label) => values.get(`${name}\n${label}`) ?? 0,
+    record: (name, duration) => {
+      let histogram = histograms.get(name)
+      if (histogram === undefined) {
+        histogram = build({
+          lowestDiscernibleValue: 1, highestTrackableValue: MAX_LATENCY_US, numberOfSignificantValueDigits: 2
+        })
+        histograms.set(name, histogram)
+      }
+      histogram.recordValue(Math.min(MAX_LATENCY_US, Math.max(1, Math.round(duration * 1000))))
+    },
+    format: () => {
+      const lines = [...values].sort(([left], [right]) => left < right ? -1 : 1).map(([key, value]) => {
+        const [name, label] = key.split('\n')
+        return `snipenotch_${name}_total{reason="${label}"} ${value}`
+      })
+      for (const [name, histogram] of histograms) lines.push(...formatHistogram(name, histogram))
+      return lines.join('\n') + '\n'
+    }
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/index.ts
@@ -0,0 +1,1 @@
+export * from './rollouts/VersionGuard.js'
--- /dev/null
+++ b/packages/emulator/src/mesh/startProcess.ts
@@ -0,0 +1,23 @@
+import { spawn, type ChildProcess } from 'node:child_process'
+
+/** A process that the emulator started, with what it has printed so far. */
+export interface StartedProcess {
+  readonly child: ChildProcess
+  readonly readOutput: () => string
+  /** Resolves with the exit code, or -1 if a signal ended the process. */
+  readonly exited: Promise<number>
+}
+
+/** Most output kept for each process, in characters. */
+const MAX_OUTPUT_LENGTH = 1_000_000
+
+/** Starts a Node.js script with this process's own interpreter. */
+export function startProcess (script: string, args: readonly string[]): StartedProcess {
+  const child = spawn(process.execPath, [script, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+  let output = ''
+  const collect = (chunk: Buffer): void => { output = (output + chunk.toString('utf8')).slice(-MAX_OUTPUT_LENGTH) }
+  child.stdout.on('data', collect)
+  child.stderr.on('data', collect)
+  const exited = new Promise<number>((resolve) => child.on('close', (code) => resolve(code ?? -1)))
+  return { child, readOutput: () => output, exited }
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,7 @@
+export * from './createConfigurationRepository.js'
+export * from './HttpObjectStore.js'
+export * from './HttpTableService.js'
+export * from './ObjectStore.js'
+export * from './PlatformError.js'
+export * from './PublishError.js'
+export * from './TableService.js'
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,2 @@
+export * from './createBackendServerStandIn.js'
+export * from './createPlatformStandIn.js'
