feat(cli): check, publish, status, history, explain, drain and restore

Cause: operators had only check and publish, without JSON output, exit codes or a way to see what is in force. Three repository tests inject the fault they guard against (lost answer, lease taken over between check and write, store down after the write).

--- /dev/null
+++ b/packages/cli/src/EXIT_CODES.ts
@@ -0,0 +1,19 @@
+/** Exit codes of `snipenotch`; listed in docs/operators.md. */
+export const EXIT_CODES = {
+  ok: 0,
+  /** Input is invalid or the request was refused; nothing was changed. */
+  invalid: 1,
+  usage: 2,
+  /** Platform or nodes could not be reached; nothing was changed. */
+  unavailable: 3,
+  /** Another operator's publish came first; nothing of this one is in force. */
+  lostRace: 4,
+  /** No answer came; the change may have taken effect. */
+  outcomeUnknown: 5,
+  /** The change was accepted but is not yet in force everywhere. */
+  notInForce: 6,
+  /** The rollout ended by being taken back. */
+  takenBack: 7
+} as const
+
+export type ExitCode = typeof EXIT_CODES[keyof typeof EXIT_CODES]
--- /dev/null
+++ b/packages/cli/src/createProgram.ts
@@ -0,0 +1,88 @@
+import { cac, type CAC } from 'cac'
+import type { Result } from 'ts-results-es'
+import { type CommandError, formatCommandError, toExitCode } from './CommandError.js'
+import type { CommandContext, CommandOutput } from './CommandContext.js'
+import { checkDirectory } from './commands/check.js'
+import { explainRequest } from './commands/explain.js'
+import { readHistory } from './commands/history.js'
+import { submitOrder } from './commands/order.js'
+import { publishDirectory } from './commands/publish.js'
+import { readMeshStatus } from './commands/status.js'
+import { createCommandContext } from './createCommandContext.js'
+import { EXIT_CODES } from './EXIT_CODES.js'
+
+interface CommonOptions {
+  readonly settings: string
+  readonly json?: boolean
+  readonly wait?: number | string
+}
+
+/** Time that `--wait` without a number allows, in milliseconds. */
+const DEFAULT_WAIT_MS = 10_000
+
+function toWaitMs (wait: number | string | boolean | undefined): number {
+  if (wait === undefined || wait === false) return 0
+  const value = Number(wait)
+  return typeof wait === 'boolean' || Number.isNaN(value) || wait === '' ? DEFAULT_WAIT_MS : value * 1000
+}
+
+function printResult (result: Result<CommandOutput, CommandError>, json: boolean): void {
+  if (result.isOk()) {
+    process.stdout.write((json ? JSON.stringify(result.value.data) : result.value.text) + '\n')
+    process.exitCode = result.value.exitCode ?? EXIT_CODES.ok
+    return
+  }
+  const text = formatCommandError(result.error)
+  if (json) process.stdout.write(JSON.stringify({ error: result.error.kind, detail: text }) + '\n')
+  else process.stderr.write(text + '\n')
+  process.exitCode = toExitCode(result.error)
+}
+
+type Run = (context: CommandContext) => Promise<Result<CommandOutput, CommandError>>
+
+async function runWithContext (options: CommonOptions, run: Run): Promise<void> {
+  const context = createCommandContext(options.settings)
+  printResult(context.isErr() ? context : await run(context.value), options.json === true)
+}
+
+/** Defines the commands of `snipenotch`. */
+export function createProgram (): CAC {
+  const program = cac('snipenotch')
+  program.option('--settings <file>', 'Settings file', { default: 'snipenotch-cli.toml' })
+  program.option('--json', 'Print the result as JSON')
+
+  program.command('check <dir>', 'Validate intent files, offline')
+    .action((dir: string, options: CommonOptions) => printResult(checkDirectory(dir), options.json === true))
+
+  program.command('publish <dir>', 'Make the intent files below DIR the accepted configuration')
+    .option('--wait [seconds]', 'Wait until the version is in force on every known host')
+    .option('--operation <id>', 'Operation id of an earlier attempt whose outcome is unknown')
+    .action((dir: string, options: CommonOptions & { operation?: string }) => runWithContext(options, (context) =>
+      publishDirectory(context, dir, {
+        waitMs: toWaitMs(options.wait),
+        ...(options.operation === undefined ? {} : { operation: options.operation })
+      })))
+
+  program.command('status', 'Show versions in force, lagging hosts, orders and rollouts')
+    .action((options: CommonOptions) => runWithContext(options, readMeshStatus))
+
+  program.command('history', 'List accepted versions, newest first')
+    .option('--limit <n>', 'Number of versions', { default: 20 })
+    .action((options: CommonOptions & { limit: number }) =>
+      runWithContext(options, (context) => readHistory(context, options.limit)))
+
+  program.command('explain <method> <path>', 'Show which route, version and backend server a request would meet')
+    .action((method: string, path: string, options: CommonOptions) =>
+      runWithContext(options, (context) => explainRequest(context, method, path)))
+
+  for (const action of ['drain', 'restore'] as const) {
+    const text = action === 'drain' ? 'Take a data centre or a host out' : 'Bring a data centre or a host back'
+    program.command(`${action} <subject>`, `${text}; SUBJECT is data-centre/NAME or host/NAME`)
+      .option('--wait [seconds]', 'Wait until every contact knows the order')
+      .action((subject: string, options: CommonOptions) => runWithContext(options, (context) =>
+        submitOrder(context, action, subject, { waitMs: toWaitMs(options.wait) })))
+  }
+
+  program.help()
+  return program
+}
--- a/packages/contracts/src/errors/parseWith.ts
+++ b/packages/contracts/src/errors/parseWith.ts
@@ -1,4 +1,4 @@
-import { parse as parseToml } from 'smol-toml'
+import { parse as parseToml, TomlError } from 'smol-toml'
 import { Err, Ok, type Result } from 'ts-results-es'
 import { z } from 'zod'
 import type { Problem } from './Problem.js'
@@ -56,7 +56,7 @@
       return near === undefined ? problem : { ...problem, hint: `did you mean "${near}"?` }
     })
   }
-  const expected = issue.message.replace(/^Invalid [^:]*: expected /, '').replace(/, received .*$/, '')
+  const expected = issue.message.replace(/^(?:Invalid [^:]*|Too small|Too big): expected /, '').replace(/, received .*$/, '')
   return [{ file, key, found: describeValue(findValue(input, issue.path)), expected }]
 }
 
@@ -69,6 +69,12 @@
   return Err(parsed.error.issues.flatMap((issue) => toProblems(file, schema, input, issue)))
 }
 
+function describeTomlError (error: unknown): string {
+  if (!(error instanceof TomlError)) return String(error)
+  const reason = error.message.split('\n')[0] ?? ''
+  return `line ${error.line}, column ${error.column}: ${reason.replace(/^Invalid TOML document: /, '')}`
+}
+
 /** Parses TOML text and checks it against a schema; nothing is returned unless all of it is valid. */
 export function parseTomlWith<Schema extends z.ZodType> (
   schema: Schema, text: string, file: string
@@ -77,8 +83,7 @@
   try {
     input = parseToml(text)
   } catch (error) {
-    const found = error instanceof Error ? error.message.split('\n')[0] ?? '' : String(error)
-    return Err([{ file, key: '', found, expected: 'valid TOML' }])
+    return Err([{ file, key: '', found: describeTomlError(error), expected: 'valid TOML' }])
   }
   return checkWith(schema, input, file)
 }
--- /dev/null
+++ b/packages/platform/tests/createConfigurationRepository.test.ts
@@ -0,0 +1,144 @@
+import type { AddressInfo } from 'node:net'
+import { composeConfiguration, intentSchema, type Configuration } from '@snipenotch/contracts'
+import { createPlatformStandIn, type PlatformStandIn } from '@snipenotch/stand-ins'
+import { expect } from 'chai'
+import { createConfigurationRepository, type ConfigurationRepository } from '../src/createConfigurationRepository.js'
+import { HttpObjectStore } from '../src/HttpObjectStore.js'
+import { HttpTableService } from '../src/HttpTableService.js'
+import { TableService, type ListOptions, type Transaction } from '../src/TableService.js'
+
+function composeNext (operationId: string, author: string, path = '/clocks') {
+  const intent = intentSchema.parse({
+    service: 'clocks', stable: 'v1', route: [{ name: 'status', method: 'GET', path, idempotent: true }]
+  })
+  return (previous: Configuration | undefined) =>
+    composeConfiguration(previous, [intent], { operationId, author, acceptedAt: 1, summary: 'test' })
+}
+
+/** Runs an action between the checks of a publish and its transaction. */
+class InterposedTable extends TableService {
+  readonly #table: TableService
+  readonly #beforeTransaction: () => Promise<void>
+
+  constructor (table: TableService, beforeTransaction: () => Promise<void>) {
+    super()
+    this.#table = table
+    this.#beforeTransaction = beforeTransaction
+  }
+
+  override read (key: string) { return this.#table.read(key) }
+  override list (prefix: string, options?: ListOptions) { return this.#table.list(prefix, options) }
+  override async transact (transaction: Transaction) {
+    await this.#beforeTransaction()
+    return await this.#table.transact(transaction)
+  }
+}
+
+describe('createConfigurationRepository', () => {
+  let platform: PlatformStandIn
+  let repository: ConfigurationRepository
+  let table: HttpTableService
+  let objects: HttpObjectStore
+  let lost: boolean[]
+  let goDownOnLoss: boolean
+
+  beforeEach(async () => {
+    lost = []
+    goDownOnLoss = false
+    platform = createPlatformStandIn(() => {
+      const isLost = lost.shift() ?? false
+      if (isLost && goDownOnLoss) platform.faults.down = true
+      return isLost ? 0 : 1
+    })
+    platform.faults.loseAnswers = 0.5
+    await new Promise<void>((resolve) => platform.server.listen(0, '127.0.0.1', resolve))
+    const address = `127.0.0.1:${(platform.server.address() as AddressInfo).port}`
+    table = new HttpTableService(address, 500)
+    objects = new HttpObjectStore(address, 500)
+    repository = createConfigurationRepository(table, objects)
+  })
+
+  afterEach(() => {
+    platform.server.closeAllConnections()
+    platform.server.close()
+  })
+
+  it('publishes versions that rise by one and lists them newest first', async () => {
+    for (const operation of ['a', 'b', 'c']) (await repository.publish(operation, composeNext(operation, 'ada'))).unwrap()
+    const history = (await repository.listHistory(2)).unwrap()
+    expect(history.map(({ version, operationId }) => [version, operationId])).to.deep.equal([[3, 'c'], [2, 'b']])
+    expect((await repository.readAccepted()).unwrap()?.configuration.version).to.equal(3)
+  })
+
+  it('publishes once when the answer to the transaction is lost (guards against a doubled version)', async () => {
+    lost = [false, true]
+    const first = await repository.publish('a', composeNext('a', 'ada'))
+    expect(first.unwrap()).to.include({ version: 1, written: true })
+    const again = await repository.publish('a', composeNext('a', 'ada'))
+    expect(again.unwrap()).to.include({ version: 1, written: false })
+    expect((await repository.listHistory(10)).unwrap()).to.have.length(1)
+  })
+
+  it('tells the loser of a race who won and keeps the winner in force', async () => {
+    ;(await repository.publish('a', composeNext('a', 'ada'))).unwrap()
+    const [left, right] = await Promise.all([
+      repository.publish('b', composeNext('b', 'ben', '/b')), repository.publish('c', composeNext('c', 'cid', '/c'))
+    ])
+    const failed = [left, right].filter((outcome) => outcome.isErr())
+    expect(failed).to.have.length(1)
+    const winner = (await repository.readAccepted()).unwrap()
+    expect(failed[0]!.isErr() && failed[0].error).to.deep.equal({
+      kind: 'lost-race', version: 2, author: winner?.configuration.author
+    })
+    expect((await repository.listHistory(10)).unwrap()).to.have.length(2)
+  })
+
+  const holdLease = async (revision: number, fencing: number) => {
+    const key = 'lease/controller'
+    const value = { holder: 'x', fencing, expiresAt: 1 }
+    ;(await table.transact({ conditions: [{ key, revision }], writes: [{ key, value }] })).unwrap()
+  }
+  const fence = { lease: 'controller', fencing: 1 }
+
+  it('publishes under a lease that is held', async () => {
+    await holdLease(0, 1)
+    expect((await repository.publish('a', composeNext('a', 'ada'), fence)).isOk()).to.equal(true)
+  })
+
+  it('refuses a holder whose lease has passed on', async () => {
+    await holdLease(0, 2)
+    const outcome = await repository.publish('a', composeNext('a', 'ada'), fence)
+    expect(outcome.isErr() && outcome.error).to.deep.equal({ kind: 'fenced', lease: 'controller' })
+  })
+
+  it('refuses a write when the lease passes on after it was checked (guards against a paused lease holder)', async () => {
+    await holdLease(0, 1)
+    const interposed = new InterposedTable(table, async () => { await holdLease(1, 2) })
+    const paused = createConfigurationRepository(interposed, objects)
+    const outcome = await paused.publish('a', composeNext('a', 'ada'), fence)
+    expect(outcome.isErr() && outcome.error).to.deep.equal({ kind: 'fenced', lease: 'controller' })
+    expect((await repository.readCurrent()).unwrap()).to.equal(undefined)
+  })
+
+  it('says that the outcome is unknown when neither answer nor read-back arrives', async () => {
+    lost = [false, true]
+    goDownOnLoss = true
+    const outcome = await repository.publish('a', composeNext('a', 'ada'))
+    expect(outcome.isErr() && outcome.error.kind).to.equal('outcome-unknown')
+    platform.faults.down = false
+    const again = await repository.publish('a', composeNext('a', 'ada'))
+    expect(again.unwrap()).to.include({ version: 1, written: false })
+  })
+
+  it('says that nothing was published when the store is down before the write', async () => {
+    platform.faults.down = true
+    const outcome = await repository.publish('a', composeNext('a', 'ada'))
+    expect(outcome.isErr() && outcome.error.kind).to.equal('unavailable')
+  })
+
+  it('refuses a configuration with a dangling route and writes nothing', async () => {
+    const broken = await repository.publish('a', (previous) => ({ ...composeNext('a', 'ada')(previous), services: {} }))
+    expect(broken.isErr() && broken.error.kind).to.equal('rejected')
+    expect((await repository.readCurrent()).unwrap()).to.equal(undefined)
+  })
+})
