feat(control): decide configuration, membership, links and orders in a pure core

Cause: the placeholder polled the store from every node and announced to every seed. Change: packages/decisions/src/control holds the control plane as state machines: configuration staging and deltas, endpoint table, silence judged by the relay that hears the host, relay ranking, link plan, orders, suspects, evidence, store polling.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -19,8 +19,20 @@
   internalError: { number: 104, level: 'error', text: 'unexpected internal error' },
   configurationApplied: { number: 200, level: 'info', text: 'configuration applied' },
   configurationRejected: { number: 201, level: 'error', text: 'configuration rejected; the one in force stays' },
+  configurationConflicting: { number: 202, level: 'error', text: 'configuration version seen with two digests; the one in force stays' },
+  configurationCorrupt: { number: 203, level: 'warn', text: 'received configuration does not match its digest; fetching it again' },
+  relayRoleChanged: { number: 300, level: 'info', text: 'relay role changed' },
+  peerClosed: { number: 301, level: 'warn', text: 'connection to a peer closed for a fault' },
+  hostSilent: { number: 302, level: 'warn', text: 'host silent; it gets no new work' },
+  hostHeardAgain: { number: 303, level: 'info', text: 'silent host heard again' },
+  pauseNoticed: { number: 304, level: 'warn', text: 'this process was paused; peers are given time before they are judged' },
+  dataCentreUnreachable: { number: 305, level: 'warn', text: 'data centre unreachable; its hosts get no new work from here' },
+  dataCentreReachable: { number: 306, level: 'info', text: 'data centre reachable again' },
   storeUnavailable: { number: 600, level: 'warn', text: 'platform store unavailable' },
-  storeAvailable: { number: 601, level: 'info', text: 'platform store available again' }
+  storeAvailable: { number: 601, level: 'info', text: 'platform store available again' },
+  storeRowInvalid: { number: 602, level: 'warn', text: 'row in the platform store has an unexpected form and was skipped' },
+  orderTaken: { number: 700, level: 'info', text: 'operator order in effect' },
+  orderStored: { number: 701, level: 'info', text: 'operator order stored in the table' }
 } as const satisfies Record<string, EventDefinition>
 
 export type EventName = keyof typeof EVENTS
--- a/packages/contracts/src/messages/messageSchemas.ts
+++ b/packages/contracts/src/messages/messageSchemas.ts
@@ -87,18 +87,32 @@
     author: z.string(),
     acceptedAt: z.number(),
     summary: z.string(),
+    /** Digest of the receiver's part of the configuration once the delta is applied. */
+    contentDigest: z.string(),
     services: z.record(nameSchema, serviceSchema),
     routes: z.record(nameSchema, routeSchema),
     removedServices: z.array(nameSchema),
     removedRoutes: z.array(nameSchema)
   }),
-  z.object({ kind: z.literal('snapshot'), digest: z.string(), configuration: configurationSchema }),
+  z.object({
+    kind: z.literal('snapshot'),
+    digest: z.string(),
+    contentDigest: z.string(),
+    configuration: configurationSchema
+  }),
   z.object({ kind: z.literal('endpoints'), endpoints: z.array(endpointSchema) }),
   z.object({ kind: z.literal('silent'), host: nameSchema, incarnation: counter, sequence: counter }),
   z.object({ kind: z.literal('orders'), orders: z.array(orderSchema) }),
   z.object({ kind: z.literal('suspects'), suspects: z.array(suspectSchema) }),
   z.object({ kind: z.literal('evidence'), dataCentre: nameSchema, evidence: z.array(evidenceSchema) }),
-  z.object({ kind: z.literal('rejected'), version: counter, reason: z.string() })
+  z.object({ kind: z.literal('rejected'), version: counter, reason: z.string() }),
+  z.object({ kind: z.literal('subscribe') }),
+  z.object({
+    kind: z.literal('roster'),
+    nodes: z.array(z.object({ version: counter, hosts: z.array(nameSchema) })),
+    rejections: z.array(z.object({ host: nameSchema, reason: z.string() }))
+  }),
+  z.object({ kind: z.literal('reach'), dataCentres: z.array(nameSchema) })
 ])
 
 export type EndpointState = z.output<typeof endpointStateSchema>
--- /dev/null
+++ b/packages/decisions/src/control/createConfigurationFollower.ts
@@ -0,0 +1,154 @@
+import type { Configuration, PeerMessage } from '@snipenotch/contracts'
+import { FETCH_TIMEOUT_MS } from './controlLimits.js'
+import { type CoreContext, listGreeted, type Peer } from './CoreContext.js'
+import type { StageOutcome } from './createConfigurationState.js'
+import type { Delta } from './diffConfiguration.js'
+
+type Fetch = Extract<PeerMessage, { kind: 'fetch' }>
+type Snapshot = Extract<PeerMessage, { kind: 'snapshot' }>
+
+/** Follows the configuration through offers, deltas and snapshots from peers, and bodies from the store. */
+export interface ConfigurationFollower {
+  /** Takes note of the configuration that a peer has. */
+  readonly handleOffer: (peer: Peer, version: number, digest: string) => void
+  readonly handleFetch: (peer: Peer, fetch: Fetch) => void
+  readonly handleDelta: (peer: Peer, delta: Delta) => void
+  readonly handleSnapshot: (peer: Peer, snapshot: Snapshot) => void
+  readonly handleBody: (digest: string, configuration: Configuration) => void
+  /** Records that no intact and valid copy of a version exists at its source. */
+  readonly reject: (version: number, faults: readonly string[]) => void
+  readonly tick: () => void
+  /** Why this node refused the newest version, if it did. */
+  readonly rejection: () => string | undefined
+}
+
+interface PendingFetch {
+  readonly link: number
+  readonly version: number
+  readonly since: number
+}
+
+/** Versions seen with two digests that have been logged; each is logged once. */
+const CONFLICTS_KEPT = 16
+
+export function createConfigurationFollower (context: CoreContext): ConfigurationFollower {
+  const { configuration, settings } = context
+  const digests = new Map<number, string>()
+  const conflicts: string[] = []
+  let pending: PendingFetch | undefined
+  let rejection: string | undefined
+
+  function getScope (): readonly string[] {
+    return context.isRelay ? [] : settings.scope
+  }
+
+  /** True if this node became a relay and still has only its own part. */
+  function isNarrow (): boolean {
+    return getScope().length === 0 && (configuration.active()?.scope.length ?? 0) > 0
+  }
+
+  function isWanted (version: number): boolean {
+    return version > configuration.version() || (version === configuration.version() && version > 0 && isNarrow())
+  }
+
+  function sendFetch (peer: Peer, whole: boolean): void {
+    pending = { link: peer.link, version: peer.version, since: context.now }
+    const sameScope = configuration.active()?.scope.join() === getScope().join()
+    const base = whole || !sameScope ? 0 : configuration.version()
+    context.send(peer, {
+      kind: 'fetch', base, digest: base === 0 ? '' : configuration.digest(), version: peer.version, scope: [...getScope()]
+    })
+  }
+
+  /** Fetches the highest version that a peer offers, from another peer than the one that did not answer. */
+  function planFetch (avoid: number | undefined): void {
+    if (pending !== undefined) return
+    const offers = listGreeted(context).filter(({ version }) => isWanted(version) &&
+      !configuration.isRejected(version, digests.get(version) ?? ''))
+    const highest = Math.max(0, ...offers.map(({ version }) => version))
+    const best = offers.filter(({ version }) => version === highest)
+    const source = best.find(({ link }) => link !== avoid) ?? best[0]
+    if (source !== undefined) sendFetch(source, source.link === avoid)
+  }
+
+  function reportConflict (version: number, found: string, expected: string): void {
+    const key = `${version} ${found}`
+    if (conflicts.includes(key)) return
+    conflicts.push(key)
+    if (conflicts.length > CONFLICTS_KEPT) conflicts.shift()
+    context.emit({ kind: 'count-configuration', outcome: 'conflicting' })
+    context.emit({ kind: 'log', name: 'configurationConflicting', fields: { version, found, expected } })
+  }
+
+  function reject (version: number, faults: readonly string[]): void {
+    rejection = `version ${version}: ${faults[0] ?? 'invalid'}`
+    context.emit({ kind: 'count-configuration', outcome: 'rejected' })
+    context.emit({ kind: 'log', name: 'configurationRejected', fields: { version, faults } })
+    for (const peer of listGreeted(context)) {
+      if (peer.subscribed) context.send(peer, { kind: 'rejected', version, reason: rejection })
+    }
+  }
+
+  function handleOutcome (outcome: StageOutcome, version: number, source: Peer | undefined): void {
+    switch (outcome.kind) {
+      case 'applied': {
+        rejection = undefined
+        const digest = configuration.digest()
+        context.emit({ kind: 'count-configuration', outcome: 'applied' })
+        context.emit({ kind: 'log', name: 'configurationApplied', fields: { version, digest } })
+        for (const peer of listGreeted(context)) {
+          if (peer.version < version) context.send(peer, { kind: 'offer', version, digest })
+        }
+        return
+      }
+      case 'ignored': return
+      case 'conflicting': reportConflict(version, outcome.found, outcome.expected); return
+      case 'rejected': reject(version, outcome.faults); return
+      case 'corrupt':
+        context.emit({ kind: 'log', name: 'configurationCorrupt', fields: { version, faults: outcome.faults } })
+        if (source !== undefined && isWanted(source.version)) sendFetch(source, true)
+    }
+  }
+
+  function endFetch (peer: Peer): void {
+    if (pending?.link === peer.link) pending = undefined
+  }
+
+  return {
+    handleOffer: (peer, version, digest) => {
+      peer.version = version
+      if (version === configuration.version() && version > 0 && digest !== '' && digest !== configuration.digest()) {
+        reportConflict(version, digest, configuration.digest())
+      }
+      if (isWanted(version)) digests.set(version, digest)
+      for (const known of digests.keys()) if (known < configuration.version()) digests.delete(known)
+      planFetch(undefined)
+    },
+    handleFetch: (peer, { base, digest, scope, version }) => {
+      if (version > configuration.version()) return
+      const answer = configuration.composeAnswer(base, digest, scope)
+      if (answer !== undefined) context.send(peer, answer)
+    },
+    handleDelta: (peer, delta) => {
+      endFetch(peer)
+      handleOutcome(configuration.stageDelta(delta), delta.version, peer)
+      planFetch(peer.link)
+    },
+    handleSnapshot: (peer, { digest, contentDigest, configuration: received }) => {
+      endFetch(peer)
+      const outcome = configuration.stage({ configuration: received, digest, contentDigest, scope: getScope() })
+      handleOutcome(outcome, received.version, outcome.kind === 'corrupt' ? undefined : peer)
+    },
+    handleBody: (digest, body) => {
+      handleOutcome(configuration.stage({ configuration: body, digest, scope: [] }), body.version, undefined)
+    },
+    reject,
+    tick: () => {
+      if (pending !== undefined && context.now - pending.since < FETCH_TIMEOUT_MS && context.peers.has(pending.link)) return
+      const avoid = pending?.link
+      pending = undefined
+      planFetch(avoid)
+    },
+    rejection: () => rejection
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/control/createLinkPlan.ts
@@ -0,0 +1,220 @@
+import {
+  DIAL_YIELD_MS, HEARTBEAT_INTERVAL_MS, INTRODUCTION_INTERVAL_MS, SILENCE_LIMIT_MS, STANDBY_HEARTBEAT_INTERVAL_MS
+} from './controlLimits.js'
+import { type CoreContext, isLocalRelay, isRemote, listGreeted, type Peer } from './CoreContext.js'
+import type { Dialer } from './createDialer.js'
+import type { RelayRanking } from './createRelayRanking.js'
+import { rankNames } from './rankRelays.js'
+
+/** Decides which links to open, to rely on and to close. */
+export interface LinkPlan {
+  readonly plan: () => void
+  /** Sends heartbeats that are due and closes links on which nothing was heard. */
+  readonly tick: () => void
+  readonly sendHello: (peer: Peer) => void
+  /** Addresses learned from contact rows. */
+  readonly addContacts: (addresses: readonly string[]) => void
+  readonly subscribe: (peer: Peer) => void
+}
+
+/** A silent standby link is closed after this many missed heartbeats, like any other link. */
+const STANDBY_SILENCE_MS = SILENCE_LIMIT_MS * STANDBY_HEARTBEAT_INTERVAL_MS / HEARTBEAT_INTERVAL_MS
+const MAX_CONTACTS = 64
+/** Seeds dialled at a time by a node that knows no relay. */
+const SEEDS_AT_ONCE = 2
+
+export function createLinkPlan (context: CoreContext, ranking: RelayRanking, dialer: Dialer): LinkPlan {
+  const { peers, settings, table } = context
+  const missingSince = new Map<string, number>()
+  let contacts: string[] = []
+  let introducedAt = 0
+
+  function sendHello (peer: Peer): void {
+    const { host, dataCentre, incarnation, peerAddress } = context.self
+    context.send(peer, {
+      kind: 'hello',
+      host,
+      dataCentre,
+      incarnation,
+      peerAddress,
+      scope: [...settings.scope],
+      relay: context.isRelay,
+      version: context.configuration.version(),
+      digest: context.configuration.digest()
+    })
+  }
+
+  function subscribe (peer: Peer): void {
+    if (peer.subscribed) return
+    peer.subscribed = true
+    peer.lastSent = context.now
+    context.send(peer, { kind: 'subscribe' })
+    context.send(peer, { kind: 'endpoints', endpoints: [context.self] })
+  }
+
+  function findLink (host: string): Peer | undefined {
+    return listGreeted(context).find(({ hello }) => hello?.host === host)
+  }
+
+  function dialHost (host: string): void {
+    const address = table.get(host)?.endpoint.peerAddress
+    if (address !== undefined) dialer.dial(address)
+  }
+
+  /** Dials known addresses at random while no relay is known. */
+  function dialSeeds (): void {
+    if ([...peers.values()].filter(({ address }) => address !== undefined).length >= SEEDS_AT_ONCE) return
+    const addresses = [...new Set([...settings.seeds, ...contacts])].filter((address) => address !== context.self.peerAddress)
+    for (let count = 0; count < SEEDS_AT_ONCE && addresses.length > 0; count++) {
+      const [address] = addresses.splice(Math.floor(settings.draw() * addresses.length), 1)
+      if (address !== undefined) dialer.dial(address)
+    }
+  }
+
+  function isUsable (peer: Peer): boolean {
+    const { hello } = peer
+    return hello?.dataCentre === context.self.dataCentre && (hello.relay || context.relays.includes(hello.host))
+  }
+
+  /** A node that is no relay: one relay that it relies on, and a standby. Nodes differ in their order of relays. */
+  function planNode (): void {
+    const order = rankNames(context.self.host, context.relays)
+    let primary = listGreeted(context).find((peer) => peer.subscribed && isUsable(peer))
+    if (primary === undefined) {
+      primary = order.map(findLink).find((peer) => peer !== undefined) ?? listGreeted(context).find(isUsable)
+      if (primary !== undefined) subscribe(primary)
+    }
+    const standby = order.map(findLink).find((peer) => peer !== undefined && peer !== primary)
+    if (primary === undefined || standby === undefined) {
+      const linked = primary?.hello?.host
+      const wanted = order.filter((host) => host !== linked).slice(0, primary === undefined ? 2 : 1)
+      for (const host of wanted) dialHost(host)
+    }
+    if (primary === undefined) dialSeeds()
+    else closeOthers([primary, standby])
+  }
+
+  /** Closes links that this node opened and no longer needs. */
+  function closeOthers (kept: ReadonlyArray<Peer | undefined>): void {
+    for (const peer of listGreeted(context)) {
+      if (peer.address === undefined || peer.subscriber || kept.includes(peer)) continue
+      closeLink(peer)
+    }
+  }
+
+  function closeLink (peer: Peer): void {
+    peers.delete(peer.link)
+    context.emit({ kind: 'close', link: peer.link })
+  }
+
+  /** True if this side is to dial now: the lower name at once, the other only after waiting. */
+  function isTurn (key: string, lower: boolean): boolean {
+    const since = missingSince.get(key) ?? context.now
+    missingSince.set(key, since)
+    return lower || context.now - since >= DIAL_YIELD_MS
+  }
+
+  function planLocalRelays (): void {
+    for (const host of context.relays) {
+      if (host === context.self.host) continue
+      const link = findLink(host)
+      if (link !== undefined) {
+        missingSince.delete(host)
+        subscribe(link)
+      } else if (isTurn(host, context.self.host < host)) dialHost(host)
+    }
+  }
+
+  function planPairs (): void {
+    for (const dataCentre of ranking.listDataCentres()) {
+      const links = listGreeted(context).filter((peer) => peer.hello?.dataCentre === dataCentre)
+      const relayed = listGreeted(context).some((peer) => isLocalRelay(context, peer) && peer.reach.includes(dataCentre))
+      if (ranking.isHolder(dataCentre)) planPair(dataCentre, links)
+      else if (relayed) for (const peer of links) if (peer.address !== undefined) closeLink(peer)
+    }
+  }
+
+  function planPair (dataCentre: string, links: readonly Peer[]): void {
+    const relays = ranking.listRemote(dataCentre)
+    const link = links.find((peer) => peer.subscribed) ??
+      links.find(({ hello }) => hello?.relay === true || relays.some(({ host }) => host === hello?.host))
+    if (link !== undefined) {
+      missingSince.delete(dataCentre)
+      subscribe(link)
+    } else if (isTurn(dataCentre, context.self.dataCentre < dataCentre)) {
+      const rank = rankNames(context.self.dataCentre, relays.map(({ host }) => host))
+      const [target] = rank
+      if (target !== undefined) dialHost(target)
+    }
+  }
+
+  /** Of two links to one host, keeps the one that the lower name dialled. */
+  function closeDuplicates (): void {
+    const byHost = new Map<string, Peer>()
+    for (const peer of listGreeted(context)) {
+      const host = peer.hello?.host ?? ''
+      const other = byHost.get(host)
+      if (other === undefined) { byHost.set(host, peer); continue }
+      const dialled = [peer, other].find(({ address }) => address !== undefined)
+      const both = peer.address !== undefined && other.address !== undefined
+      if (dialled !== undefined && (both || host < context.self.host)) closeLink(dialled)
+    }
+  }
+
+  function planRelay (): void {
+    planLocalRelays()
+    planPairs()
+    for (const peer of listGreeted(context)) {
+      if (peer.subscriber && peer.hello?.relay === true) subscribe(peer)
+    }
+    const linked = listGreeted(context).filter(({ subscribed }) => subscribed)
+    if (linked.length === 0) dialSeeds()
+    else closeOthers(linked)
+  }
+
+  /** Asks a peer for introductions: a relay now and then, a node without a relay more often. */
+  function requestIntroduction (): void {
+    const interval = context.isRelay ? INTRODUCTION_INTERVAL_MS : HEARTBEAT_INTERVAL_MS
+    const greeted = listGreeted(context)
+    const needed = context.isRelay || !greeted.some(({ subscribed }) => subscribed)
+    if (!needed || context.now - introducedAt < interval) return
+    introducedAt = context.now
+    const sources = context.isRelay ? greeted.filter((peer) => isRemote(context, peer)) : greeted
+    const source = sources[Math.floor(settings.draw() * sources.length)]
+    if (source !== undefined) sendHello(source)
+  }
+
+  function checkLink (peer: Peer): void {
+    const isActive = peer.subscriber || peer.subscribed
+    const limit = isActive || peer.hello === undefined ? SILENCE_LIMIT_MS : STANDBY_SILENCE_MS
+    if (context.now - peer.lastHeard > limit) {
+      peers.delete(peer.link)
+      if (peer.address !== undefined) dialer.handleFailure(peer.address)
+      context.emit({ kind: 'close', link: peer.link, reason: peer.hello === undefined ? 'hello-missing' : 'peer-silent' })
+      return
+    }
+    const interval = isActive ? HEARTBEAT_INTERVAL_MS : STANDBY_HEARTBEAT_INTERVAL_MS
+    if (peer.hello === undefined || context.now - peer.lastSent < interval) return
+    peer.lastSent = context.now
+    context.send(peer, { kind: 'heartbeat', sequence: context.self.sequence, version: context.configuration.version() })
+  }
+
+  return {
+    plan: () => {
+      if (ranking.update()) {
+        context.emit({ kind: 'log', name: 'relayRoleChanged', fields: { relay: context.isRelay } })
+        for (const peer of listGreeted(context)) sendHello(peer)
+      }
+      closeDuplicates()
+      if (context.isRelay) planRelay()
+      else planNode()
+    },
+    tick: () => {
+      for (const peer of [...peers.values()]) checkLink(peer)
+      requestIntroduction()
+    },
+    sendHello,
+    addContacts: (addresses) => { contacts = [...new Set(addresses)].slice(0, MAX_CONTACTS) },
+    subscribe
+  }
+}
