feat(routing): route, balance and retry requests at the entry node

Cause: the request path sent each request to a random endpoint, buffered nothing but also checked nothing. Change: pure core in decisions/requests (route table, version drawing, least-loaded policy, retry budget and decision, deadlines); entry, peers and a minimal home handler in daemon/requests; log events 400 to 406.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -19,6 +19,13 @@
   internalError: { number: 104, level: 'error', text: 'unexpected internal error' },
   configurationApplied: { number: 200, level: 'info', text: 'configuration applied' },
   configurationRejected: { number: 201, level: 'error', text: 'configuration rejected; the one in force stays' },
+  requestHeadMalformed: { number: 400, level: 'debug', text: 'request head malformed, oversized or late' },
+  forwardedRequestUnauthenticated: { number: 401, level: 'warn', text: 'forwarded request without a valid token refused' },
+  hostUnreachable: { number: 402, level: 'warn', text: 'connection to another host failed' },
+  answerMismatched: { number: 403, level: 'error', text: 'answer belongs to another request; connection closed' },
+  retryBudgetSpent: { number: 404, level: 'warn', text: 'retry budget of a service spent; failures reach callers' },
+  drainStarted: { number: 405, level: 'info', text: 'request ports draining' },
+  drainFinished: { number: 406, level: 'info', text: 'no request left in flight' },
   storeUnavailable: { number: 600, level: 'warn', text: 'platform store unavailable' },
   storeAvailable: { number: 601, level: 'info', text: 'platform store available again' }
 } as const satisfies Record<string, EventDefinition>
--- a/packages/contracts/src/http/headers.ts
+++ b/packages/contracts/src/http/headers.ts
@@ -18,6 +18,8 @@
   load: 'snipenotch-load',
   /** Proof that a forwarded request comes from a node of the mesh. */
   token: 'snipenotch-token',
+  /** Number of a forwarded request; the home node repeats it, so that an answer to another request is recognised. */
+  request: 'snipenotch-request',
   /** Route name, set by the entry node. */
   route: 'snipenotch-route',
   /** Version name of the backend server that answered. */
--- a/packages/daemon/src/createDaemon.ts
+++ b/packages/daemon/src/createDaemon.ts
@@ -51,7 +51,7 @@
 export function createDaemon (settings: DaemonSettings): Daemon {
   const context = createContext(settings)
   const control = createControlPlane(context)
-  const requests = createRequestPlane(context, control.view)
+  const requests = createRequestPlane(context, control)
   const admin = createAdminServer(context, control, requests)
   requests.peers.on('upgrade', control.acceptUpgrade)
 
--- a/packages/daemon/src/requests/createRequestPlane.ts
+++ b/packages/daemon/src/requests/createRequestPlane.ts
@@ -1,80 +1,73 @@
-import { Agent, createServer, request as sendHttp, type IncomingMessage, type ServerResponse } from 'node:http'
-import { HEADERS, parseAddress, type Endpoint, type RefusalReason, type Route } from '@snipenotch/contracts'
-import type { MeshView } from '../node/MeshView.js'
+import { createHostLoads, createPassThroughGuard, LeastLoadedPolicy } from '@snipenotch/decisions'
+import csp from 'js-csp'
+import type { ControlPlane } from '../node/ControlPlane.js'
 import type { NodeContext } from '../node/NodeContext.js'
+import { createRequestServer } from './createRequestServer.js'
+import { createEntryHandler } from './entry/createEntryHandler.js'
+import { createExchangeRunner } from './entry/createExchangeRunner.js'
+import { createExplainer } from './entry/createExplainer.js'
+import { createForwarder } from './entry/createForwarder.js'
+import { createKeyIssuer } from './entry/createKeyIssuer.js'
+import { createRouting } from './entry/createRouting.js'
+import { createTryRecorder } from './entry/createTryRecorder.js'
+import { createHomeHandler } from './home/createHomeHandler.js'
+import { createPeerResponseClass } from './peers/createPeerResponseClass.js'
+import { createPeersHandler } from './peers/createPeersHandler.js'
 import type { RequestPlane } from './RequestPlane.js'
 
-function findRoute (view: MeshView, method: string, path: string): Route | undefined {
-  let best: Route | undefined
-  for (const route of Object.values(view.configuration()?.routes ?? {})) {
-    const matches = route.method === method && (path === route.path || path.startsWith(route.path.replace(/\/$/, '') + '/'))
-    if (matches && route.path.length > (best?.path.length ?? -1)) best = route
-  }
-  return best
-}
+const EVIDENCE_INTERVAL_MS = 1000
 
-/** Forwards each request to a random serving endpoint of its route's service. */
-export function createRequestPlane (context: NodeContext, view: MeshView): RequestPlane {
-  const { settings, identity, counters, draw } = context
-  const agent = new Agent({ keepAlive: true })
+/** Builds the request path of a node: servers for callers and for other nodes around one home handler. */
+export function createRequestPlane (context: NodeContext, control: ControlPlane): RequestPlane {
+  const { settings, clock, draw, log } = context
+  const { view } = control
+  const home = createHomeHandler(context, view, control)
+  const guard = createPassThroughGuard()
+  const loads = createHostLoads()
+  const policy = new LeastLoadedPolicy(loads, draw)
+  const routing = createRouting(context, view, policy, guard)
+  const recorder = createTryRecorder(context, loads, guard)
+  const forwarder = createForwarder(context)
+  const runner = createExchangeRunner(context, control, { home, routing, forwarder, recorder, loads })
+  const entry = createEntryHandler(context, view, routing, createKeyIssuer(context, routing), runner)
+  const stopping = csp.chan<never>()
 
-  function refuse (outgoing: ServerResponse, status: number, reason: RefusalReason): void {
-    counters.count('refusals', reason)
-    outgoing.writeHead(status, { [HEADERS.outcome]: 'not-run', [HEADERS.reason]: reason }).end()
+  function reportEvidence (): void {
+    const now = clock.now()
+    const evidence = guard.takeEvidence(now)
+    if (evidence.length > 0) control.reportEvidence(evidence)
+    loads.prune(now)
   }
 
-  function forward (incoming: IncomingMessage, outgoing: ServerResponse, address: string): void {
-    const upstream = sendHttp({
-      ...parseAddress(address), agent, method: incoming.method ?? 'GET', path: incoming.url ?? '/', headers: incoming.headers
-    }, (answer) => {
-      outgoing.writeHead(answer.statusCode ?? 502, answer.headers)
-      answer.pipe(outgoing)
-    })
-    upstream.on('error', () => {
-      if (outgoing.headersSent) outgoing.destroy()
-      else outgoing.writeHead(502, { [HEADERS.outcome]: 'unknown', [HEADERS.reason]: 'backend-failed' }).end()
+  function startEvidenceLoop (): void {
+    csp.go(function * () {
+      while (!stopping.closed) {
+        yield csp.alts([stopping, csp.timeout(EVIDENCE_INTERVAL_MS)])
+        reportEvidence()
+      }
     })
-    outgoing.on('close', () => { if (!outgoing.writableFinished) upstream.destroy() })
-    incoming.pipe(upstream)
-  }
-
-  function chooseEndpoint (service: string): Endpoint | undefined {
-    const candidates = view.listEndpoints(service)
-    return candidates[Math.floor(draw() * candidates.length)]
   }
 
-  function handleEntry (incoming: IncomingMessage, outgoing: ServerResponse): void {
-    counters.count('requests', 'entry')
-    if (view.configuration() === undefined) { refuse(outgoing, 503, 'no-configuration'); return }
-    const route = findRoute(view, incoming.method ?? '', new URL(incoming.url ?? '/', 'http://mesh').pathname)
-    if (route === undefined) { refuse(outgoing, 404, 'no-route'); return }
-    const endpoint = chooseEndpoint(route.service)
-    if (endpoint === undefined) { refuse(outgoing, 503, 'no-backend-server'); return }
-    if (endpoint.host === identity.host) handleHome(incoming, outgoing)
-    else forward(incoming, outgoing, endpoint.peerAddress)
-  }
-
-  function handleHome (incoming: IncomingMessage, outgoing: ServerResponse): void {
-    counters.count('requests', 'home')
-    if (settings.backend === undefined) { refuse(outgoing, 503, 'no-backend-server'); return }
-    forward(incoming, outgoing, settings.backend.address)
-  }
-
-  const requests = createServer(handleEntry)
-  const peers = createServer(handleHome)
   return {
-    requests,
-    peers,
-    start: () => undefined,
-    drain: () => Promise.resolve(),
-    explain: (method, path) => {
-      const route = findRoute(view, method, path)
-      return {
-        configurationVersion: view.configuration()?.version ?? 0,
-        ...(route === undefined ? {} : { route: route.name, service: route.service }),
-        reason: route === undefined ? 'no route matches' : 'route matches',
-        candidates: []
-      }
-    }
+    requests: createRequestServer(context, entry.handle),
+    peers: createRequestServer(
+      context, createPeersHandler(context, view, home), createPeerResponseClass(home.formatLoad)
+    ),
+    start: () => {
+      home.start()
+      startEvidenceLoop()
+    },
+    drain: async () => {
+      const grace = settings.requests.drain_grace_ms
+      log('drainStarted', { grace })
+      await new Promise((resolve) => setTimeout(resolve, grace))
+      // Work that the home finishes may call other services through this node, so callers are refused only after it.
+      await home.drain()
+      entry.stop()
+      await runner.awaitIdle()
+      stopping.close()
+      log('drainFinished')
+    },
+    explain: createExplainer(context, control, routing, guard, loads, policy)
   }
 }
--- /dev/null
+++ b/packages/daemon/src/requests/peers/createPeerResponseClass.ts
@@ -0,0 +1,20 @@
+import { type IncomingMessage, ServerResponse } from 'node:http'
+import { HEADERS } from '@snipenotch/contracts'
+import { readHeader } from '../readHeader.js'
+
+type HeaderList = Array<string | number | string[]>
+type HeaderRecord = NodeJS.Dict<string | number | readonly string[]>
+
+/** A class of answers to forwarded requests that carry this node's load and the number of their request. */
+export function createPeerResponseClass (formatLoad: () => string): typeof ServerResponse<IncomingMessage> {
+  return class PeerResponse extends ServerResponse {
+    override writeHead (status: number, ...rest: unknown[]): this {
+      const given = rest.find((part) => typeof part === 'object') as HeaderList | HeaderRecord | undefined
+      const headers = Array.isArray(given) ? given : Object.entries(given ?? {}).flatMap(([name, value]) => [name, value ?? ''])
+      headers.push(HEADERS.load, formatLoad())
+      const number = readHeader(this.req, HEADERS.request)
+      if (number !== undefined) headers.push(HEADERS.request, number)
+      return super.writeHead(status, headers as HeaderList)
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/requests/peers/createPeersHandler.ts
@@ -0,0 +1,50 @@
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
+import { HEADERS, parseRequestKey, type Outcome, type RefusalReason } from '@snipenotch/contracts'
+import { computeDeadline, parseAttempt } from '@snipenotch/decisions'
+import type { MeshView } from '../../node/MeshView.js'
+import type { NodeContext } from '../../node/NodeContext.js'
+import type { HomeHandler } from '../HomeHandler.js'
+import { createTokenVerifier } from '../meshToken.js'
+import { readHeader } from '../readHeader.js'
+import { sendRefusal } from '../sendRefusal.js'
+
+/** Takes requests that other nodes forward and gives them to the home handler. */
+export function createPeersHandler (context: NodeContext, view: MeshView, home: HomeHandler): RequestListener {
+  const { settings, counters, clock, log } = context
+  const isTokenValid = createTokenVerifier(settings.secrets.mesh)
+
+  function refuse (outgoing: ServerResponse, status: number, reason: RefusalReason, outcome: Outcome): void {
+    sendRefusal(outgoing, counters, { status, reason, outcome })
+  }
+
+  return (incoming: IncomingMessage, outgoing: ServerResponse): void => {
+    outgoing.on('error', () => undefined)
+    if (!isTokenValid(readHeader(incoming, HEADERS.token))) {
+      log('forwardedRequestUnauthenticated', { address: incoming.socket.remoteAddress })
+      refuse(outgoing, 401, 'unauthenticated', 'unknown')
+      return
+    }
+    const configuration = view.configuration()
+    const route = configuration?.routes[readHeader(incoming, HEADERS.route) ?? '']
+    const keyText = readHeader(incoming, HEADERS.key)
+    if (route === undefined) {
+      // Refused without asking the record of keys: an earlier copy of a keyed request may have run here.
+      const outcome = keyText === undefined ? 'not-run' : 'unknown'
+      if (configuration === undefined) refuse(outgoing, 503, 'no-configuration', outcome)
+      else refuse(outgoing, 404, 'no-route', outcome)
+      return
+    }
+    const key = route.idempotent || keyText === undefined ? undefined : parseRequestKey(keyText)
+    if (!route.idempotent && key === undefined) {
+      refuse(outgoing, 400, keyText === undefined ? 'key-required' : 'key-malformed', keyText === undefined ? 'not-run' : 'unknown')
+      return
+    }
+    home.handle(incoming, outgoing, {
+      route,
+      key,
+      deadlineAt: computeDeadline(clock.now(), readHeader(incoming, HEADERS.deadline), route.deadlineMs),
+      attempt: parseAttempt(readHeader(incoming, HEADERS.attempt)),
+      caller: readHeader(incoming, HEADERS.caller) ?? incoming.socket.remoteAddress ?? ''
+    }, (refusal) => sendRefusal(outgoing, counters, refusal))
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/requests/sendRefusal.ts
@@ -0,0 +1,21 @@
+import type { ServerResponse } from 'node:http'
+import { HEADERS } from '@snipenotch/contracts'
+import type { Counters } from '../observability/createCounters.js'
+import type { Refusal } from './HomeHandler.js'
+
+/** Refuses a request with its status, outcome, reason and a short text; `headers` are further names and values. */
+export function sendRefusal (
+  outgoing: ServerResponse, counters: Counters, refusal: Refusal, headers: readonly string[] = []
+): void {
+  counters.count('refusals', refusal.reason)
+  if (outgoing.destroyed) return
+  if (outgoing.headersSent) { outgoing.destroy(); return }
+  const body = `${refusal.reason} (${refusal.outcome})\n`
+  outgoing.writeHead(refusal.status, [
+    'content-type', 'text/plain',
+    'content-length', String(body.length),
+    HEADERS.outcome, refusal.outcome,
+    HEADERS.reason, refusal.reason,
+    ...headers
+  ]).end(body)
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,1 +1,2 @@
+export * from './requests/index.js'
 export * from './rollouts/VersionGuard.js'
--- /dev/null
+++ b/packages/decisions/src/requests/RandomPolicy.ts
@@ -0,0 +1,18 @@
+import type { Endpoint } from '@snipenotch/contracts'
+import { BalancingPolicy, filterExcluded } from './BalancingPolicy.js'
+import type { CandidateSet } from './CandidateSet.js'
+
+/** Chooses uniformly among all candidates, whatever their load or place; the baseline for comparisons. */
+export class RandomPolicy extends BalancingPolicy {
+  readonly #draw: () => number
+
+  constructor (draw: () => number) {
+    super()
+    this.#draw = draw
+  }
+
+  override choose (candidates: CandidateSet, excluded: readonly string[]): Endpoint | undefined {
+    const all = filterExcluded([...candidates.local, ...candidates.remote], excluded)
+    return all[Math.floor(this.#draw() * all.length)]
+  }
+}
