--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,3 +1,4 @@
+export * from './requests/index.js'
 export * from './rollouts/VersionGuard.js'
 export * from './control/computeBackoff.js'
 export * from './control/controlLimits.js'
