test(routing): check the pure decisions of the request path

Cause: the pure core had no tests; the balancer left its data centre when hosts there were busy but not full. Spilling now compares latencies without load.

--- a/packages/decisions/src/requests/LeastLoadedPolicy.ts
+++ b/packages/decisions/src/requests/LeastLoadedPolicy.ts
@@ -10,11 +10,11 @@
 const ASSUMED_LATENCY_MS = 5
 /** Keeps hosts that answer in a fraction of a millisecond comparable by their load. */
 const LATENCY_FLOOR_MS = 0.5
-/** Factor on the cost of a host for each recent connection failure. */
+/** Factor on the latency of a host for each recent connection failure. */
 const FAILURE_FACTOR = 8
-/** A local host that costs this many times a remote one is much slower, beyond the usual distance of data centres. */
+/** A local host this many times slower than a remote one is much slower, beyond the usual distance of data centres. */
 const SPILL_FACTOR = 4
-/** Extra cost of leaving the data centre, so that small local delays don't cause spilling. */
+/** Extra latency of leaving the data centre, so that small local delays don't cause spilling. */
 const SPILL_MARGIN_MS = 3
 
 /** Power of two choices by estimated cost, in the own data centre unless it is saturated or much slower. */
@@ -47,10 +47,15 @@
 
   /** Estimated time to the answer in milliseconds, weighted by load and recent failures. */
   computeCost (endpoint: Endpoint, now: Milliseconds): number {
+    return this.#computeLatency(endpoint, now) * this.computeUtilisation(endpoint, now)
+  }
+
+  /** Recent latency in milliseconds, raised by recent connection failures. */
+  #computeLatency (endpoint: Endpoint, now: Milliseconds): number {
     const load = this.#loads.get(endpoint)
     const isKnown = now - load.latencyAt < LATENCY_LIFETIME_MS
     const latency = LATENCY_FLOOR_MS + (isKnown ? load.latency : ASSUMED_LATENCY_MS)
-    return latency * this.computeUtilisation(endpoint, now) * (1 + FAILURE_FACTOR * computeFailures(load, now))
+    return latency * (1 + FAILURE_FACTOR * computeFailures(load, now))
   }
 
   #chooseOfTwo (endpoints: readonly Endpoint[], now: Milliseconds): Endpoint | undefined {
@@ -64,10 +69,9 @@
   }
 
   #isSpillBetter (local: Endpoint, remote: Endpoint, now: Milliseconds): boolean {
-    const localCost = this.computeCost(local, now)
-    const remoteCost = this.computeCost(remote, now)
     const isSaturated = this.computeUtilisation(local, now) > 1
-    if (isSaturated && this.computeUtilisation(remote, now) <= 1) return true
-    return localCost > SPILL_FACTOR * remoteCost + SPILL_MARGIN_MS
+    if (isSaturated) return this.computeUtilisation(remote, now) <= 1
+    // Load is left out: a busy local host with a free slot still answers sooner than an idle one far away.
+    return this.#computeLatency(local, now) > SPILL_FACTOR * this.#computeLatency(remote, now) + SPILL_MARGIN_MS
   }
 }
--- /dev/null
+++ b/packages/decisions/tests/requests/createRetryBudget.test.ts
@@ -0,0 +1,43 @@
+import { toMilliseconds } from '@snipenotch/contracts'
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { createRetryBudget, RETRY_FLOOR, RETRY_RATIO, RETRY_WINDOW_MS } from '../../src/requests/createRetryBudget.js'
+
+describe('createRetryBudget', () => {
+  it('allows the floor without traffic, then none (guards against a quiet service that cannot retry)', () => {
+    const budget = createRetryBudget()
+    const taken = Array.from({ length: RETRY_FLOOR + 1 }, () => budget.take(toMilliseconds(0)))
+    expect(taken).to.deep.equal([...Array<boolean>(RETRY_FLOOR).fill(true), false])
+  })
+
+  it('gives retries back once the window has passed (guards against a budget that never refills)', () => {
+    const budget = createRetryBudget()
+    while (budget.take(toMilliseconds(0))) { /* spend it all */ }
+    expect(budget.getRemaining(toMilliseconds(RETRY_WINDOW_MS - 1))).to.equal(0)
+    expect(budget.getRemaining(toMilliseconds(RETRY_WINDOW_MS))).to.equal(RETRY_FLOOR)
+  })
+
+  it('agrees with a list of all events (guards against slices that are counted twice or not cleared)', () => {
+    const step = fc.record({ wait: fc.integer({ min: 0, max: 15_000 }), firsts: fc.integer({ min: 0, max: 60 }), takes: fc.integer({ min: 0, max: 9 }) })
+    fc.assert(fc.property(fc.array(step, { maxLength: 30 }), (steps) => {
+      const budget = createRetryBudget()
+      const firsts: number[] = []
+      const retries: number[] = []
+      let now = 0
+      const isInWindow = (at: number): boolean => Math.floor(at / 1000) > Math.floor(now / 1000) - RETRY_WINDOW_MS / 1000
+      for (const { wait, firsts: count, takes } of steps) {
+        now += wait
+        for (let index = 0; index < count; index++) {
+          budget.recordFirstTry(toMilliseconds(now))
+          firsts.push(now)
+        }
+        for (let index = 0; index < takes; index++) {
+          const allowed = Math.floor(firsts.filter(isInWindow).length * RETRY_RATIO) + RETRY_FLOOR
+          const expected = retries.filter(isInWindow).length < allowed
+          expect(budget.take(toMilliseconds(now))).to.equal(expected)
+          if (expected) retries.push(now)
+        }
+      }
+    }))
+  })
+})
