test(routing): check the entry side over real servers

Cause: the entry side had no tests. An upload that took longer than its route's deadline was cut once its last byte was read. Change: tests of refusals, keys, retries, cut, late and crossed answers, leaving callers, pipelines, back pressure and draining. An upload's deadline is put off as long as bytes arrived since the last check. The evidence loop uses a timer, because js-csp has no default export when mocha loads the sources through tsx.

--- a/packages/daemon/src/requests/createRequestPlane.ts
+++ b/packages/daemon/src/requests/createRequestPlane.ts
@@ -1,5 +1,4 @@
 import { createHostLoads, createPassThroughGuard, LeastLoadedPolicy } from '@snipenotch/decisions'
-import csp from 'js-csp'
 import type { ControlPlane } from '../node/ControlPlane.js'
 import type { NodeContext } from '../node/NodeContext.js'
 import { createRequestServer } from './createRequestServer.js'
@@ -30,7 +29,7 @@
   const forwarder = createForwarder(context)
   const runner = createExchangeRunner(context, control, { home, routing, forwarder, recorder, loads })
   const entry = createEntryHandler(context, view, routing, createKeyIssuer(context, routing), runner)
-  const stopping = csp.chan<never>()
+  let evidenceTimer: NodeJS.Timeout | undefined
 
   function reportEvidence (): void {
     const now = clock.now()
@@ -39,15 +38,6 @@
     loads.prune(now)
   }
 
-  function startEvidenceLoop (): void {
-    csp.go(function * () {
-      while (!stopping.closed) {
-        yield csp.alts([stopping, csp.timeout(EVIDENCE_INTERVAL_MS)])
-        reportEvidence()
-      }
-    })
-  }
-
   return {
     requests: createRequestServer(context, entry.handle),
     peers: createRequestServer(
@@ -55,7 +45,8 @@
     ),
     start: () => {
       home.start()
-      startEvidenceLoop()
+      evidenceTimer = setInterval(reportEvidence, EVIDENCE_INTERVAL_MS)
+      evidenceTimer.unref()
     },
     drain: async () => {
       const grace = settings.requests.drain_grace_ms
@@ -65,7 +56,8 @@
       await home.drain()
       entry.stop()
       await runner.awaitIdle()
-      stopping.close()
+      clearInterval(evidenceTimer)
+      reportEvidence()
       log('drainFinished')
     },
     explain: createExplainer(context, control, routing, guard, loads, policy)
--- a/packages/daemon/src/requests/entry/createExchangeRunner.ts
+++ b/packages/daemon/src/requests/entry/createExchangeRunner.ts
@@ -73,10 +73,10 @@
     if (inFlight === 0) for (const resolve of waiting.splice(0)) resolve()
   }
 
-  /** An upload under way has no deadline as long as bytes arrive. */
+  /** An upload under way has no deadline as long as bytes arrive; the answer may follow one deadline after the last. */
   function isUploadMoving (exchange: Exchange): boolean {
     const { incoming, matched, bodyConsumed } = exchange
-    if (matched.route.priority !== 'upload' || !bodyConsumed || incoming.complete) return false
+    if (matched.route.priority !== 'upload' || !bodyConsumed) return false
     const moved = incoming.socket.bytesRead > exchange.bytesRead
     exchange.bytesRead = incoming.socket.bytesRead
     return moved
--- /dev/null
+++ b/packages/daemon/tests/requests/createRequestServer.test.ts
@@ -0,0 +1,52 @@
+import { connect } from 'node:net'
+import { expect } from 'chai'
+import { awaitThat, closeAll, createTestMesh, send, startHttp, startNode } from './fixtures.js'
+
+describe('createRequestServer', () => {
+  afterEach(closeAll)
+
+  async function sendRaw (address: string, text: string): Promise<string> {
+    const [host = '', port = ''] = address.split(':')
+    return await new Promise((resolve) => {
+      let answer = ''
+      const socket = connect(Number(port), host, () => { socket.write(text) })
+      socket.on('data', (chunk) => { answer += chunk.toString() })
+      socket.on('error', () => undefined)
+      socket.on('close', () => { resolve(answer) })
+    })
+  }
+
+  const cases: Array<[string, string]> = [
+    ['no HTTP at all', 'hello there\r\n\r\n'],
+    ['two lengths', 'GET /clocks HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n'],
+    ['length and chunks', 'PUT /photos HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n'],
+    ['an oversized head', `GET /clocks HTTP/1.1\r\nhost: a\r\nx: ${'y'.repeat(5000)}\r\n\r\n`]
+  ]
+  for (const [name, text] of cases) {
+    it(`answers ${name} with 400 and counts it (guards against a crash or smuggled request)`, async () => {
+      const mesh = createTestMesh()
+      const node = await startNode(mesh, 'a', await startHttp((_incoming, outgoing) => outgoing.end('ok')))
+      const answer = await sendRaw(node.requests, text)
+      expect(answer).to.match(/^HTTP\/1\.1 400 .*snipenotch-outcome: unknown\r\nsnipenotch-reason: head-malformed/s)
+      expect(node.context.counters.read('refusals', 'head-malformed')).to.equal(1)
+      expect((await send(node.requests, 'GET', '/clocks')).status).to.equal(200)
+    })
+  }
+
+  it('closes rather than answers a malformed head behind a pending request (guards against a refusal taken as its answer)', async () => {
+    const mesh = createTestMesh()
+    let reached = false
+    const node = await startNode(mesh, 'a', await startHttp(() => { reached = true }))
+    const [host = '', port = ''] = node.requests.split(':')
+    let answer = ''
+    let closed = false
+    const socket = connect(Number(port), host, () => { socket.write('GET /clocks HTTP/1.1\r\nhost: a\r\n\r\n') })
+    socket.on('data', (chunk) => { answer += chunk.toString() })
+    socket.on('error', () => undefined)
+    socket.on('close', () => { closed = true })
+    await awaitThat('the first request arrives', () => reached)
+    socket.write('garbage\r\n\r\n')
+    await awaitThat('the connection closes', () => closed)
+    expect(answer).to.equal('')
+  })
+})
--- /dev/null
+++ b/packages/daemon/tests/requests/entry/createExchangeRunner.test.ts
@@ -0,0 +1,342 @@
+import { request, type IncomingMessage } from 'node:http'
+import { connect, type Socket } from 'node:net'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
+import { expect } from 'chai'
+import {
+  addEndpoint, awaitThat, closeAll, createTestMesh, describeRefusal, onRequestHead, send, startHttp, startNode,
+  startTcp, type TestMesh, type TestNode
+} from '../fixtures.js'
+
+setFlagsFromString('--expose-gc')
+const collectGarbage = runInNewContext('gc') as () => void
+
+/** Bytes in use on the heap and in buffers, without garbage. */
+function measureMemory (): number {
+  collectGarbage()
+  const { arrayBuffers, heapUsed } = process.memoryUsage()
+  return arrayBuffers + heapUsed
+}
+
+const key = `far.1.1.${'0'.repeat(32)}`
+const CLOSED_ADDRESS = '127.0.0.1:1'
+
+describe('createExchangeRunner', () => {
+  let mesh: TestMesh
+  let entry: TestNode
+
+  beforeEach(async () => {
+    mesh = createTestMesh()
+    entry = await startNode(mesh, 'entry')
+  })
+  afterEach(closeAll)
+
+  const read = (label: 'connect-failed' | 'connection-lost' | 'not-run' | 'shed'): number =>
+    entry.context.counters.read('retries', label)
+
+  /** Adds a host whose peers' port does what `behave` says after each request head. */
+  async function addRawHost (
+    host: string, behave: (socket: Socket, number: string, head: string) => void
+  ): Promise<void> {
+    const address = await startTcp((socket) => onRequestHead(socket, (number, head) => behave(socket, number, head)))
+    addEndpoint(mesh, host, address)
+  }
+
+  async function addGoodHost (host = 'good', dataCentre = 'tarnow'): Promise<{ runs: IncomingMessage[] }> {
+    const runs: IncomingMessage[] = []
+    const node = await startNode(mesh, host, await startHttp((incoming, outgoing) => {
+      runs.push(incoming)
+      let bytes = 0
+      incoming.on('data', (chunk: Buffer) => { bytes += chunk.length })
+      incoming.on('end', () => outgoing.end(`${incoming.url} ${bytes}`))
+    }))
+    addEndpoint(mesh, host, node.peers, { dataCentre })
+    return { runs }
+  }
+
+  it('forwards to another host with a smaller deadline (guards against deadlines that start again at each hop)', async () => {
+    const { runs } = await addGoodHost()
+    const answer = await send(entry.requests, 'GET', '/clocks/1', { 'snipenotch-deadline-ms': '1000' })
+    expect(answer).to.include({ status: 200, body: '/clocks/1 0' })
+    expect(Number(runs[0]?.headers['snipenotch-deadline-ms'])).to.be.within(500, 998)
+    expect(answer.headers).to.not.have.any.keys('snipenotch-load', 'snipenotch-request')
+  })
+
+  it('answers a keyed request by its home alone (guards against a second run elsewhere)', async () => {
+    const far = await addGoodHost('far')
+    const near = await addGoodHost('near', 'krakow')
+    expect((await send(entry.requests, 'POST', '/orders', { 'idempotency-key': key }, 'abc')).body).to.equal('/orders 3')
+    expect([far.runs.length, near.runs.length]).to.deep.equal([1, 0])
+  })
+
+  it('tries another host when a connection is refused (guards against a dead host that fails requests)', async () => {
+    addEndpoint(mesh, 'dead', CLOSED_ADDRESS)
+    await addGoodHost()
+    expect((await send(entry.requests, 'GET', '/clocks')).status).to.equal(200)
+    expect(mesh.unreachable).to.deep.equal(['dead'])
+    expect(read('connect-failed')).to.equal(1)
+  })
+
+  it('sends a body to another host when the first refused the connection (guards against an upload lost for nothing)', async () => {
+    addEndpoint(mesh, 'dead', CLOSED_ADDRESS)
+    await addGoodHost()
+    expect((await send(entry.requests, 'PUT', '/photos', {}, 'x'.repeat(10_000))).body).to.equal('/photos 10000')
+  })
+
+  for (const [name, bytes] of [['before any byte', ''], ['inside the status line', 'HTTP/1.1 20'], ['inside the head', 'HTTP/1.1 200 OK\r\ncontent-le']] as const) {
+    it(`tries another host when the answer is cut ${name} (guards against a lost lookup)`, async () => {
+      await addRawHost('bad', (socket) => socket.end(bytes))
+      await addGoodHost()
+      expect((await send(entry.requests, 'GET', '/clocks')).status).to.equal(200)
+      expect(read('connection-lost')).to.equal(1)
+    })
+  }
+
+  it('does not send a consumed body again (guards against half an upload sent as a whole)', async () => {
+    await addRawHost('bad', (socket) => socket.destroy())
+    const { runs } = await addGoodHost()
+    const answer = await send(entry.requests, 'PUT', '/photos', {}, 'x'.repeat(10))
+    expect(describeRefusal(answer)).to.equal('502 unknown backend-failed')
+    expect(runs).to.have.length(0)
+    expect(entry.context.counters.read('retry_stops', 'body-consumed')).to.equal(1)
+  })
+
+  it('never sends a keyed request again once bytes were sent (guards against a double order)', async () => {
+    let heads = 0
+    await addRawHost('far', (socket) => { heads++; socket.destroy() })
+    const { runs } = await addGoodHost()
+    const answer = await send(entry.requests, 'POST', '/orders', { 'idempotency-key': key })
+    expect(describeRefusal(answer)).to.equal('502 unknown backend-failed')
+    expect([heads, runs.length]).to.deep.equal([1, 0])
+  })
+
+  it('tries a home again that refuses connections, then says unknown (guards against a false not-run)', async () => {
+    addEndpoint(mesh, 'far', CLOSED_ADDRESS)
+    const { runs } = await addGoodHost()
+    const answer = await send(entry.requests, 'POST', '/orders', { 'idempotency-key': key })
+    expect(describeRefusal(answer)).to.equal('503 unknown backend-unreachable')
+    expect(read('connect-failed')).to.equal(2)
+    expect(runs).to.have.length(0)
+  })
+
+  const cut: Array<[string, string]> = [
+    ['with a length', 'content-length: 100\r\n\r\nhalf'],
+    ['in chunks', 'transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n'],
+    ['inside a chunk', 'transfer-encoding: chunked\r\n\r\n10\r\nhalf']
+  ]
+  for (const [name, text] of cut) {
+    it(`closes the caller's connection when an answer ${name} is cut (guards against half an answer taken as whole)`, async () => {
+      await addRawHost('bad', (socket, number) => {
+        socket.write(`HTTP/1.1 200 OK\r\nsnipenotch-request: ${number}\r\n${text}`)
+        setTimeout(() => socket.destroy(), 20)
+      })
+      const answer = await send(entry.requests, 'GET', '/clocks')
+      expect(answer).to.include({ status: 200, body: 'half', complete: false })
+    })
+  }
+
+  it('rejects an answer to another request (guards against crossed answers)', async () => {
+    await addRawHost('bad', (socket, number) => {
+      socket.write(`HTTP/1.1 200 OK\r\nsnipenotch-request: ${Number(number) + 1}\r\ncontent-length: 5\r\n\r\nwrong`)
+    })
+    await addGoodHost()
+    expect((await send(entry.requests, 'GET', '/clocks/2')).body).to.equal('/clocks/2 0')
+    expect(entry.events).to.include('answerMismatched')
+  })
+
+  it('drops the answer of a request past its deadline (guards against a late answer given to the next request)', async () => {
+    const late: Array<() => void> = []
+    await addRawHost('slow', (socket, number, head) => {
+      const path = head.split(' ')[1] ?? ''
+      const answer = (): void => {
+        socket.write(`HTTP/1.1 200 OK\r\nsnipenotch-request: ${number}\r\ncontent-length: ${path.length}\r\n\r\n${path}`)
+      }
+      if (path === '/clocks/late') late.push(answer)
+      else answer()
+    })
+    const first = await send(entry.requests, 'GET', '/clocks/late', { 'snipenotch-deadline-ms': '50' })
+    expect(describeRefusal(first)).to.equal('504 unknown deadline-passed')
+    const next = send(entry.requests, 'GET', '/clocks/next')
+    for (const answer of late) answer()
+    expect((await next).body).to.equal('/clocks/next')
+  })
+
+  it('gives each of many concurrent callers its own answer (guards against crossed answers under load)', async () => {
+    await addGoodHost('one')
+    await addGoodHost('two', 'krakow')
+    const answers = await Promise.all(Array.from({ length: 200 }, (_, index) => send(entry.requests, 'GET', `/clocks/${index}`)))
+    expect(answers.map(({ body }) => body)).to.deep.equal(answers.map((_, index) => `/clocks/${index} 0`))
+  })
+
+  it('ends the downstream request when the caller goes away (guards against work for nobody)', async () => {
+    let arrived = false
+    let closed = false
+    await addRawHost('slow', (socket) => {
+      arrived = true
+      socket.on('close', () => { closed = true })
+    })
+    const [host = '', port = ''] = entry.requests.split(':')
+    const caller = connect(Number(port), host, () => { caller.write('GET /clocks HTTP/1.1\r\nhost: a\r\n\r\n') })
+    await awaitThat('the request arrives', () => arrived)
+    caller.destroy()
+    await awaitThat('the downstream connection closes', () => closed)
+    await awaitThat('it is counted', () => entry.context.counters.read('requests', 'cancelled') === 1)
+    expect(read('connection-lost')).to.equal(0)
+  })
+
+  it('ends the downstream request of a caller that goes away in a pipeline (guards against a drain that never ends)', async () => {
+    let arrived = 0
+    await addRawHost('slow', () => { arrived++ })
+    const [host = '', port = ''] = entry.requests.split(':')
+    const head = 'GET /clocks HTTP/1.1\r\nhost: a\r\n\r\n'
+    const caller = connect(Number(port), host, () => { caller.write(head + head) })
+    await awaitThat('both requests arrive', () => arrived === 2)
+    caller.destroy()
+    await entry.plane.drain()
+  })
+
+  /** Answers every request with a refusal. */
+  const addRefusingHost = (host: string, reason: string, outcome = 'not-run'): Promise<void> =>
+    addRawHost(host, (socket, number) => {
+      socket.write(`HTTP/1.1 503 x\r\nsnipenotch-request: ${number}\r\nsnipenotch-outcome: ${outcome}\r\n` +
+        `snipenotch-reason: ${reason}\r\ncontent-length: 0\r\n\r\n`)
+    })
+
+  it('tries another host after a not-run and a shed (guards against refusals that reach callers needlessly)', async () => {
+    await addRefusingHost('bad', 'draining')
+    await addGoodHost()
+    expect((await send(entry.requests, 'GET', '/clocks')).status).to.equal(200)
+    expect(read('not-run')).to.equal(1)
+    await addRefusingHost('bad', 'queue-full')
+    for (let index = 0; index < 5 && read('shed') === 0; index++) await send(entry.requests, 'GET', '/clocks')
+    expect(read('shed')).to.equal(1)
+  })
+
+  it('passes a crash-suspect refusal on (guards against a request that tours the mesh)', async () => {
+    await addRefusingHost('bad', 'crash-suspect')
+    const { runs } = await addGoodHost()
+    expect(describeRefusal(await send(entry.requests, 'GET', '/clocks'))).to.equal('503 not-run crash-suspect')
+    expect(runs).to.have.length(0)
+  })
+
+  it('passes the not-run of a home on for a keyed request (guards against a second run elsewhere)', async () => {
+    await addRefusingHost('far', 'queue-full')
+    const { runs } = await addGoodHost()
+    const answer = await send(entry.requests, 'POST', '/orders', { 'idempotency-key': key })
+    expect(describeRefusal(answer)).to.equal('503 not-run queue-full')
+    expect(runs).to.have.length(0)
+  })
+
+  it('turns not-run into unknown after a try that may have run (guards against a false not-run)', async () => {
+    let first = true
+    const behave = (socket: Socket, number: string): void => {
+      if (first) { first = false; socket.destroy(); return }
+      socket.write(`HTTP/1.1 503 x\r\nsnipenotch-request: ${number}\r\nsnipenotch-outcome: not-run\r\n` +
+        'snipenotch-reason: crash-suspect\r\ncontent-length: 0\r\n\r\n')
+    }
+    await addRawHost('one', behave)
+    await addRawHost('two', behave)
+    expect(describeRefusal(await send(entry.requests, 'GET', '/clocks'))).to.equal('503 unknown crash-suspect')
+  })
+
+  it('makes no retry for a retry from above (guards against retries that multiply over a call chain)', async () => {
+    await addRefusingHost('one', 'queue-full')
+    await addRefusingHost('two', 'queue-full')
+    await send(entry.requests, 'GET', '/clocks', { 'snipenotch-attempt': '1' })
+    expect(read('shed')).to.equal(0)
+    expect(entry.context.counters.read('retry_stops', 'attempt-limit')).to.equal(1)
+  })
+
+  it('stops retrying when the budget is spent (guards against a retry storm)', async () => {
+    await addRefusingHost('one', 'queue-full')
+    await addRefusingHost('two', 'queue-full')
+    for (let index = 0; index < 20; index++) await send(entry.requests, 'GET', '/clocks')
+    expect(read('shed')).to.be.at.most(7)
+    expect(entry.events).to.include('retryBudgetSpent')
+  })
+
+  it('tries another host when its own backend server is gone (guards against loyalty to the local host)', async () => {
+    const local = await startNode(mesh, 'local', CLOSED_ADDRESS)
+    await addGoodHost()
+    expect((await send(local.requests, 'GET', '/clocks')).status).to.equal(200)
+    expect(local.context.counters.read('retries', 'not-run')).to.equal(1)
+  })
+
+  it('streams a 50 MB upload over two hops within bounded memory (guards against a body held whole)', async () => {
+    const CHUNK = Buffer.alloc(65_536, 'x')
+    const CHUNKS = 800
+    let bytes = 0
+    let resume = (): void => undefined
+    const home = await startNode(mesh, 'home', await startHttp((incoming, outgoing) => {
+      incoming.on('data', (chunk: Buffer) => { bytes += chunk.length })
+      incoming.on('end', () => outgoing.end(String(bytes)))
+      incoming.pause()
+      resume = () => incoming.resume()
+    }))
+    addEndpoint(mesh, 'home', home.peers)
+    const baseline = measureMemory()
+    let sent = 0
+    const body = new Promise<string>((resolve, reject) => {
+      const upload = request(`http://${entry.requests}/photos/1`, { method: 'PUT', agent: false }, (answer) => {
+        answer.on('data', (chunk: Buffer) => resolve(chunk.toString()))
+      }).on('error', reject)
+      const write = (): void => {
+        while (sent < CHUNKS) {
+          sent++
+          if (!upload.write(CHUNK)) { upload.once('drain', write); return }
+        }
+        upload.end()
+      }
+      write()
+    })
+    // The backend server reads nothing meanwhile, so whatever the nodes took in is in their memory.
+    await new Promise((resolve) => setTimeout(resolve, 1000))
+    const held = measureMemory() - baseline
+    expect(sent).to.be.below(CHUNKS)
+    resume()
+    expect(await body).to.equal(String(CHUNKS * CHUNK.length))
+    expect(held).to.be.below(5 * 1024 * 1024)
+  })
+
+  it('keeps a slow caller from filling memory with an answer (guards against a missing back pressure)', async () => {
+    const CHUNK = Buffer.alloc(65_536, 'y')
+    let written = 0
+    const home = await startNode(mesh, 'home', await startHttp((_incoming, outgoing) => {
+      const write = (): void => {
+        while (written < 800) {
+          written++
+          if (!outgoing.write(CHUNK)) { outgoing.once('drain', write); return }
+        }
+        outgoing.end()
+      }
+      write()
+    }))
+    addEndpoint(mesh, 'home', home.peers)
+    const [host = '', port = ''] = entry.requests.split(':')
+    const caller = connect(Number(port), host, () => { caller.write('GET /clocks HTTP/1.1\r\nhost: a\r\n\r\n') })
+    caller.pause()
+    await new Promise((resolve) => setTimeout(resolve, 500))
+    expect(written).to.be.below(800)
+    let received = 0
+    caller.on('data', (chunk) => { received += chunk.length })
+    caller.resume()
+    await awaitThat('the whole answer arrives', () => received > 800 * CHUNK.length)
+    caller.destroy()
+  })
+
+  it('lets requests in flight finish before it has drained (guards against a shutdown that cuts an answer)', async () => {
+    let release = (): void => undefined
+    const home = await startNode(mesh, 'home', await startHttp((_incoming, outgoing) => { release = () => outgoing.end('late') }))
+    const answer = send(home.requests, 'GET', '/clocks')
+    await awaitThat('the request arrives', () => home.context.counters.read('requests', 'home') === 1)
+    await new Promise((resolve) => setTimeout(resolve, 50))
+    let drained = false
+    const draining = home.plane.drain().then(() => { drained = true })
+    await new Promise((resolve) => setTimeout(resolve, 50))
+    expect(drained).to.equal(false)
+    release()
+    expect(await answer).to.include({ body: 'late', complete: true })
+    await draining
+    expect(describeRefusal(await send(home.requests, 'GET', '/clocks'))).to.equal('503 not-run draining')
+  })
+})
--- /dev/null
+++ b/packages/daemon/tests/requests/fixtures.ts
@@ -0,0 +1,219 @@
+import { createServer as createTcpServer, type Server as TcpServer, type Socket } from 'node:net'
+import { createServer, request, type IncomingHttpHeaders, type RequestListener, type Server } from 'node:http'
+import {
+  type Configuration, createSystemClock, daemonSettingsSchema, type Endpoint, type Evidence, type Route
+} from '@snipenotch/contracts'
+import type { ControlPlane } from '../../src/node/ControlPlane.js'
+import type { NodeContext } from '../../src/node/NodeContext.js'
+import { createCounters } from '../../src/observability/createCounters.js'
+import { createRequestPlane } from '../../src/requests/createRequestPlane.js'
+import type { RequestPlane } from '../../src/requests/RequestPlane.js'
+
+export const MESH_SECRET = 'mesh-secret-of-the-request-tests-0000'
+
+export const ROUTES: Route[] = [
+  { name: 'lookup', method: 'GET', path: '/clocks', idempotent: true, deadlineMs: 2000, priority: 'lookup', service: 'clocks' },
+  { name: 'upload', method: 'PUT', path: '/photos', idempotent: true, deadlineMs: 2000, priority: 'upload', service: 'clocks' },
+  { name: 'order', method: 'POST', path: '/orders', idempotent: false, deadlineMs: 2000, priority: 'order', service: 'clocks' }
+]
+
+export function createConfiguration (): Configuration {
+  const limits = { slots: 10, connections: 100, queue: 40, expected_latency_ms: 100 }
+  return {
+    version: 1,
+    operationId: 'o',
+    author: 'a',
+    acceptedAt: 0,
+    summary: '',
+    services: { clocks: { name: 'clocks', stable: 'v1', shares: { v1: 1 }, limits } },
+    routes: Object.fromEntries(ROUTES.map((route) => [route.name, route]))
+  }
+}
+
+const cleanups: Array<() => void> = []
+
+/** Closes everything that the tests opened. */
+export function closeAll (): void {
+  for (const cleanup of cleanups.splice(0)) cleanup()
+}
+
+export async function listenAnywhere (server: TcpServer): Promise<string> {
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const address = server.address()
+  if (typeof address !== 'object' || address === null) throw new Error('server has no port')
+  cleanups.push(() => {
+    if ('closeAllConnections' in server) (server as Server).closeAllConnections()
+    server.close()
+  })
+  return `127.0.0.1:${address.port}`
+}
+
+export async function startHttp (listener: RequestListener): Promise<string> {
+  return await listenAnywhere(createServer(listener))
+}
+
+export async function startTcp (listener: (socket: Socket) => void): Promise<string> {
+  return await listenAnywhere(createTcpServer((socket) => {
+    socket.on('error', () => undefined)
+    cleanups.push(() => socket.destroy())
+    listener(socket)
+  }))
+}
+
+/** State that the nodes of one test share in place of a control plane. */
+export interface TestMesh {
+  configuration: Configuration | undefined
+  readonly endpoints: Map<string, Endpoint>
+  readonly unreachable: string[]
+  readonly evidence: Evidence[]
+}
+
+export function createTestMesh (): TestMesh {
+  return { configuration: createConfiguration(), endpoints: new Map(), unreachable: [], evidence: [] }
+}
+
+function createFakeControl (mesh: TestMesh, host: string): ControlPlane {
+  const list = (): Endpoint[] => [...mesh.endpoints.values()]
+  return {
+    view: {
+      configuration: () => mesh.configuration,
+      self: () => mesh.endpoints.get(host)!,
+      listEndpoints: (service) => list().filter((endpoint) => endpoint.service === service && endpoint.state === 'serving'),
+      findEndpoint: (name) => mesh.endpoints.get(name),
+      isDrained: () => false,
+      isQuarantined: () => false
+    },
+    start: () => undefined,
+    stop: () => undefined,
+    acceptUpgrade: () => undefined,
+    announce: () => undefined,
+    reportSuspects: () => undefined,
+    reportEvidence: (evidence) => { mesh.evidence.push(...evidence) },
+    reportUnreachable: ({ host: name }) => { mesh.unreachable.push(name) },
+    submitOrder: () => { throw new Error('not part of these tests') },
+    readStatus: () => ({
+      host,
+      dataCentre: 'krakow',
+      relay: false,
+      configurationVersion: mesh.configuration?.version ?? 0,
+      configurationDigest: '',
+      storeReachable: true,
+      nodes: list().map((endpoint) => ({ endpoint, configurationVersion: 1, silent: false })),
+      orders: []
+    }),
+    onEvidence: () => undefined,
+    isRelay: () => false
+  }
+}
+
+export interface TestNode {
+  readonly plane: RequestPlane
+  readonly context: NodeContext
+  readonly requests: string
+  readonly peers: string
+  readonly events: string[]
+}
+
+/** Adds an endpoint record to the mesh. */
+export function addEndpoint (mesh: TestMesh, host: string, peerAddress: string, part: Partial<Endpoint> = {}): void {
+  mesh.endpoints.set(host, {
+    host,
+    dataCentre: 'krakow',
+    incarnation: 1,
+    sequence: 1,
+    state: 'serving',
+    service: 'clocks',
+    version: 'v1',
+    slots: 10,
+    warmSlots: 10,
+    requestAddress: '127.0.0.1:1',
+    peerAddress,
+    adminAddress: '127.0.0.1:1',
+    ...part
+  })
+}
+
+/** Starts a node's request plane; with a backend address its endpoint serves, else it is an entry only. */
+export async function startNode (mesh: TestMesh, host: string, backend?: string): Promise<TestNode> {
+  const address = '127.0.0.1:1'
+  const settings = daemonSettingsSchema.parse({
+    host,
+    data_centre: 'krakow',
+    listen: { requests: address, peers: address, admin: address },
+    platform: { table: address, objects: address },
+    secrets: { mesh: MESH_SECRET, operators: MESH_SECRET },
+    requests: { drain_grace_ms: 0, max_head_bytes: 4096 },
+    ...(backend === undefined ? {} : { backend: { address: backend, service: 'clocks', version: 'v1' } })
+  })
+  const events: string[] = []
+  const context: NodeContext = {
+    settings,
+    identity: { host, dataCentre: 'krakow', incarnation: 1 },
+    clock: createSystemClock(),
+    draw: Math.random,
+    log: (name) => { events.push(name) },
+    counters: createCounters(),
+    table: undefined as never,
+    objects: undefined as never
+  }
+  const plane = createRequestPlane(context, createFakeControl(mesh, host))
+  const peers = await listenAnywhere(plane.peers)
+  const requests = await listenAnywhere(plane.requests)
+  addEndpoint(mesh, host, peers, backend === undefined ? { service: undefined, state: 'starting' } : {})
+  return { plane, context, requests, peers, events }
+}
+
+export interface Answer {
+  readonly status: number
+  readonly headers: IncomingHttpHeaders
+  readonly body: string
+  /** False if the connection ended before the whole answer. */
+  readonly complete: boolean
+}
+
+/** Sends a request over a connection of its own; rejects if no answer begins. */
+export function send (
+  address: string, method: string, path: string, headers: Record<string, string> = {}, body?: string
+): Promise<Answer> {
+  return new Promise((resolve, reject) => {
+    const outgoing = request(`http://${address}${path}`, { method, headers, agent: false }, (answer) => {
+      const chunks: Buffer[] = []
+      answer.on('data', (chunk: Buffer) => { chunks.push(chunk) })
+      answer.on('error', () => undefined)
+      answer.on('close', () => resolve({
+        status: answer.statusCode ?? 0,
+        headers: answer.headers,
+        body: Buffer.concat(chunks).toString(),
+        complete: answer.complete
+      }))
+    })
+    outgoing.on('error', reject)
+    outgoing.end(body)
+  })
+}
+
+export async function awaitThat (what: string, condition: () => boolean): Promise<void> {
+  const limit = Date.now() + 5000
+  while (!condition()) {
+    if (Date.now() > limit) throw new Error(`timed out: ${what}`)
+    await new Promise((resolve) => setTimeout(resolve, 5))
+  }
+}
+
+/** Status, outcome and reason of a refusal on one line. */
+export function describeRefusal ({ status, headers }: Answer): string {
+  return `${status} ${headers['snipenotch-outcome'] as string} ${headers['snipenotch-reason'] as string}`
+}
+
+/** Reads one HTTP head from a socket and calls back with the value of its request number. */
+export function onRequestHead (socket: Socket, handle: (number: string, head: string) => void): void {
+  let text = ''
+  socket.on('data', (chunk) => {
+    text += chunk.toString('latin1')
+    const end = text.indexOf('\r\n\r\n')
+    if (end < 0) return
+    const head = text.slice(0, end)
+    text = text.slice(end + 4)
+    handle(/snipenotch-request: (\d+)/.exec(head)?.[1] ?? '', head)
+  })
+}
--- /dev/null
+++ b/packages/daemon/tests/requests/peers/createPeersHandler.test.ts
@@ -0,0 +1,37 @@
+import { expect } from 'chai'
+import { signMeshToken } from '../../../src/requests/meshToken.js'
+import { closeAll, createTestMesh, describeRefusal, MESH_SECRET, send, startHttp, startNode } from '../fixtures.js'
+
+describe('createPeersHandler', () => {
+  afterEach(closeAll)
+
+  const token = signMeshToken(MESH_SECRET)
+  const key = `a.1.1.${'0'.repeat(32)}`
+  const cases: Array<[string, Record<string, string>, string]> = [
+    ['no token', { 'snipenotch-route': 'lookup' }, '401 unknown unauthenticated'],
+    ['a wrong token', { 'snipenotch-token': token.replace(/.$/, 'z'), 'snipenotch-route': 'lookup' }, '401 unknown unauthenticated'],
+    ['an unknown route', { 'snipenotch-token': token, 'snipenotch-route': 'other' }, '404 not-run no-route'],
+    ['an unknown route with a key', { 'snipenotch-token': token, 'snipenotch-route': 'other', 'idempotency-key': key }, '404 unknown no-route'],
+    ['no key', { 'snipenotch-token': token, 'snipenotch-route': 'order' }, '400 not-run key-required']
+  ]
+  for (const [name, headers, expected] of cases) {
+    it(`${name}: ${expected} (guards against work that nobody authorised, or a false not-run)`, async () => {
+      const mesh = createTestMesh()
+      let runs = 0
+      const node = await startNode(mesh, 'a', await startHttp((_incoming, outgoing) => { runs++; outgoing.end('ok') }))
+      expect(describeRefusal(await send(node.peers, 'GET', '/clocks', headers))).to.equal(expected)
+      expect(runs).to.equal(0)
+    })
+  }
+
+  it('runs an authenticated request and adds load and request number (guards against answers without a match)', async () => {
+    const mesh = createTestMesh()
+    const node = await startNode(mesh, 'a', await startHttp((_incoming, outgoing) => outgoing.end('ok')))
+    const answer = await send(node.peers, 'GET', '/clocks', {
+      'snipenotch-token': token, 'snipenotch-route': 'lookup', 'snipenotch-request': '17'
+    })
+    expect(answer.body).to.equal('ok')
+    expect(answer.headers['snipenotch-request']).to.equal('17')
+    expect(answer.headers['snipenotch-load']).to.match(/^\d+,\d+,\d+$/)
+  })
+})
