feat(keys): record request keys so that each runs at most once

Change: a pure ledger with the states running, completed, unknown and refused. Adds the refusal reason answer-not-held for a run whose answer was too large to keep.

--- a/packages/contracts/src/reasons/reasons.ts
+++ b/packages/contracts/src/reasons/reasons.ts
@@ -14,6 +14,7 @@
   'key-home-gone',
   'key-refused',
   'key-mismatch',
+  'answer-not-held',
   'crash-suspect',
   'backend-shedding',
   'backend-unreachable',
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,1 +1,3 @@
+export * from './home/createKeyLedger.js'
+export * from './home/KeyLedger.js'
 export * from './rollouts/VersionGuard.js'
