feat(suspects): tell crashing requests from those in flight with them

Cause: one request can crash each backend server that runs it, and its neighbours in flight must not be refused for it. Change: a pure tracker; a fingerprint that succeeded recently is not reported unless it was alone in flight, and one seen at a crash runs alone until a run of it succeeds.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,6 +1,7 @@
 export * from './home/Admission.js'
 export * from './home/createAdmission.js'
 export * from './home/createConcurrencyLimit.js'
+export * from './home/createCrashTracker.js'
 export * from './home/createFairQueue.js'
 export * from './home/createKeyLedger.js'
 export * from './home/KeyLedger.js'
