feat(home): run requests on this host's backend server

Cause: the home side of the request path (design, section 8) was a plain forwarder. Change: createHomeHandler with keyed runs, admission, cold-start limit, streaming with back pressure, deadlines, cancellation, crash detection, capacity announcements and draining; events 450 to 455.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -19,6 +19,12 @@
   internalError: { number: 104, level: 'error', text: 'unexpected internal error' },
   configurationApplied: { number: 200, level: 'info', text: 'configuration applied' },
   configurationRejected: { number: 201, level: 'error', text: 'configuration rejected; the one in force stays' },
+  backendDown: { number: 450, level: 'warn', text: 'backend server refuses connections' },
+  backendUp: { number: 451, level: 'info', text: 'backend server accepts connections again' },
+  requestsSuspected: { number: 452, level: 'warn', text: 'requests in flight at a crash of the backend server suspected' },
+  limitReduced: { number: 453, level: 'warn', text: 'concurrency limit halved on evidence of overload' },
+  keyAhead: { number: 454, level: 'warn', text: 'request key dated ahead of the clock of this host' },
+  keyRecordsFull: { number: 455, level: 'error', text: 'records of request keys are full' },
   storeUnavailable: { number: 600, level: 'warn', text: 'platform store unavailable' },
   storeAvailable: { number: 601, level: 'info', text: 'platform store available again' }
 } as const satisfies Record<string, EventDefinition>
--- /dev/null
+++ b/packages/daemon/src/requests/home/createHomeHandler.ts
@@ -0,0 +1,25 @@
+import type { ControlPlane } from '../../node/ControlPlane.js'
+import type { MeshView } from '../../node/MeshView.js'
+import type { NodeContext } from '../../node/NodeContext.js'
+import type { HomeHandler } from '../HomeHandler.js'
+import { createBackendHandler } from './createBackendHandler.js'
+
+/** Home side of a node that has no backend server. */
+function createEmptyHandler ({ counters }: NodeContext): HomeHandler {
+  return {
+    handle: (_incoming, _outgoing, _request, refuse) => {
+      counters.count('requests', 'home')
+      counters.count('refusals', 'no-backend-server')
+      refuse({ status: 503, reason: 'no-backend-server', outcome: 'not-run' })
+    },
+    formatLoad: () => '0,0,0',
+    start: () => undefined,
+    drain: () => Promise.resolve()
+  }
+}
+
+/** Creates the home side of the request path for the backend server in the settings, if there is one. */
+export function createHomeHandler (context: NodeContext, view: MeshView, control: ControlPlane): HomeHandler {
+  const { backend } = context.settings
+  return backend === undefined ? createEmptyHandler(context) : createBackendHandler(context, view, control, backend)
+}
