--- a/packages/daemon/src/requests/peers/createPeerResponseClass.ts
+++ b/packages/daemon/src/requests/peers/createPeerResponseClass.ts
@@ -11,7 +11,8 @@
     override writeHead (status: number, ...rest: unknown[]): this {
       const given = rest.find((part) => typeof part === 'object') as HeaderList | HeaderRecord | undefined
       const headers = Array.isArray(given) ? given : Object.entries(given ?? {}).flatMap(([name, value]) => [name, value ?? ''])
-      headers.push(HEADERS.load, formatLoad())
+      // Answers of the home handler carry the load already; refusals by the peers handler do not.
+      if (!headers.includes(HEADERS.load)) headers.push(HEADERS.load, formatLoad())
       const number = readHeader(this.req, HEADERS.request)
       if (number !== undefined) headers.push(HEADERS.request, number)
       return super.writeHead(status, headers as HeaderList)
--- a/packages/decisions/src/requests/decideRetry.ts
+++ b/packages/decisions/src/requests/decideRetry.ts
@@ -87,6 +87,7 @@
   'key-home-gone': undefined,
   'key-refused': undefined,
   'key-mismatch': undefined,
+  'answer-not-held': undefined,
   'crash-suspect': undefined,
   'backend-failed': undefined,
   unauthenticated: undefined,
