fix(control): heal split groups, stale roles and false silence found by model tests

Cause: schedules over a faulty queue showed groups of nodes that held each other for silent and never met again, former relays that passed evidence in a circle, a role sent only to peers that had greeted, and paused relays that blamed hosts which had moved to another relay. Change: relays probe silent addresses, repeat introductions, answer silent marks about hosts they hear; hosts announce anew at each relay; a pause clears the watch. Backoff limits of store and reconnects fall from 8 s and 4 s to 2 s.

--- a/packages/decisions/src/control/CoreContext.ts
+++ b/packages/decisions/src/control/CoreContext.ts
@@ -8,6 +8,7 @@
   readonly link: number
   /** Address that this node dialled; undefined if the other side opened the link. */
   readonly address: string | undefined
+  readonly openedAt: number
   hello: Hello | undefined
   /** Local time at which anything last came over the link. */
   lastHeard: number
@@ -22,6 +23,8 @@
   rejection: string | undefined
   /** Data centres that the other side last said it reaches. */
   reach: readonly string[]
+  /** Data centres that this node last told the other side it reaches. */
+  sentReach: readonly string[] | undefined
 }
 
 /** State that the parts of one core share. */
--- a/packages/decisions/src/control/controlLimits.ts
+++ b/packages/decisions/src/control/controlLimits.ts
@@ -14,12 +14,13 @@
 export const RELAY_MIN_AGE_MS = 10_000
 
 export const STORE_POLL_INTERVAL_MS = 500
-export const STORE_BACKOFF_LIMIT_MS = 8000
+/** With 8 s, nodes needed up to 7.7 s after an outage; 4 s is allowed. */
+export const STORE_BACKOFF_LIMIT_MS = 2000
 export const CONTACT_WRITE_INTERVAL_MS = 10_000
 export const EVIDENCE_INTERVAL_MS = 1000
 export const FETCH_TIMEOUT_MS = 1000
 export const RECONNECT_BASE_MS = 100
-export const RECONNECT_LIMIT_MS = 4000
+export const RECONNECT_LIMIT_MS = 2000
 
 /** Time that a refused fingerprint stays refused after its last crash. */
 export const QUARANTINE_MS = 60_000
@@ -53,3 +54,5 @@
 export const RANK_INTERVAL_MS = 2000
 /** Addresses whose dial failures are remembered. */
 export const MAX_DIAL_RECORDS = 256
+/** Interval at which a relay dials one address whose host counts as silent. */
+export const PROBE_INTERVAL_MS = 5000
--- a/packages/decisions/src/control/createConfigurationFollower.ts
+++ b/packages/decisions/src/control/createConfigurationFollower.ts
@@ -11,6 +11,8 @@
 export interface ConfigurationFollower {
   /** Takes note of the configuration that a peer has. */
   readonly handleOffer: (peer: Peer, version: number, digest: string) => void
+  /** Takes note of the version that a peer has in force; the next tick fetches it if its offer was lost. */
+  readonly handleHeartbeat: (peer: Peer, version: number) => void
   readonly handleFetch: (peer: Peer, fetch: Fetch) => void
   readonly handleDelta: (peer: Peer, delta: Delta) => void
   readonly handleSnapshot: (peer: Peer, snapshot: Snapshot) => void
@@ -124,6 +126,7 @@
       for (const known of digests.keys()) if (known < configuration.version()) digests.delete(known)
       planFetch(undefined)
     },
+    handleHeartbeat: (peer, version) => { peer.version = version },
     handleFetch: (peer, { base, digest, scope, version }) => {
       if (version > configuration.version()) return
       const answer = configuration.composeAnswer(base, digest, scope)
--- a/packages/decisions/src/control/createControlCore.ts
+++ b/packages/decisions/src/control/createControlCore.ts
@@ -3,7 +3,7 @@
 } from '@snipenotch/contracts'
 import { MAX_LINKS, PAUSE_LIMIT_MS } from './controlLimits.js'
 import type { ControlAction, ControlEvent, ControlSettings, Hello } from './ControlEvent.js'
-import { type CoreContext, isRemote, type Peer } from './CoreContext.js'
+import { type CoreContext, isRemote, listGreeted, type Peer } from './CoreContext.js'
 import { createConfigurationFollower } from './createConfigurationFollower.js'
 import { createConfigurationState } from './createConfigurationState.js'
 import { createDialer } from './createDialer.js'
@@ -70,8 +70,8 @@
   const suspects = createSuspectRegister()
   const dialer = createDialer(context)
   const ranking = createRelayRanking(context, dialer)
-  const links = createLinkPlan(context, ranking, dialer)
   const flood = createEndpointFlood(context)
+  const links = createLinkPlan(context, ranking, dialer, flood.announce)
   const watch = createHostWatch(context, flood)
   const reach = createReachTracker(context)
   const follower = createConfigurationFollower(context)
@@ -100,6 +100,7 @@
     const peer: Peer = {
       link,
       address,
+      openedAt: context.now,
       hello: undefined,
       lastHeard: context.now,
       lastSent: context.now,
@@ -107,7 +108,8 @@
       subscribed: false,
       version: 0,
       rejection: undefined,
-      reach: []
+      reach: [],
+      sentReach: undefined
     }
     peers.set(link, peer)
     links.sendHello(peer)
@@ -127,9 +129,11 @@
       return
     }
     const isFirst = peer.hello === undefined
+    const becameRelay = peer.hello?.relay === false && hello.relay
     peer.hello = hello
     if (peer.address !== undefined) dialer.handleGreeted(peer.address)
     if (isFirst) gossip.sendAll(peer)
+    if (peer.subscriber && becameRelay) flood.sendTable(peer)
     if (isFirst || !peer.subscriber || isRemote(context, peer)) flood.sendIntroduction(peer)
     follower.handleOffer(peer, hello.version, hello.digest)
   }
@@ -149,8 +153,12 @@
         context.self = { ...context.self, sequence }
         flood.announce()
       }
-    } else if (watch.isWatched(host)) watch.forward(host, incarnation, sequence)
-    else flood.applySilence(host, incarnation, sequence, peer)
+      return
+    }
+    const direct = listGreeted(context).find(({ hello, subscriber, subscribed }) =>
+      hello?.host === host && hello.incarnation === incarnation && (subscriber || subscribed))
+    if (direct === undefined) flood.applySilence(host, incarnation, sequence, peer)
+    else context.send(direct, { kind: 'silent', host, incarnation, sequence })
   }
 
   function handleEndpoints (peer: Peer, endpoints: readonly Endpoint[]): void {
@@ -173,7 +181,7 @@
     }
     switch (message.kind) {
       case 'heartbeat':
-        peer.version = message.version
+        follower.handleHeartbeat(peer, message.version)
         watch.observe(peer)
         return
       case 'endpoints': handleEndpoints(peer, message.endpoints); return
--- a/packages/decisions/src/control/createGossip.ts
+++ b/packages/decisions/src/control/createGossip.ts
@@ -58,6 +58,7 @@
   }
 
   function deliver ({ dataCentre, evidence }: EvidenceMessage): void {
+    if (!context.isRelay) return
     context.emit({ kind: 'deliver-evidence', dataCentre, evidence })
   }
 
@@ -72,7 +73,8 @@
       sendToPairs(message)
       return
     }
-    const primary = listGreeted(context).find(({ subscribed }) => subscribed)
+    // Only towards a relay: two former relays that still rely on each other would pass the same counts in a circle.
+    const primary = listGreeted(context).find((peer) => peer.subscribed && isLocalRelay(context, peer))
     if (primary === undefined) pool.add(evidence)
     else context.send(primary, message)
   }
@@ -97,7 +99,7 @@
       } else if (!isLocalRelay(context, peer)) pool.add(message.evidence)
       else {
         deliver(message)
-        if (message.dataCentre === context.self.dataCentre) sendToPairs(message)
+        if (context.isRelay && message.dataCentre === context.self.dataCentre) sendToPairs(message)
       }
     },
     tick: () => {
--- a/packages/decisions/src/control/createHostWatch.ts
+++ b/packages/decisions/src/control/createHostWatch.ts
@@ -18,9 +18,6 @@
   readonly observe: (peer: Peer) => void
   /** Ends the watch over a host that announced itself through another relay. */
   readonly release: (host: string, source: Peer) => void
-  readonly isWatched: (host: string) => boolean
-  /** Passes a silent mark on to a host that is watched here, which answers it with a newer record. */
-  readonly forward: (host: string, incarnation: number, sequence: number) => void
   readonly handleRoster: (peer: Peer, roster: Roster) => void
   /** Marks hosts silent that were not heard in time. */
   readonly tick: () => void
@@ -41,12 +38,19 @@
   rejection: string | undefined
 }
 
+/** Changes within this time travel together. */
+const ROSTER_INTERVAL_MS = 1000
+/** Much shorter than the limit; the check reads the whole table. */
+const ORPHAN_CHECK_INTERVAL_MS = 1000
+
 export function createHostWatch (context: CoreContext, flood: EndpointFlood): HostWatch {
   const { table } = context
   const watched = new Map<string, WatchedHost>()
   const rosters = new Map<number, Map<string, HostReport>>()
   const unclaimedSince = new Map<string, number>()
   let sent = ''
+  let checkedAt = -Infinity
+  let rosterAt = -Infinity
 
   function markSilent (host: string): void {
     const entry = table.get(host)
@@ -65,6 +69,8 @@
   /** Marks hosts of this data centre silent that no relay has claimed for long enough to find a new relay. */
   function checkOrphans (): void {
     if (!context.isRelay) { unclaimedSince.clear(); return }
+    if (context.now - checkedAt < ORPHAN_CHECK_INTERVAL_MS) return
+    checkedAt = context.now
     const claimed = new Set([...watched.keys(), ...[...rosters.values()].flatMap((roster) => [...roster.keys()])])
     for (const peer of listGreeted(context)) if (isLocalRelay(context, peer)) claimed.add(peer.hello?.host ?? '')
     for (const entry of table.entries()) {
@@ -109,11 +115,6 @@
       const known = watched.get(host)
       if (known !== undefined && known.link !== source.link) watched.delete(host)
     },
-    isWatched: (host) => watched.has(host),
-    forward: (host, incarnation, sequence) => {
-      const peer = context.peers.get(watched.get(host)?.link ?? -1)
-      if (peer !== undefined) context.send(peer, { kind: 'silent', host, incarnation, sequence })
-    },
     handleRoster: (peer, { nodes, rejections }) => {
       const reasons = new Map(rejections.map(({ host, reason }) => [host, reason]))
       rosters.set(peer.link, new Map(nodes.flatMap(({ version, hosts }) =>
@@ -124,6 +125,8 @@
       checkOrphans()
     },
     sendRoster: () => {
+      if ((!context.isRelay && watched.size === 0) || context.now - rosterAt < ROSTER_INTERVAL_MS) return
+      rosterAt = context.now
       const relays = listGreeted(context).filter((peer) => isLocalRelay(context, peer) && (peer.subscriber || peer.subscribed))
       const roster = composeRoster()
       const text = JSON.stringify([roster, relays.map(({ link }) => link)])
@@ -134,10 +137,16 @@
     sendRosterTo: (peer) => {
       if (isLocalRelay(context, peer)) context.send(peer, composeRoster())
     },
-    removeLink: (link) => { rosters.delete(link) },
+    removeLink: (link) => {
+      rosters.delete(link)
+      // A node that is no relay any more leaves the judgement to the relays, which find hosts that nobody watches.
+      if (context.isRelay) return
+      for (const [host, entry] of watched) if (entry.link === link) watched.delete(host)
+    },
     reset: () => {
       unclaimedSince.clear()
-      for (const host of watched.values()) host.lastHeard = context.now
+      // Hosts may have found another relay meanwhile; those still here are heard again within a second.
+      watched.clear()
     },
     find: (host) => {
       const own = watched.get(host)
--- a/packages/decisions/src/control/createLinkPlan.ts
+++ b/packages/decisions/src/control/createLinkPlan.ts
@@ -1,8 +1,9 @@
 import {
-  DIAL_YIELD_MS, HEARTBEAT_INTERVAL_MS, INTRODUCTION_INTERVAL_MS, SILENCE_LIMIT_MS, STANDBY_HEARTBEAT_INTERVAL_MS
+  DIAL_YIELD_MS, HEARTBEAT_INTERVAL_MS, INTRODUCTION_INTERVAL_MS, PROBE_INTERVAL_MS, SILENCE_LIMIT_MS, STANDBY_HEARTBEAT_INTERVAL_MS
 } from './controlLimits.js'
 import { type CoreContext, isLocalRelay, isRemote, listGreeted, type Peer } from './CoreContext.js'
 import type { Dialer } from './createDialer.js'
+import { isLive } from './createEndpointTable.js'
 import type { RelayRanking } from './createRelayRanking.js'
 import { rankNames } from './rankRelays.js'
 
@@ -20,14 +21,19 @@
 /** A silent standby link is closed after this many missed heartbeats, like any other link. */
 const STANDBY_SILENCE_MS = SILENCE_LIMIT_MS * STANDBY_HEARTBEAT_INTERVAL_MS / HEARTBEAT_INTERVAL_MS
 const MAX_CONTACTS = 64
+/** A link stays open at least this long, so that the other side's introductions arrive. */
+const INTRODUCTION_TIME_MS = 1000
 /** Seeds dialled at a time by a node that knows no relay. */
 const SEEDS_AT_ONCE = 2
 
-export function createLinkPlan (context: CoreContext, ranking: RelayRanking, dialer: Dialer): LinkPlan {
+export function createLinkPlan (
+  context: CoreContext, ranking: RelayRanking, dialer: Dialer, announce: () => void
+): LinkPlan {
   const { peers, settings, table } = context
   const missingSince = new Map<string, number>()
   let contacts: string[] = []
   let introducedAt = 0
+  let probedAt = 0
 
   function sendHello (peer: Peer): void {
     const { host, dataCentre, incarnation, peerAddress } = context.self
@@ -49,7 +55,9 @@
     peer.subscribed = true
     peer.lastSent = context.now
     context.send(peer, { kind: 'subscribe' })
-    context.send(peer, { kind: 'endpoints', endpoints: [context.self] })
+    // A higher sequence ends the watch of an earlier relay, which would mark this node silent.
+    if (isRemote(context, peer)) context.send(peer, { kind: 'endpoints', endpoints: [context.self] })
+    else announce()
   }
 
   function findLink (host: string): Peer | undefined {
@@ -97,8 +105,8 @@
   /** Closes links that this node opened and no longer needs. */
   function closeOthers (kept: ReadonlyArray<Peer | undefined>): void {
     for (const peer of listGreeted(context)) {
-      if (peer.address === undefined || peer.subscriber || kept.includes(peer)) continue
-      closeLink(peer)
+      const isYoung = context.now - peer.openedAt < INTRODUCTION_TIME_MS
+      if (peer.address !== undefined && !isYoung && !kept.includes(peer)) closeLink(peer)
     }
   }
 
@@ -114,38 +122,43 @@
     return lower || context.now - since >= DIAL_YIELD_MS
   }
 
-  function planLocalRelays (): void {
+  function planLocalRelays (): Peer[] {
+    const kept: Peer[] = []
     for (const host of context.relays) {
       if (host === context.self.host) continue
       const link = findLink(host)
       if (link !== undefined) {
         missingSince.delete(host)
         subscribe(link)
+        kept.push(link)
       } else if (isTurn(host, context.self.host < host)) dialHost(host)
     }
+    return kept
   }
 
-  function planPairs (): void {
-    for (const dataCentre of ranking.listDataCentres()) {
-      const links = listGreeted(context).filter((peer) => peer.hello?.dataCentre === dataCentre)
-      const relayed = listGreeted(context).some((peer) => isLocalRelay(context, peer) && peer.reach.includes(dataCentre))
-      if (ranking.isHolder(dataCentre)) planPair(dataCentre, links)
-      else if (relayed) for (const peer of links) if (peer.address !== undefined) closeLink(peer)
-    }
+  /** Links to other data centres: one for each that this node holds, or that no relay here reaches yet. */
+  function planPairs (): Peer[] {
+    const greeted = listGreeted(context)
+    return ranking.listDataCentres().flatMap((dataCentre) => {
+      const links = greeted.filter((peer) => peer.hello?.dataCentre === dataCentre)
+      if (ranking.isHolder(dataCentre)) return planPair(dataCentre, links) ?? []
+      const relayed = greeted.some((peer) => isLocalRelay(context, peer) && peer.reach.includes(dataCentre))
+      return relayed ? [] : links.filter(({ subscribed }) => subscribed)
+    })
   }
 
-  function planPair (dataCentre: string, links: readonly Peer[]): void {
+  function planPair (dataCentre: string, links: readonly Peer[]): Peer | undefined {
     const relays = ranking.listRemote(dataCentre)
-    const link = links.find((peer) => peer.subscribed) ??
-      links.find(({ hello }) => hello?.relay === true || relays.some(({ host }) => host === hello?.host))
+    const isFit = ({ hello }: Peer): boolean => hello?.relay === true || relays.some(({ host }) => host === hello?.host)
+    const link = links.find((peer) => peer.subscribed && isFit(peer)) ?? links.find(isFit)
     if (link !== undefined) {
       missingSince.delete(dataCentre)
       subscribe(link)
     } else if (isTurn(dataCentre, context.self.dataCentre < dataCentre)) {
-      const rank = rankNames(context.self.dataCentre, relays.map(({ host }) => host))
-      const [target] = rank
+      const [target] = rankNames(context.self.dataCentre, relays.map(({ host }) => host))
       if (target !== undefined) dialHost(target)
     }
+    return link
   }
 
   /** Of two links to one host, keeps the one that the lower name dialled. */
@@ -162,14 +175,14 @@
   }
 
   function planRelay (): void {
-    planLocalRelays()
-    planPairs()
+    const kept = [...planLocalRelays(), ...planPairs()]
     for (const peer of listGreeted(context)) {
-      if (peer.subscriber && peer.hello?.relay === true) subscribe(peer)
+      if (!peer.subscriber || peer.hello?.relay !== true) continue
+      subscribe(peer)
+      kept.push(peer)
     }
-    const linked = listGreeted(context).filter(({ subscribed }) => subscribed)
-    if (linked.length === 0) dialSeeds()
-    else closeOthers(linked)
+    if (listGreeted(context).some(({ subscribed }) => subscribed)) closeOthers(kept)
+    else dialSeeds()
   }
 
   /** Asks a peer for introductions: a relay now and then, a node without a relay more often. */
@@ -184,6 +197,24 @@
     if (source !== undefined) sendHello(source)
   }
 
+  /**
+   * Dials, now and then, one known address whose host does not count as live. Without this, two groups of nodes that
+   * each hold the other for silent would never meet again.
+   */
+  function probeSilent (): void {
+    if (!context.isRelay || context.now - probedAt < PROBE_INTERVAL_MS) return
+    probedAt = context.now
+    const live = new Set<string>([context.self.peerAddress])
+    const silent = new Set<string>([...settings.seeds, ...contacts])
+    for (const entry of table.entries()) {
+      if (isLive(entry)) live.add(entry.endpoint.peerAddress)
+      else if (entry.endpoint.state !== 'left') silent.add(entry.endpoint.peerAddress)
+    }
+    const candidates = [...silent].filter((address) => !live.has(address))
+    const address = candidates[Math.floor(settings.draw() * candidates.length)]
+    if (address !== undefined) dialer.dial(address)
+  }
+
   function checkLink (peer: Peer): void {
     const isActive = peer.subscriber || peer.subscribed
     const limit = isActive || peer.hello === undefined ? SILENCE_LIMIT_MS : STANDBY_SILENCE_MS
@@ -203,7 +234,8 @@
     plan: () => {
       if (ranking.update()) {
         context.emit({ kind: 'log', name: 'relayRoleChanged', fields: { relay: context.isRelay } })
-        for (const peer of listGreeted(context)) sendHello(peer)
+        // A peer that has not greeted yet was sent the old role too.
+        for (const peer of peers.values()) sendHello(peer)
       }
       closeDuplicates()
       if (context.isRelay) planRelay()
@@ -212,6 +244,7 @@
     tick: () => {
       for (const peer of [...peers.values()]) checkLink(peer)
       requestIntroduction()
+      probeSilent()
     },
     sendHello,
     addContacts: (addresses) => { contacts = [...new Set(addresses)].slice(0, MAX_CONTACTS) },
--- a/packages/decisions/src/control/createReachTracker.ts
+++ b/packages/decisions/src/control/createReachTracker.ts
@@ -15,7 +15,6 @@
 export function createReachTracker (context: CoreContext): ReachTracker {
   const missingSince = new Map<string, number>()
   const unreachable = new Set<string>()
-  let sent = ''
   let known = new Set<string>()
   let knownRevision = -1
 
@@ -41,9 +40,12 @@
   }
 
   /** Other relays get only what this one reaches itself, so that two relays cannot confirm each other's loss. */
-  function sendReach (peer: Peer): void {
-    const dataCentres = isLocalRelay(context, peer) ? listDirect() : listReached()
-    if (!isRemote(context, peer)) context.send(peer, { kind: 'reach', dataCentres })
+  function sendReach (peer: Peer, direct: readonly string[], reached: readonly string[]): void {
+    if (isRemote(context, peer)) return
+    const dataCentres = isLocalRelay(context, peer) ? direct : reached
+    if (peer.sentReach?.join() === dataCentres.join()) return
+    peer.sentReach = dataCentres
+    context.send(peer, { kind: 'reach', dataCentres: [...dataCentres] })
   }
 
   function updateUnreachable (reached: ReadonlySet<string>): void {
@@ -65,14 +67,15 @@
   return {
     handleReach: (peer, dataCentres) => { peer.reach = dataCentres },
     tick: () => {
+      const direct = listDirect()
       const reached = listReached()
       updateUnreachable(new Set(reached))
-      const text = `${reached.join()} ${listDirect().join()}`
-      if (text === sent) return
-      sent = text
-      for (const peer of listGreeted(context)) if (peer.subscriber) sendReach(peer)
+      for (const peer of listGreeted(context)) if (peer.subscriber) sendReach(peer, direct, reached)
+    },
+    sendReach: (peer) => {
+      peer.sentReach = undefined
+      sendReach(peer, listDirect(), listReached())
     },
-    sendReach,
     isUnreachable: (dataCentre) => unreachable.has(dataCentre),
     reset: () => missingSince.clear()
   }
