--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,2 @@
 export * from './createDaemon.js'
+export * from './control/frameCodec.js'
--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -1,3 +1,4 @@
+export * from './bench/convergence.js'
 export * from './mesh/awaitCondition.js'
 export * from './mesh/findFreePort.js'
 export * from './mesh/startMesh.js'
