feat(emulator): measure the latency that each hop adds

Cause: the target of 0.39 ms added at p99 had no measurement. Change: runLatencyBench and its table: direct, one hop and two hops in one run at several rates, with separate processes for load, daemons and backend server, CPU time and memory of the daemons from /proc, optional CPU profiles.

--- /dev/null
+++ b/packages/emulator/src/bench/latency.ts
@@ -0,0 +1,192 @@
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { connect, type Socket } from 'node:net'
+import path from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { awaitCondition } from '../mesh/awaitCondition.js'
+import { findFreePort } from '../mesh/findFreePort.js'
+import { startMesh, type EmulatedMesh } from '../mesh/startMesh.js'
+import { startProcess } from '../mesh/startProcess.js'
+import type { LoadPlan, LoadResult } from './loadProcess.js'
+import { readProcess } from './readProcess.js'
+
+export interface LatencyBenchOptions {
+  readonly rates?: readonly number[]
+  readonly warmUpMs?: number
+  readonly durationMs?: number
+  /** How often all cases are run; the median of each figure is reported. */
+  readonly rounds?: number
+  readonly connections?: number
+  /** Directory for CPU profiles of the daemons; none are taken without it. */
+  readonly profileDirectory?: string
+}
+
+/** One case at one rate: `direct` has no daemon on the way, `one-hop` one and `two-hops` two. */
+export interface LatencyCase extends LoadResult {
+  readonly name: 'direct' | 'one-hop' | 'two-hops'
+  readonly rate: number
+  /** Requests a second that one core of the daemons on the way would carry; 0 for `direct`. */
+  readonly requestsPerCore: number
+}
+
+export interface LatencyBench {
+  readonly cases: readonly LatencyCase[]
+  /** Resident memory of a daemon for each open, idle connection of a caller, in bytes. */
+  readonly bytesPerConnection: number
+}
+
+const DEFAULT_RATES = [200, 1000, 3000]
+const DEFAULT_CONNECTIONS = 16
+const MEMORY_CONNECTIONS = 2000
+const PATH = '/clocks/7'
+
+const findScript = (name: string): string => fileURLToPath(new URL(`./${name}.js`, import.meta.url))
+
+const INTENT = `service = "clocks"
+stable = "v1"
+[limits]
+slots = 1000
+connections = 1000
+queue = 1000
+[[route]]
+name = "clock-status"
+method = "GET"
+path = "/clocks"
+idempotent = true
+`
+
+async function publish (mesh: EmulatedMesh): Promise<void> {
+  const directory = path.join(mesh.directory, 'intent')
+  mkdirSync(directory, { recursive: true })
+  writeFileSync(path.join(directory, 'snipenotch.toml'), INTENT)
+  const { code, output } = await mesh.runCommand('publish', directory)
+  if (code !== 0) throw new Error(`publish failed: ${output}`)
+  for (const { requestAddress } of mesh.hosts) {
+    await awaitCondition(`${requestAddress} answers`, async () =>
+      (await fetch(`http://${requestAddress}${PATH}`).catch(() => undefined))?.status === 200)
+  }
+}
+
+async function measureLoad (plan: LoadPlan): Promise<LoadResult> {
+  const load = startProcess(findScript('loadProcess'), [JSON.stringify(plan)])
+  const code = await load.exited
+  if (code !== 0) throw new Error(`load process ended with ${code}: ${load.readOutput()}`)
+  return JSON.parse(load.readOutput()) as LoadResult
+}
+
+async function measureConnectionMemory (pid: number, address: string): Promise<number> {
+  const [host = '', port = ''] = address.split(':')
+  const before = readProcess(pid).residentBytes
+  const sockets: Socket[] = []
+  for (let index = 0; index < MEMORY_CONNECTIONS; index++) {
+    await new Promise<void>((resolve, reject) => {
+      const socket = connect(Number(port), host, () => { socket.write(`GET ${PATH} HTTP/1.1\r\nhost: a\r\n\r\n`) })
+      sockets.push(socket)
+      socket.once('data', () => resolve())
+      socket.on('error', reject)
+    })
+  }
+  const after = readProcess(pid).residentBytes
+  for (const socket of sockets) socket.destroy()
+  return Math.max(0, after - before) / MEMORY_CONNECTIONS
+}
+
+function pickMedian (values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right)
+  return sorted[Math.floor(sorted.length / 2)] ?? 0
+}
+
+/** The median of each figure over the rounds of one case. */
+function mergeRounds (rounds: readonly LatencyCase[]): LatencyCase {
+  const [first] = rounds
+  if (first === undefined) throw new Error('no rounds')
+  const pick = (read: (round: LatencyCase) => number): number => pickMedian(rounds.map(read))
+  return {
+    name: first.name,
+    rate: first.rate,
+    completed: pick(({ completed }) => completed),
+    failed: Math.max(...rounds.map(({ failed }) => failed)),
+    p50: pick(({ p50 }) => p50),
+    p90: pick(({ p90 }) => p90),
+    p99: pick(({ p99 }) => p99),
+    p999: pick(({ p999 }) => p999),
+    requestsPerCore: pick(({ requestsPerCore }) => requestsPerCore)
+  }
+}
+
+/**
+ * Measures latency over no, one and two daemons in the same run, with processes of their own for load, daemons and
+ * backend server. Only ratios and differences within one run are comparable.
+ */
+export async function runLatencyBench (options: LatencyBenchOptions = {}): Promise<LatencyBench> {
+  const {
+    rates = DEFAULT_RATES, warmUpMs = 1000, durationMs = 4000, rounds = 3, connections = DEFAULT_CONNECTIONS
+  } = options
+  const backendPort = await findFreePort()
+  const backend = startProcess(findScript('backendProcess'), [String(backendPort)])
+  const backendAddress = `127.0.0.1:${backendPort}`
+  // The service runs on the first host only; the second host is an entry to it.
+  const mesh = await startMesh([
+    { host: 'home', dataCentre: 'krakow', service: 'clocks', version: 'v1', backendAddress },
+    { host: 'entry', dataCentre: 'krakow', service: 'other', version: 'v1' }
+  ], () => 1, options.profileDirectory === undefined
+    ? []
+    : ['--cpu-prof', `--cpu-prof-dir=${options.profileDirectory}`])
+  try {
+    const [home, entry] = mesh.hosts
+    if (home === undefined || entry === undefined) throw new Error('no hosts')
+    await publish(mesh)
+    const homePid = home.daemon.child.pid ?? 0
+    const entryPid = entry.daemon.child.pid ?? 0
+    const targets = [
+      { name: 'direct', address: backendAddress, pids: [] },
+      { name: 'one-hop', address: home.requestAddress, pids: [homePid] },
+      { name: 'two-hops', address: entry.requestAddress, pids: [homePid, entryPid] }
+    ] as const
+    const results: LatencyCase[] = []
+    for (const rate of rates) {
+      for (let round = 0; round < rounds; round++) {
+        for (const { name, address, pids } of targets) {
+          const before = pids.map((pid) => readProcess(pid).cpuMs)
+          const result = await measureLoad({
+            address, path: PATH, requestsPerSecond: rate, warmUpMs, durationMs, connections
+          })
+          const cpuMs = pids.reduce((sum, pid, index) => sum + readProcess(pid).cpuMs - (before[index] ?? 0), 0)
+          const served = rate * (warmUpMs + durationMs) / 1000
+          results.push({ ...result, name, rate, requestsPerCore: cpuMs === 0 ? 0 : served / (cpuMs / 1000) })
+        }
+      }
+    }
+    const bytesPerConnection = await measureConnectionMemory(homePid, home.requestAddress)
+    const cases = rates.flatMap((rate) => targets.map(({ name }) =>
+      mergeRounds(results.filter((result) => result.rate === rate && result.name === name))))
+    return { cases, bytesPerConnection }
+  } finally {
+    await mesh.stop()
+    backend.child.kill('SIGTERM')
+    await backend.exited
+  }
+}
+
+/** Lays the results out as a table; `added` is the difference to `direct` at the same rate, `per hop` a share of it. */
+export function formatLatencyBench ({ cases, bytesPerConnection }: LatencyBench): string {
+  const lines = ['case       rate/s    p50 ms    p99 ms  p99.9 ms  added p50  added p99  p99 per hop  failed  req/s per core']
+  for (const result of cases) {
+    const direct = cases.find(({ name, rate }) => name === 'direct' && rate === result.rate) ?? result
+    const hops = { direct: 1, 'one-hop': 1, 'two-hops': 2 }[result.name]
+    const addedP99 = result.p99 - direct.p99
+    lines.push([
+      result.name.padEnd(9), String(result.rate).padStart(7), result.p50.toFixed(3).padStart(9),
+      result.p99.toFixed(3).padStart(9), result.p999.toFixed(3).padStart(9),
+      (result.p50 - direct.p50).toFixed(3).padStart(10), addedP99.toFixed(3).padStart(10),
+      (addedP99 / hops).toFixed(3).padStart(12), String(result.failed).padStart(7),
+      result.requestsPerCore.toFixed(0).padStart(15)
+    ].join(' '))
+  }
+  lines.push(`memory per connection: ${(bytesPerConnection / 1024).toFixed(1)} KB`)
+  return lines.join('\n') + '\n'
+}
+
+/** Runs the benchmark and prints its table. */
+export async function printLatencyBench (options: LatencyBenchOptions = {}): Promise<void> {
+  process.stdout.write(formatLatencyBench(await runLatencyBench(options)))
+}
--- a/packages/emulator/src/mesh/startMesh.ts
+++ b/packages/emulator/src/mesh/startMesh.ts
@@ -15,6 +15,8 @@
   readonly dataCentre: string
   readonly service: string
   readonly version: string
+  /** Backend server that runs elsewhere, in place of the stand-in. */
+  readonly backendAddress?: string
 }
 
 export interface EmulatedHost extends HostPlan {
@@ -87,8 +89,13 @@
 `
 }
 
-/** Starts a platform stand-in and, for each plan, a backend server stand-in and a daemon process. */
-export async function startMesh (plans: readonly HostPlan[], draw: () => number): Promise<EmulatedMesh> {
+/**
+ * Starts a platform stand-in and, for each plan, a backend server stand-in and a daemon process. `nodeOptions` are
+ * options of Node.js for the daemons.
+ */
+export async function startMesh (
+  plans: readonly HostPlan[], draw: () => number, nodeOptions: readonly string[] = []
+): Promise<EmulatedMesh> {
   const directory = mkdtempSync(path.join(tmpdir(), 'snipenotch-'))
   const platform = createPlatformStandIn(draw)
   const platformAddress = await listenOnLoopback(platform.server)
@@ -104,9 +111,10 @@
     if (listen === undefined) throw new Error('no ports for host')
     const backend = createBackendServerStandIn(plan.host)
     const settings = path.join(directory, `${plan.host}.toml`)
-    const backendAddress = await listenOnLoopback(backend.server)
+    const standInAddress = await listenOnLoopback(backend.server)
+    const backendAddress = plan.backendAddress ?? standInAddress
     writeFileSync(settings, formatSettings(plan, listen, platformAddress, backendAddress, seeds))
-    const daemon = startProcess(daemonScript, [settings])
+    const daemon = startProcess(daemonScript, [settings], nodeOptions)
     const { requests: requestAddress, peers: peerAddress, admin: adminAddress } = listen
     hosts.push({ ...plan, requestAddress, peerAddress, adminAddress, backend, daemon })
   }
--- a/packages/emulator/src/mesh/startProcess.ts
+++ b/packages/emulator/src/mesh/startProcess.ts
@@ -11,9 +11,11 @@
 /** Most output kept for each process, in characters. */
 const MAX_OUTPUT_LENGTH = 1_000_000
 
-/** Starts a Node.js script with this process's own interpreter. */
-export function startProcess (script: string, args: readonly string[]): StartedProcess {
-  const child = spawn(process.execPath, [script, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+/** Starts a Node.js script with this process's own interpreter and further options for it. */
+export function startProcess (
+  script: string, args: readonly string[], nodeOptions: readonly string[] = []
+): StartedProcess {
+  const child = spawn(process.execPath, [...nodeOptions, script, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
   let output = ''
   const collect = (chunk: Buffer): void => { output = (output + chunk.toString('utf8')).slice(-MAX_OUTPUT_LENGTH) }
   child.stdout.on('data', collect)
