test(routing): cover draining, deadlines and slow uploads of forwarded requests

Change: tests for these; the body's state is read from the stream instead of a flag of its own, which was redundant.

--- a/packages/daemon/src/requests/entry/Exchange.ts
+++ b/packages/daemon/src/requests/entry/Exchange.ts
@@ -24,8 +24,6 @@
   sent: boolean
   /** An earlier try may have run, so that no later refusal makes `not-run` true. */
   mayHaveRun: boolean
-  /** Bytes of the body have been read from the caller. */
-  bodyConsumed: boolean
   deadlineTimer: NodeJS.Timeout | undefined
   /** Bytes read from the caller's connection when the deadline was last put off. */
   bytesRead: number
--- a/packages/daemon/src/requests/entry/createEntryHandler.ts
+++ b/packages/daemon/src/requests/entry/createEntryHandler.ts
@@ -80,7 +80,6 @@
       upstream: undefined,
       sent: false,
       mayHaveRun: false,
-      bodyConsumed: false,
       deadlineTimer: undefined,
       bytesRead: 0,
       closed: false
--- a/packages/daemon/src/requests/entry/createExchangeRunner.ts
+++ b/packages/daemon/src/requests/entry/createExchangeRunner.ts
@@ -73,10 +73,15 @@
     if (inFlight === 0) for (const resolve of waiting.splice(0)) resolve()
   }
 
+  /** Bytes of the body have been read from the caller, or are about to be. */
+  function isBodyConsumed ({ hasBody, incoming }: Exchange): boolean {
+    return hasBody && (incoming.readableDidRead || incoming.readableFlowing !== null)
+  }
+
   /** An upload under way has no deadline as long as bytes arrive; the answer may follow one deadline after the last. */
   function isUploadMoving (exchange: Exchange): boolean {
-    const { incoming, matched, bodyConsumed } = exchange
-    if (matched.route.priority !== 'upload' || !bodyConsumed) return false
+    const { incoming, matched } = exchange
+    if (matched.route.priority !== 'upload' || !isBodyConsumed(exchange)) return false
     const moved = incoming.socket.bytesRead > exchange.bytesRead
     exchange.bytesRead = incoming.socket.bytesRead
     return moved
@@ -100,10 +105,6 @@
     exchange.deadlineTimer = setTimeout(() => handleDeadline(exchange, hostTry), Math.max(0, delay))
   }
 
-  function isBodyConsumed ({ hasBody, bodyConsumed, incoming }: Exchange): boolean {
-    return hasBody && (bodyConsumed || incoming.readableDidRead || incoming.readableFlowing !== null)
-  }
-
   function takeBudget (service: Service): boolean {
     const now = clock.now()
     if (getBudget(service).take(now)) return true
--- a/packages/daemon/src/requests/entry/createForwarder.ts
+++ b/packages/daemon/src/requests/entry/createForwarder.ts
@@ -76,7 +76,6 @@
         if (settled || exchange.closed) return
         exchange.sent = true
         if (!exchange.hasBody) return
-        exchange.bodyConsumed = true
         forwardBody(incoming, upstream)
         incoming.on('end', () => upstream.end())
       }
--- a/packages/daemon/tests/requests/entry/createExchangeRunner.test.ts
+++ b/packages/daemon/tests/requests/entry/createExchangeRunner.test.ts
@@ -301,6 +301,24 @@
     expect(held).to.be.below(12 * 1024 * 1024)
   })
 
+  it('lets an upload finish whose bytes still arrive after its deadline (guards against a large upload cut off)', async () => {
+    await addGoodHost()
+    const body = await new Promise<string>((resolve, reject) => {
+      const headers = { 'snipenotch-deadline-ms': '100' }
+      const upload = request(`http://${entry.requests}/photos`, { method: 'PUT', headers, agent: false }, (answer) => {
+        answer.on('data', (chunk: Buffer) => resolve(chunk.toString()))
+      }).on('error', reject)
+      let sent = 0
+      const timer = setInterval(() => {
+        upload.write('x'.repeat(1000))
+        if (++sent < 15) return
+        clearInterval(timer)
+        upload.end()
+      }, 20)
+    })
+    expect(body).to.equal('/photos 15000')
+  })
+
   it('keeps a slow caller from filling memory with an answer (guards against a missing back pressure)', async () => {
     const CHUNK = Buffer.alloc(65_536, 'y')
     let written = 0
@@ -327,6 +345,32 @@
     caller.destroy()
   })
 
+  it('ends the downstream request at the deadline (guards against work that nobody waits for)', async () => {
+    let closed = false
+    await addRawHost('slow', (socket) => socket.on('close', () => { closed = true }))
+    const answer = await send(entry.requests, 'GET', '/clocks', { 'snipenotch-deadline-ms': '100' })
+    expect(describeRefusal(answer)).to.equal('504 unknown deadline-passed')
+    await awaitThat('the downstream connection closes', () => closed)
+  })
+
+  for (const side of ['entry', 'home'] as const) {
+    it(`waits at the ${side} for a forwarded request before it has drained (guards against a cut answer)`, async () => {
+      let release: (() => void) | undefined
+      const home = await startNode(mesh, 'home', await startHttp((_incoming, outgoing) => {
+        release = () => outgoing.end('late')
+      }))
+      const answer = send(entry.requests, 'GET', '/clocks')
+      await awaitThat('the request arrives', () => release !== undefined)
+      let drained = false
+      const draining = (side === 'entry' ? entry : home).plane.drain().then(() => { drained = true })
+      await new Promise((resolve) => setTimeout(resolve, 50))
+      expect(drained).to.equal(false)
+      release?.()
+      expect(await answer).to.include({ body: 'late', complete: true })
+      await draining
+    })
+  }
+
   it('lets requests in flight finish before it has drained (guards against a shutdown that cuts an answer)', async () => {
     let release = (): void => undefined
     const home = await startNode(mesh, 'home', await startHttp((_incoming, outgoing) => { release = () => outgoing.end('late') }))
