perf(routing): count without building keys and name connections by host and port

Cause: each count built a key from name and label (three counts a request), and Node's name for a connection joins more parts than differ here. Change: counters are nested maps; GuardedAgent names connections HOST:PORT. Conclusion: kept, because it removes work and adds none.

--- a/packages/daemon/src/observability/createCounters.ts
+++ b/packages/daemon/src/observability/createCounters.ts
@@ -36,7 +36,8 @@
 
 /** Creates the counters and latency histograms of a daemon. */
 export function createCounters (): Counters {
-  const values = new Map<string, number>()
+  /** Values by name and label; nested, so that counting builds no key. */
+  const values = new Map<CounterName, Map<string, number>>()
   const histograms = new Map<HistogramName, Histogram>()
 
   function formatHistogram (name: HistogramName, histogram: Histogram): string[] {
@@ -48,10 +49,11 @@
 
   return {
     count: (name, label, amount = 1) => {
-      const key = `${name}\n${label}`
-      values.set(key, (values.get(key) ?? 0) + amount)
+      let labels = values.get(name)
+      if (labels === undefined) values.set(name, labels = new Map<string, number>())
+      labels.set(label, (labels.get(label) ?? 0) + amount)
     },
-    read: (name, label) => values.get(`${name}\n${label}`) ?? 0,
+    read: (name, label) => values.get(name)?.get(label) ?? 0,
     record: (name, duration) => {
       let histogram = histograms.get(name)
       if (histogram === undefined) {
@@ -63,10 +65,8 @@
       histogram.recordValue(Math.min(MAX_LATENCY_US, Math.max(1, Math.round(duration * 1000))))
     },
     format: () => {
-      const lines = [...values].sort(([left], [right]) => left < right ? -1 : 1).map(([key, value]) => {
-        const [name, label] = key.split('\n')
-        return `snipenotch_${name}_total{reason="${label}"} ${value}`
-      })
+      const lines = [...values].flatMap(([name, labels]) =>
+        [...labels].map(([label, value]) => `snipenotch_${name}_total{reason="${label}"} ${value}`)).sort()
       for (const [name, histogram] of histograms) lines.push(...formatHistogram(name, histogram))
       return lines.join('\n') + '\n'
     }
--- a/packages/daemon/src/requests/GuardedAgent.ts
+++ b/packages/daemon/src/requests/GuardedAgent.ts
@@ -1,4 +1,4 @@
-import { Agent, type ClientRequest } from 'node:http'
+import { Agent, type ClientRequest, type ClientRequestArgs } from 'node:http'
 import type { Socket } from 'node:net'
 
 /** Idle connections are closed before the other side, which keeps them for `KEEP_ALIVE_MS`, does so. */
@@ -26,6 +26,11 @@
     })
   }
 
+  /** Connections differ by host and port only; Node's own name covers local addresses and more, and costs more. */
+  override getName (options?: ClientRequestArgs): string {
+    return `${options?.host ?? ''}:${options?.port ?? ''}`
+  }
+
   // The agent closes the connection when the result is false; the types of Node.js 20 declare no result.
   override keepSocketAlive (socket: Socket): boolean {
     // eslint-disable-next-line @typescript-eslint/no-confusing-void-expression
