fix(routing): drop results that come after a refusal which the caller has not read yet

Cause: between a refusal at the deadline and the close of the answer, which a slow caller delays, a late answer or a pending retry at the same home would have written a second head and thrown. Change: answers, retries and deadlines check for a head already sent as well as for a closed exchange. Conclusion: one predicate, isSettled, decides for all of them.

--- a/packages/daemon/src/requests/entry/createExchangeRunner.ts
+++ b/packages/daemon/src/requests/entry/createExchangeRunner.ts
@@ -58,6 +58,11 @@
     sendRefusal(exchange.outgoing, counters, { status, reason, outcome })
   }
 
+  /** The caller is gone or has an answer or refusal, which a slow caller may not have read yet. */
+  function isSettled ({ closed, outgoing }: Exchange): boolean {
+    return closed || outgoing.headersSent
+  }
+
   function closeExchange (exchange: Exchange): void {
     if (exchange.closed) return
     exchange.closed = true
@@ -88,8 +93,8 @@
   }
 
   function handleDeadline (exchange: Exchange, hostTry: HostTry): void {
-    const { outgoing, matched } = exchange
-    if (exchange.closed || outgoing.headersSent) return
+    const { matched } = exchange
+    if (isSettled(exchange)) return
     if (isUploadMoving(exchange)) { scheduleDeadline(exchange, hostTry, matched.route.deadlineMs); return }
     if (exchange.sent) {
       exchange.mayHaveRun = true
@@ -135,7 +140,7 @@
     }
     counters.count('retries', decision.reason)
     if (decision.where === 'other-host' && other !== undefined) sendToHost(exchange, other)
-    else setTimeout(() => { if (!exchange.closed) sendToHost(exchange, hostTry.endpoint) }, SAME_HOST_PAUSE_MS)
+    else setTimeout(() => { if (!isSettled(exchange)) sendToHost(exchange, hostTry.endpoint) }, SAME_HOST_PAUSE_MS)
     return true
   }
 
@@ -164,7 +169,7 @@
     const { outgoing } = exchange
     const report = parseLoadReport(readHeader(answer, HEADERS.load) ?? '')
     if (report !== undefined) loads.observeReport(hostTry.load, report, clock.now())
-    if (exchange.closed) { answer.destroy(); return }
+    if (isSettled(exchange)) { answer.destroy(); return }
     const refusal = readRefusal(answer)
     if (refusal !== undefined) {
       if (handleRefusal(exchange, hostTry, refusal)) { answer.resume(); return }
@@ -191,7 +196,7 @@
     exchange: Exchange, hostTry: HostTry, failure: 'connect-failed' | 'connection-lost', detail: string
   ): void {
     recorder.end(hostTry)
-    if (exchange.closed || exchange.outgoing.headersSent) return
+    if (isSettled(exchange)) return
     if (failure === 'connect-failed') {
       recorder.recordUnreachable(hostTry)
       control.reportUnreachable(hostTry.endpoint)
