--- a/packages/daemon/src/requests/entry/createExchangeRunner.ts
+++ b/packages/daemon/src/requests/entry/createExchangeRunner.ts
@@ -58,6 +58,11 @@
     sendRefusal(exchange.outgoing, counters, { status, reason, outcome })
   }
 
+  /** The caller is gone or has an answer or refusal, which a slow caller may not have read yet. */
+  function isSettled ({ closed, outgoing }: Exchange): boolean {
+    return closed || outgoing.headersSent
+  }
+
   function closeExchange (exchange: Exchange): void {
     if (exchange.closed) return
     exchange.closed = true
@@ -73,18 +78,23 @@
     if (inFlight === 0) for (const resolve of waiting.splice(0)) resolve()
   }
 
+  /** Bytes of the body have been read from the caller, or are about to be. */
+  function isBodyConsumed ({ hasBody, incoming }: Exchange): boolean {
+    return hasBody && (incoming.readableDidRead || incoming.readableFlowing !== null)
+  }
+
   /** An upload under way has no deadline as long as bytes arrive; the answer may follow one deadline after the last. */
   function isUploadMoving (exchange: Exchange): boolean {
-    const { incoming, matched, bodyConsumed } = exchange
-    if (matched.route.priority !== 'upload' || !bodyConsumed) return false
+    const { incoming, matched } = exchange
+    if (matched.route.priority !== 'upload' || !isBodyConsumed(exchange)) return false
     const moved = incoming.socket.bytesRead > exchange.bytesRead
     exchange.bytesRead = incoming.socket.bytesRead
     return moved
   }
 
   function handleDeadline (exchange: Exchange, hostTry: HostTry): void {
-    const { outgoing, matched } = exchange
-    if (exchange.closed || outgoing.headersSent) return
+    const { matched } = exchange
+    if (isSettled(exchange)) return
     if (isUploadMoving(exchange)) { scheduleDeadline(exchange, hostTry, matched.route.deadlineMs); return }
     if (exchange.sent) {
       exchange.mayHaveRun = true
@@ -100,10 +110,6 @@
     exchange.deadlineTimer = setTimeout(() => handleDeadline(exchange, hostTry), Math.max(0, delay))
   }
 
-  function isBodyConsumed ({ hasBody, bodyConsumed, incoming }: Exchange): boolean {
-    return hasBody && (bodyConsumed || incoming.readableDidRead || incoming.readableFlowing !== null)
-  }
-
   function takeBudget (service: Service): boolean {
     const now = clock.now()
     if (getBudget(service).take(now)) return true
@@ -134,7 +140,7 @@
     }
     counters.count('retries', decision.reason)
     if (decision.where === 'other-host' && other !== undefined) sendToHost(exchange, other)
-    else setTimeout(() => { if (!exchange.closed) sendToHost(exchange, hostTry.endpoint) }, SAME_HOST_PAUSE_MS)
+    else setTimeout(() => { if (!isSettled(exchange)) sendToHost(exchange, hostTry.endpoint) }, SAME_HOST_PAUSE_MS)
     return true
   }
 
@@ -163,7 +169,7 @@
     const { outgoing } = exchange
     const report = parseLoadReport(readHeader(answer, HEADERS.load) ?? '')
     if (report !== undefined) loads.observeReport(hostTry.load, report, clock.now())
-    if (exchange.closed) { answer.destroy(); return }
+    if (isSettled(exchange)) { answer.destroy(); return }
     const refusal = readRefusal(answer)
     if (refusal !== undefined) {
       if (handleRefusal(exchange, hostTry, refusal)) { answer.resume(); return }
@@ -190,7 +196,7 @@
     exchange: Exchange, hostTry: HostTry, failure: 'connect-failed' | 'connection-lost', detail: string
   ): void {
     recorder.end(hostTry)
-    if (exchange.closed || exchange.outgoing.headersSent) return
+    if (isSettled(exchange)) return
     if (failure === 'connect-failed') {
       recorder.recordUnreachable(hostTry)
       control.reportUnreachable(hostTry.endpoint)
--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -1,4 +1,5 @@
 export * from './bench/convergence.js'
+export * from './bench/latency.js'
 export * from './mesh/awaitCondition.js'
 export * from './mesh/findFreePort.js'
 export * from './mesh/startMesh.js'
