--- /dev/null
+++ b/packages/stand-ins/src/backend/createBackendSteering.ts
@@ -0,0 +1,44 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { BackendServerStandIn } from '../createBackendServerStandIn.js'
+import { backendServerSettingsSchema } from './backendServerSettingsSchema.js'
+
+async function readText (incoming: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = []
+  for await (const chunk of incoming) chunks.push(chunk as Buffer)
+  return Buffer.concat(chunks).toString('utf8')
+}
+
+/**
+ * Steers a backend server stand-in over HTTP: `GET /state`, `GET /settings`, `PUT /settings` with the settings to
+ * replace, `POST /drain`, `POST /cold` and `POST /crash`.
+ */
+export function createBackendSteering (standIn: BackendServerStandIn): Server {
+  async function handleCall (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+    const send = (status: number, body: unknown): void => {
+      outgoing.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body))
+    }
+    switch (`${incoming.method} ${incoming.url}`) {
+      case 'GET /state': send(200, standIn.readState()); return
+      case 'GET /settings': send(200, standIn.readSettings()); return
+      case 'PUT /settings': {
+        const patch = backendServerSettingsSchema.partial().parse(JSON.parse(await readText(incoming)))
+        standIn.updateSettings(patch)
+        send(200, standIn.readSettings())
+        return
+      }
+      case 'POST /drain': standIn.drain(); send(200, standIn.readState()); return
+      case 'POST /cold': standIn.turnCold(); send(200, standIn.readState()); return
+      case 'POST /crash':
+        send(200, {})
+        outgoing.on('finish', standIn.crash)
+        return
+      default: send(404, {})
+    }
+  }
+
+  return createServer((incoming, outgoing) => {
+    handleCall(incoming, outgoing).catch((error: unknown) => {
+      outgoing.writeHead(400).end(String(error))
+    })
+  })
+}
--- /dev/null
+++ b/packages/stand-ins/src/bin/backendServer.ts
@@ -0,0 +1,86 @@
+#!/usr/bin/env node
+import { writeSync } from 'node:fs'
+import type { Server } from 'node:http'
+import { parseAddress } from '@snipenotch/contracts'
+import { cac } from 'cac'
+import type { RunEvent } from '../backend/runEventSchema.js'
+import type { BackendServerSettingsInput } from '../backend/backendServerSettingsSchema.js'
+import { createBackendSteering } from '../backend/createBackendSteering.js'
+import { createBackendServerStandIn } from '../createBackendServerStandIn.js'
+import { createDraw } from '../random/createDraw.js'
+
+const STANDARD_OUTPUT = 1
+const EXIT_USAGE = 2
+const EXIT_CRASH = 70
+const DRAIN_POLL_INTERVAL_MS = 20
+
+interface Options {
+  readonly name?: string
+  readonly version: string
+  readonly listen: string
+  readonly steer?: string
+  readonly seed: number
+  readonly settings: string
+}
+
+/** Writes a line with a blocking call, so that it is out before the process can crash. */
+function writeLine (line: string): void {
+  let rest = Buffer.from(line + '\n')
+  while (rest.length > 0) {
+    try {
+      rest = rest.subarray(writeSync(STANDARD_OUTPUT, rest))
+    } catch (error) {
+      if ((error as NodeJS.ErrnoException).code !== 'EAGAIN') throw error
+    }
+  }
+}
+
+async function listenOn (server: Server, address: string): Promise<string> {
+  const { host, port } = parseAddress(address)
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, resolve)
+  })
+  const bound = server.address()
+  return `${host}:${typeof bound === 'object' && bound !== null ? bound.port : port}`
+}
+
+async function run (options: Options): Promise<void> {
+  const name = options.name ?? 'backend'
+  const standIn = createBackendServerStandIn(name, {
+    version: options.version,
+    draw: createDraw(options.seed),
+    settings: JSON.parse(options.settings) as BackendServerSettingsInput,
+    onEvent: (event: RunEvent) => writeLine(JSON.stringify(event)),
+    exit: () => process.exit(EXIT_CRASH)
+  })
+  const steering = createBackendSteering(standIn)
+  const address = await listenOn(standIn.server, options.listen)
+  const steer = await listenOn(steering, options.steer ?? '127.0.0.1:0')
+  process.on('SIGTERM', () => {
+    standIn.drain()
+    const check = (): void => {
+      const { running, waiting } = standIn.readState()
+      if (running + waiting === 0) process.exit(0)
+    }
+    setInterval(check, DRAIN_POLL_INTERVAL_MS)
+  })
+  writeLine(JSON.stringify({ event: 'listening', name, address, steer }))
+}
+
+const program = cac('backendServer')
+program.command('', 'Run a backend server stand-in')
+  .option('--name <name>', 'Name that its answers carry', { default: 'backend' })
+  .option('--version-name <version>', 'Version that its answers carry', { default: 'v1' })
+  .option('--listen <address>', 'IP address and port for requests', { default: '127.0.0.1:0' })
+  .option('--steer <address>', 'IP address and port for steering', { default: '127.0.0.1:0' })
+  .option('--seed <number>', 'Seed of service times and shares', { default: 1 })
+  .option('--settings <json>', 'Behaviour as a JSON object', { default: '{}' })
+  .action((options: Omit<Options, 'version'> & { versionName: string }) => {
+    run({ ...options, version: options.versionName }).catch((error: unknown) => {
+      process.stderr.write(`backendServer: ${error instanceof Error ? error.message : String(error)}\n`)
+      process.exit(EXIT_USAGE)
+    })
+  })
+program.help()
+program.parse()
