feat(emulator): start a mesh with signals, restarts, fault proxies and layouts

Cause: startMesh could only start and stop daemons; no test could kill one, restart it, or disturb its links. Change: each host can be signalled and restarted as a new incarnation on the same or new ports; backend servers run in process or each in its own process, their runs recorded by the launcher; the links to the platform, from callers and to the backend server can go through fault proxies. Conclusion: peer links have no proxy yet, since a daemon announces the address on which it listens.

--- a/packages/emulator/src/mesh/startMesh.ts
+++ b/packages/emulator/src/mesh/startMesh.ts
@@ -1,136 +1,117 @@
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
-import type { Server } from 'node:http'
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { createRequire } from 'node:module'
 import { tmpdir } from 'node:os'
 import path from 'node:path'
-import { createBackendServerStandIn, createPlatformStandIn, type BackendServerStandIn, type PlatformStandIn } from '@snipenotch/stand-ins'
-import { findFreePort } from './findFreePort.js'
-import { startProcess, type StartedProcess } from './startProcess.js'
+import { createConfigurationRepository, HttpObjectStore, HttpTableService, type ConfigurationRepository } from '@snipenotch/platform'
+import { createDraw, createPlatformStandIn, type PlatformStandIn, type Run } from '@snipenotch/stand-ins'
+import { formatCommandSettings } from './formatSettings.js'
+import type { HostPlan, ProxiedLink } from './HostPlan.js'
+import { listenOnLoopback } from './listenOnLoopback.js'
+import { findListenAddresses, startHost, type EmulatedHost } from './startHost.js'
+import { startProcess } from './startProcess.js'
 
 const SHUTDOWN_LIMIT_MS = 5000
-
-/** A host of the emulated mesh: a backend server stand-in and the daemon beside it. */
-export interface HostPlan {
-  readonly host: string
-  readonly dataCentre: string
-  readonly service: string
-  readonly version: string
+const PLATFORM_TIMEOUT_MS = 3000
+
+const commandScript = path.join(
+  path.dirname(createRequire(import.meta.url).resolve('@snipenotch/cli')), 'bin/snipenotch.js'
+)
+
+export interface MeshOptions {
+  /** Returns numbers in 0..1 for faults of the platform and of the proxies. */
+  readonly draw?: () => number
+  readonly seed?: number
+  /** Whether backend servers run in this process or each in its own. */
+  readonly backends?: 'in-process' | 'process'
+  /** Links of each host that go through a fault proxy. */
+  readonly proxied?: readonly ProxiedLink[]
 }
 
-export interface EmulatedHost extends HostPlan {
-  readonly requestAddress: string
-  readonly peerAddress: string
-  readonly adminAddress: string
-  readonly backend: BackendServerStandIn
-  readonly daemon: StartedProcess
+export interface CommandResult {
+  readonly code: number
+  readonly output: string
 }
 
 export interface EmulatedMesh {
   readonly platform: PlatformStandIn
+  readonly platformAddress: string
   readonly hosts: readonly EmulatedHost[]
   /** Directory with the settings files, removed when the mesh stops. */
   readonly directory: string
+  readonly repository: ConfigurationRepository
+  readonly findHost: (host: string) => EmulatedHost
   /** Runs the operators' command line and resolves with its exit code and output. */
-  readonly runCommand: (...args: string[]) => Promise<{ code: number, output: string }>
+  readonly runCommand: (...args: string[]) => Promise<CommandResult>
+  /** Writes intent files (service name → TOML) and publishes them. */
+  readonly publish: (intents: Readonly<Record<string, string>>) => Promise<CommandResult>
+  /** Sends one signal to the daemons of many hosts at once. */
+  readonly signalHerd: (hosts: readonly EmulatedHost[], signal: NodeJS.Signals) => void
+  /** Kills and restarts the daemons of many hosts at once. */
+  readonly restartHerd: (hosts: readonly EmulatedHost[], ports?: 'same' | 'new') => Promise<void>
+  /** Runs of all backend servers, dead ones included. */
+  readonly listRuns: () => Run[]
   readonly stop: () => Promise<void>
 }
 
-const OPERATORS_SECRET = 'operators-secret-for-the-emulator-only'
-const MESH_SECRET = 'mesh-secret-for-the-emulator-only-0000'
-
-const findScript = createRequire(import.meta.url).resolve
-const daemonScript = path.join(path.dirname(findScript('@snipenotch/daemon')), 'bin/snipenotchd.js')
-const commandScript = path.join(path.dirname(findScript('@snipenotch/cli')), 'bin/snipenotch.js')
-
-async function listenOnLoopback (server: Server): Promise<string> {
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-  const address = server.address()
-  if (typeof address !== 'object' || address === null) throw new Error('server has no port')
-  return `127.0.0.1:${address.port}`
-}
-
-function formatSettings (plan: HostPlan, listen: Record<'requests' | 'peers' | 'admin', string>, platform: string, backend: string, seeds: readonly string[]): string {
-  return `host = "${plan.host}"
-data_centre = "${plan.dataCentre}"
-seeds = ${JSON.stringify(seeds)}
-
-[listen]
-requests = "${listen.requests}"
-peers = "${listen.peers}"
-admin = "${listen.admin}"
-
-[platform]
-table = "${platform}"
-objects = "${platform}"
-
-[secrets]
-mesh = "${MESH_SECRET}"
-operators = "${OPERATORS_SECRET}"
-
-[backend]
-address = "${backend}"
-service = "${plan.service}"
-version = "${plan.version}"
-`
-}
-
-function formatCommandSettings (platform: string, contacts: readonly string[]): string {
-  return `operator = "emulator"
-contacts = ${JSON.stringify(contacts)}
-
-[platform]
-table = "${platform}"
-objects = "${platform}"
-
-[secrets]
-operators = "${OPERATORS_SECRET}"
-`
-}
-
 /** Starts a platform stand-in and, for each plan, a backend server stand-in and a daemon process. */
-export async function startMesh (plans: readonly HostPlan[], draw: () => number): Promise<EmulatedMesh> {
+export async function startMesh (
+  plans: readonly HostPlan[], options: MeshOptions | (() => number) = {}
+): Promise<EmulatedMesh> {
+  const chosen = typeof options === 'function' ? { draw: options } : options
+  const { seed = 1, backends = 'in-process', proxied = [] } = chosen
+  const draw = chosen.draw ?? createDraw(seed)
   const directory = mkdtempSync(path.join(tmpdir(), 'snipenotch-'))
   const platform = createPlatformStandIn(draw)
   const platformAddress = await listenOnLoopback(platform.server)
-  const ports = await Promise.all(plans.map(async () => ({
-    requests: `127.0.0.1:${await findFreePort()}`,
-    peers: `127.0.0.1:${await findFreePort()}`,
-    admin: `127.0.0.1:${await findFreePort()}`
-  })))
-  const seeds = ports.slice(0, 3).map(({ peers }) => peers)
-  const hosts: EmulatedHost[] = []
-  for (const [index, plan] of plans.entries()) {
-    const listen = ports[index]
-    if (listen === undefined) throw new Error('no ports for host')
-    const backend = createBackendServerStandIn(plan.host)
-    const settings = path.join(directory, `${plan.host}.toml`)
-    const backendAddress = await listenOnLoopback(backend.server)
-    writeFileSync(settings, formatSettings(plan, listen, platformAddress, backendAddress, seeds))
-    const daemon = startProcess(daemonScript, [settings])
-    const { requests: requestAddress, peers: peerAddress, admin: adminAddress } = listen
-    hosts.push({ ...plan, requestAddress, peerAddress, adminAddress, backend, daemon })
-  }
+  const listens = await Promise.all(plans.map(findListenAddresses))
+  const seeds = listens.slice(0, 3).map(({ peers }) => peers)
+  const surroundings = { directory, platform: platformAddress, seeds, draw, proxied, backends }
+  const hosts = await Promise.all(plans.map((plan, index) => {
+    const listen = listens[index]
+    if (listen === undefined) throw new Error(`no ports for host ${plan.host}`)
+    return startHost(plan, listen, { ...surroundings, seed: seed + index })
+  }))
   const commandSettings = path.join(directory, 'snipenotch-cli.toml')
-  writeFileSync(commandSettings, formatCommandSettings(platformAddress, hosts.map(({ adminAddress }) => adminAddress)))
+
+  async function runCommand (...args: string[]): Promise<CommandResult> {
+    const contacts = hosts.map(({ adminAddress }) => adminAddress)
+    writeFileSync(commandSettings, formatCommandSettings(platformAddress, contacts))
+    const command = startProcess(commandScript, [...args, '--settings', commandSettings])
+    const code = await command.exited
+    return { code, output: command.readOutput() }
+  }
 
   return {
     platform,
+    platformAddress,
     hosts,
     directory,
-    runCommand: async (...args) => {
-      const command = startProcess(commandScript, [...args, '--settings', commandSettings])
-      const code = await command.exited
-      return { code, output: command.readOutput() }
+    repository: createConfigurationRepository(
+      new HttpTableService(platformAddress, PLATFORM_TIMEOUT_MS),
+      new HttpObjectStore(platformAddress, PLATFORM_TIMEOUT_MS)
+    ),
+    findHost: (name) => {
+      const host = hosts.find((candidate) => candidate.host === name)
+      if (host === undefined) throw new Error(`no host ${name} in the mesh`)
+      return host
     },
-    stop: async () => {
-      for (const { daemon } of hosts) daemon.child.kill('SIGTERM')
-      const timer = setTimeout(() => { for (const { daemon } of hosts) daemon.child.kill('SIGKILL') }, SHUTDOWN_LIMIT_MS)
-      await Promise.all(hosts.map(({ daemon }) => daemon.exited))
-      clearTimeout(timer)
-      for (const server of [platform.server, ...hosts.map(({ backend }) => backend.server)]) {
-        server.closeAllConnections()
-        server.close()
+    runCommand,
+    publish: async (intents) => {
+      const intent = path.join(directory, 'intent')
+      rmSync(intent, { recursive: true, force: true })
+      for (const [service, text] of Object.entries(intents)) {
+        mkdirSync(path.join(intent, service), { recursive: true })
+        writeFileSync(path.join(intent, service, 'snipenotch.toml'), text)
       }
+      return await runCommand('publish', intent)
+    },
+    signalHerd: (herd, signal) => { for (const host of herd) host.signalDaemon(signal) },
+    restartHerd: async (herd, ports = 'same') => { await Promise.all(herd.map((host) => host.restartDaemon(ports))) },
+    listRuns: () => hosts.flatMap(({ backendServer }) => backendServer.record.runs),
+    stop: async () => {
+      await Promise.all(hosts.map((host) => host.stop(SHUTDOWN_LIMIT_MS)))
+      platform.server.closeAllConnections()
+      platform.server.close()
       rmSync(directory, { recursive: true, force: true })
     }
   }
--- a/packages/emulator/src/mesh/startProcess.ts
+++ b/packages/emulator/src/mesh/startProcess.ts
@@ -1,4 +1,5 @@
 import { spawn, type ChildProcess } from 'node:child_process'
+import { createInterface } from 'node:readline'
 
 /** A process that the emulator started, with what it has printed so far. */
 export interface StartedProcess {
@@ -11,13 +12,16 @@
 /** Most output kept for each process, in characters. */
 const MAX_OUTPUT_LENGTH = 1_000_000
 
-/** Starts a Node.js script with this process's own interpreter. */
-export function startProcess (script: string, args: readonly string[]): StartedProcess {
+/** Starts a Node.js script with this process's own interpreter; `onLine` gets each line of its standard output. */
+export function startProcess (
+  script: string, args: readonly string[], onLine?: (line: string) => void
+): StartedProcess {
   const child = spawn(process.execPath, [script, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
   let output = ''
   const collect = (chunk: Buffer): void => { output = (output + chunk.toString('utf8')).slice(-MAX_OUTPUT_LENGTH) }
   child.stdout.on('data', collect)
   child.stderr.on('data', collect)
+  if (onLine !== undefined) createInterface({ input: child.stdout }).on('line', onLine)
   const exited = new Promise<number>((resolve) => child.on('close', (code) => resolve(code ?? -1)))
   return { child, readOutput: () => output, exited }
 }
