feat(stand-ins): make the platform slow, one-sided and rate-limited by kind

Cause: the thin stand-in could not be down on one side, slow for a stretch, or lose the answer of one chosen write. Change: faults for the table or the objects only, slow stretches, lost answers for chosen writes, limits for reads and writes counted apart, a record of calls by second (`GET /seconds`). Table, faults and call record are concepts of their own. Conclusion: store budgets can be checked from the record.

--- a/packages/stand-ins/src/createPlatformStandIn.ts
+++ b/packages/stand-ins/src/createPlatformStandIn.ts
@@ -1,16 +1,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-
-/** Faults that the stand-in can be told to show; all off by default. */
-export interface PlatformFaults {
-  /** Answers 503 to every call. */
-  down: boolean
-  /** Time added before each answer, in milliseconds. */
-  delayMs: number
-  /** Share of writes, in 0..1, that take effect but whose connection is cut before the answer. */
-  loseAnswers: number
-  /** Calls a second above which the stand-in answers 429; 0 for no limit. */
-  callsPerSecond: number
-}
+import { setTimeout as awaitTime } from 'node:timers/promises'
+import { createCallRecord, type CallKind, type CallRecord } from './platform/createCallRecord.js'
+import { createRowStore, type TransactionBody } from './platform/createRowStore.js'
+import {
+  buildPlatformFaults, computeDelay, platformFaultsSchema, takeLostAnswer, type PlatformFaults, type PlatformPart
+} from './platform/platformFaultsSchema.js'
 
 export interface PlatformCounts {
   reads: number
@@ -19,22 +13,25 @@
   lostAnswers: number
 }
 
-interface StoredRow {
-  revision: number
-  value: unknown
-}
-
-interface TransactionBody {
-  conditions: Array<{ key: string, revision: number }>
-  writes: Array<{ key: string, value: unknown }>
-}
-
 export interface PlatformStandIn {
   readonly server: Server
   readonly faults: PlatformFaults
   readonly counts: PlatformCounts
+  /** Reads and writes by second. */
+  readonly record: CallRecord
 }
 
+/** A call of the table service or the object store. */
+interface PlatformCall {
+  readonly call: string
+  readonly part: PlatformPart
+  readonly kind: CallKind
+  readonly key: string
+  readonly query: URLSearchParams
+}
+
+const DEFAULT_LIST_LIMIT = 1000
+
 async function readText (incoming: IncomingMessage): Promise<string> {
   const chunks: Buffer[] = []
   for await (const chunk of incoming) chunks.push(chunk as Buffer)
@@ -45,90 +42,93 @@
   outgoing.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body))
 }
 
+function parseCall (method: string, url: URL): PlatformCall {
+  const [, resource = '', key = ''] = url.pathname.split('/')
+  return {
+    call: `${method} /${resource}`,
+    part: resource === 'objects' ? 'objects' : 'table',
+    kind: method === 'GET' ? 'read' : 'write',
+    key: decodeURIComponent(key),
+    query: url.searchParams
+  }
+}
+
 /**
  * Table service and object store in one process's memory, with the faults of the real ones.
  * `draw` returns numbers in 0..1 and decides which answers are lost. `GET /faults` and `PUT /faults` read and set the
- * faults over HTTP; `GET /counts` reads the counts.
+ * faults over HTTP; `GET /counts` reads the counts and `GET /seconds` the calls by second.
  */
 export function createPlatformStandIn (draw: () => number): PlatformStandIn {
-  const rows = new Map<string, StoredRow>()
+  const rows = createRowStore()
   const objects = new Map<string, string>()
-  const faults: PlatformFaults = { down: false, delayMs: 0, loseAnswers: 0, callsPerSecond: 0 }
+  const faults = buildPlatformFaults()
   const counts: PlatformCounts = { reads: 0, writes: 0, refused: 0, lostAnswers: 0 }
-  let window = 0
-  let callsInWindow = 0
+  const record = createCallRecord(Date.now)
 
-  function isOverRate (): boolean {
-    const second = Math.floor(Date.now() / 1000)
-    if (second !== window) [window, callsInWindow] = [second, 0]
-    callsInWindow += 1
-    return faults.callsPerSecond > 0 && callsInWindow > faults.callsPerSecond
+  function isOverRate (kind: CallKind): boolean {
+    const { reads, writes } = record.add(kind)
+    const own = kind === 'read' ? [reads, faults.readsPerSecond] as const : [writes, faults.writesPerSecond] as const
+    return [[reads + writes, faults.callsPerSecond] as const, own].some(([calls, limit]) => limit > 0 && calls > limit)
   }
 
-  function applyTransaction (body: TransactionBody): { key: string, found: number } | undefined {
-    for (const { key, revision } of body.conditions) {
-      const found = rows.get(key)?.revision ?? 0
-      if (found !== revision) return { key, found }
-    }
-    for (const { key, value } of body.writes) {
-      if (value === null) rows.delete(key)
-      else rows.set(key, { revision: (rows.get(key)?.revision ?? 0) + 1, value })
-    }
-    return undefined
-  }
-
-  function listRows (query: URLSearchParams): Array<StoredRow & { key: string }> {
-    const prefix = query.get('prefix') ?? ''
-    const keys = [...rows.keys()].filter((key) => key.startsWith(prefix)).sort()
-    if (query.get('reverse') === '1') keys.reverse()
-    return keys.slice(0, Number(query.get('limit') ?? 1000)).map((key) => ({ key, ...(rows.get(key) as StoredRow) }))
-  }
-
-  function sendWritten (incoming: IncomingMessage, outgoing: ServerResponse, status: number, body: unknown): void {
-    counts.writes += 1
-    if (draw() < faults.loseAnswers) {
-      counts.lostAnswers += 1
-      incoming.socket.destroy()
-    } else sendJson(outgoing, status, body)
+  function isDown (part: PlatformPart): boolean {
+    return faults.down || (part === 'table' ? faults.tableDown : faults.objectsDown)
   }
 
   /** Calls that steer the stand-in itself and never meet its faults. */
   async function handleSteering (call: string, incoming: IncomingMessage, outgoing: ServerResponse): Promise<boolean> {
     switch (call) {
       case 'GET /faults': sendJson(outgoing, 200, faults); return true
-      case 'PUT /faults': sendJson(outgoing, 200, Object.assign(faults, JSON.parse(await readText(incoming)))); return true
+      case 'PUT /faults': {
+        const patch = platformFaultsSchema.partial().parse(JSON.parse(await readText(incoming)))
+        sendJson(outgoing, 200, Object.assign(faults, patch))
+        return true
+      }
       case 'GET /counts': sendJson(outgoing, 200, counts); return true
+      case 'GET /seconds': sendJson(outgoing, 200, record.seconds); return true
       default: return false
     }
   }
 
-  function handleRead (call: string, key: string, query: URLSearchParams, outgoing: ServerResponse): void {
+  function handleRead ({ call, key, query }: PlatformCall, outgoing: ServerResponse): void {
     counts.reads += 1
-    if (call === 'GET /rows' && key === '') { sendJson(outgoing, 200, { rows: listRows(query) }); return }
-    const row = rows.get(key)
+    if (call === 'GET /rows' && key === '') {
+      const limit = Number(query.get('limit') ?? DEFAULT_LIST_LIMIT)
+      sendJson(outgoing, 200, { rows: rows.list(query.get('prefix') ?? '', limit, query.get('reverse') === '1') })
+      return
+    }
+    const row = rows.read(key)
     const object = objects.get(key)
     if (call === 'GET /rows' && row !== undefined) sendJson(outgoing, 200, { key, ...row })
     else if (call === 'GET /objects' && object !== undefined) outgoing.writeHead(200).end(object)
     else sendJson(outgoing, 404, {})
   }
 
+  function handleWrite ({ call, part, key }: PlatformCall, body: string, outgoing: ServerResponse): void {
+    const transaction = call === 'POST /transactions' ? JSON.parse(body) as TransactionBody : undefined
+    if (transaction === undefined && call !== 'PUT /objects') { sendJson(outgoing, 404, {}); return }
+    const conflict = transaction === undefined ? undefined : rows.transact(transaction)
+    if (transaction === undefined) objects.set(key, body)
+    counts.writes += 1
+    const keys = transaction?.writes.map((write) => write.key) ?? [key]
+    if (takeLostAnswer(faults, part, keys, draw)) {
+      counts.lostAnswers += 1
+      outgoing.socket?.destroy()
+    } else sendJson(outgoing, conflict === undefined ? 200 : 409, conflict ?? {})
+  }
+
   async function handleCall (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
-    const url = new URL(incoming.url ?? '/', 'http://platform')
-    const call = `${incoming.method} /${url.pathname.split('/')[1] ?? ''}`
-    const key = decodeURIComponent(url.pathname.split('/')[2] ?? '')
-    if (await handleSteering(call, incoming, outgoing)) return
+    const call = parseCall(incoming.method ?? '', new URL(incoming.url ?? '/', 'http://platform'))
+    if (await handleSteering(call.call, incoming, outgoing)) return
     const body = await readText(incoming)
-    if (faults.delayMs > 0) await new Promise((resolve) => setTimeout(resolve, faults.delayMs))
-    if (faults.down || isOverRate()) {
+    const delay = computeDelay(faults, call.part, Date.now())
+    if (delay > 0) await awaitTime(delay)
+    const overRate = isOverRate(call.kind)
+    if (isDown(call.part) || overRate) {
       counts.refused += 1
-      sendJson(outgoing, faults.down ? 503 : 429, {})
-    } else if (call === 'POST /transactions') {
-      const conflict = applyTransaction(JSON.parse(body) as TransactionBody)
-      sendWritten(incoming, outgoing, conflict === undefined ? 200 : 409, conflict ?? {})
-    } else if (call === 'PUT /objects') {
-      objects.set(key, body)
-      sendWritten(incoming, outgoing, 200, {})
-    } else handleRead(call, key, url.searchParams, outgoing)
+      sendJson(outgoing, isDown(call.part) ? 503 : 429, {})
+    } else if (call.kind === 'write') handleWrite(call, body, outgoing)
+    else handleRead(call, outgoing)
   }
 
   const server = createServer((incoming, outgoing) => {
@@ -136,5 +136,5 @@
       if (!outgoing.headersSent) sendJson(outgoing, 400, { error: String(error) })
     })
   })
-  return { server, faults, counts }
+  return { server, faults, counts, record }
 }
