feat(emulator): add the demonstration of a small Wróbel mesh

Cause: `npm run demo` named a program that did not exist. Change: the demo starts eight hosts as real processes, publishes, measures convergence, takes a data centre out and back by the command line, runs one good and one bad rollout with a stated time of 8 s, and joins callers' records with runs. A promise is held only on evidence: exit codes alone do not count, since the command line ends with 0 on an unknown command.

--- /dev/null
+++ b/packages/emulator/src/demo/runDemo.ts
@@ -0,0 +1,251 @@
+import { setTimeout as awaitTime } from 'node:timers/promises'
+import { statusSchema, type Rollout, type Service } from '@snipenotch/contracts'
+import { formatPublishError } from '@snipenotch/platform'
+import { formatWrobelIntent, wrobelSmall } from '../layouts/wrobel.js'
+import { checkRecords } from '../load/checkRecords.js'
+import { createSummary, formatSummary } from '../load/createSummary.js'
+import { startLoad, type RunningLoad } from '../load/startLoad.js'
+import { awaitCondition } from '../mesh/awaitCondition.js'
+import type { HostPlan } from '../mesh/HostPlan.js'
+import { startMesh, type CommandResult, type EmulatedMesh } from '../mesh/startMesh.js'
+import { createAccount, type Account } from './createAccount.js'
+
+const SEED = 20_261_204
+const RATE_PER_SECOND = 60
+const CONVERGENCE_LIMIT_MS = 4000
+const DRAIN_LIMIT_MS = 3000
+const DRAIN_WATCH_MS = 2000
+const RESTORE_LIMIT_MS = 4000
+const ROLLOUT_MS = 8000
+/** Time past the stated finish time that the end of a rollout may take to be accepted. */
+const ROLLOUT_GRACE_MS = 4000
+const START_LIMIT_MS = 8000
+/** Most that the bad version may get of its service's requests, and most answers that may fail, as shares. */
+const BAD_SHARE_LIMIT = 0.1
+const FAILED_SHARE_LIMIT = 0.05
+const AFTERMATH_MS = 1500
+
+/** Versions and faults of the demo: `clocks` moves to a good version, `repairs` to one that fails. */
+const NEXT_VERSION: Readonly<Record<string, { to: string, outcome: Rollout['outcome'], failing: boolean }>> = {
+  clocks: { to: 'v2', outcome: 'finished', failing: false },
+  repairs: { to: 'v2-bad', outcome: 'taken-back', failing: true }
+}
+
+function buildPlans (): HostPlan[] {
+  const seen = new Set<string>()
+  return wrobelSmall.hosts.map((plan) => {
+    const next = NEXT_VERSION[plan.service]
+    // The second host of a service with a rollout runs the new version from the start.
+    const isNew = next !== undefined && seen.has(plan.service)
+    seen.add(plan.service)
+    const behaviour = { serviceMs: 5, slots: 10, faults: isNew && next.failing ? [{ effect: 'fail' as const }] : [] }
+    return { ...plan, behaviour, version: isNew ? next.to : plan.version }
+  })
+}
+
+async function readService (mesh: EmulatedMesh, service: string): Promise<Service> {
+  const accepted = await mesh.repository.readAccepted()
+  if (accepted.isErr()) throw new Error(formatPublishError(accepted.error))
+  const found = accepted.value?.configuration.services[service]
+  if (found === undefined) throw new Error(`service ${service} is not in the accepted configuration`)
+  return found
+}
+
+/** Publishes and returns the milliseconds until every node has the version in force. */
+async function publishAndMeasure (
+  mesh: EmulatedMesh, intents: Readonly<Record<string, string>>, limitMs: number
+): Promise<number> {
+  const { code, output } = await mesh.publish(intents)
+  if (code !== 0) throw new Error(`publish ended with exit code ${code}: ${output.trim()}`)
+  const acceptedAt = performance.now()
+  const current = await mesh.repository.readCurrent()
+  const version = current.isOk() ? current.value?.version ?? Infinity : Infinity
+  await awaitCondition(`version ${version} is in force everywhere`, async () => {
+    const statuses = await Promise.all(mesh.hosts.map((host) => host.readStatus().catch(() => undefined)))
+    return statuses.every((status) => (status?.configurationVersion ?? 0) >= version)
+  }, limitMs)
+  return performance.now() - acceptedAt
+}
+
+function startDemoLoad (mesh: EmulatedMesh): RunningLoad {
+  return startLoad({
+    nodes: () => mesh.hosts.map(({ requestAddress }) => requestAddress),
+    ratePerSecond: RATE_PER_SECOND,
+    seed: SEED,
+    duplicates: 0.2,
+    disconnects: 0.02,
+    mix: [
+      { kind: 'lookup', method: 'GET', path: '/clocks/17', weight: 5 },
+      { kind: 'lookup', method: 'GET', path: '/repairs/17', weight: 3 },
+      { kind: 'order', method: 'POST', path: '/repairs/sign-off', weight: 1 },
+      { kind: 'order', method: 'POST', path: '/parts/orders', weight: 2 },
+      { kind: 'upload', method: 'PUT', path: '/uploads/photo', weight: 0.5, bodyBytes: 500_000 }
+    ]
+  })
+}
+
+function isJson (text: string): boolean {
+  try {
+    JSON.parse(text)
+    return true
+  } catch {
+    return false
+  }
+}
+
+function describeOutput ({ code, output }: CommandResult): string {
+  return `exit code ${code}, ${output.length} characters${isJson(output) ? ' of JSON' : ', not JSON'}`
+}
+
+function formatMs (duration: number): string {
+  return `${Math.round(duration)} ms`
+}
+
+async function runPublish (mesh: EmulatedMesh, account: Account): Promise<void> {
+  await publishAndMeasure(mesh, wrobelSmall.intents, START_LIMIT_MS)
+  await awaitCondition('every node routes every service', async () => {
+    const statuses = await Promise.all(mesh.hosts.map((host) => host.readStatus().catch(() => undefined)))
+    return statuses.every((status) => status?.nodes.length === mesh.hosts.length)
+  }, START_LIMIT_MS)
+  // Measured on a change, because the first publish also waits for the processes to start.
+  const changed = { ...wrobelSmall.intents, parts: formatWrobelIntent('parts').replace('queue = 40', 'queue = 41') }
+  const duration = await publishAndMeasure(mesh, changed, CONVERGENCE_LIMIT_MS * 2)
+  account.add(duration <= CONVERGENCE_LIMIT_MS, `in effect everywhere within ${CONVERGENCE_LIMIT_MS} ms`,
+    `${formatMs(duration)} on ${mesh.hosts.length} nodes`)
+}
+
+/** Whether every node knows the order; an unknown command of the command line ends with exit code 0, too. */
+async function hasOrder (mesh: EmulatedMesh, dataCentre: string, action: 'drain' | 'restore'): Promise<boolean> {
+  const statuses = await Promise.all(mesh.hosts.map((host) => host.readStatus()))
+  return statuses.every(({ orders }) => {
+    const own = orders.filter(({ subject }) => subject === `data-centre/${dataCentre}`)
+    return own.sort((left, right) => right.number - left.number)[0]?.action === action
+  })
+}
+
+/** Gives an order by the command line and measures how long it takes until every node knows it. */
+async function runOrder (
+  mesh: EmulatedMesh, account: Account, action: 'drain' | 'restore', dataCentre: string, limitMs: number
+): Promise<void> {
+  const { code, output } = await mesh.runCommand(action, `data-centre/${dataCentre}`)
+  const since = performance.now()
+  const isKnown = await awaitCondition('order known', () => hasOrder(mesh, dataCentre, action), limitMs)
+    .then(() => true, () => false)
+  account.add(code === 0 && isKnown, `the ${action} order is known everywhere within ${limitMs} ms`,
+    `exit code ${code}, ${isKnown ? `known after ${formatMs(performance.now() - since)}` : 'never known'}, ${output.trim()}`)
+}
+
+async function runDrain (mesh: EmulatedMesh, account: Account, dataCentre: string): Promise<void> {
+  const inside = mesh.hosts.filter((host) => host.dataCentre === dataCentre)
+  const countRuns = (): number => inside.reduce((sum, { backendServer }) => sum + backendServer.record.runs.length, 0)
+  const before = countRuns()
+  await awaitTime(1000)
+  const busy = countRuns() - before
+  const orderedAt = performance.now()
+  await runOrder(mesh, account, 'drain', dataCentre, DRAIN_LIMIT_MS)
+  await awaitTime(Math.max(0, DRAIN_LIMIT_MS - (performance.now() - orderedAt)))
+  const mark = countRuns()
+  await awaitTime(DRAIN_WATCH_MS)
+  const late = countRuns() - mark
+  account.add(late === 0 && busy > 0, `no new work in ${dataCentre} ${DRAIN_LIMIT_MS} ms after the order`,
+    `${late} requests in ${DRAIN_WATCH_MS} ms, ${busy} a second before the order`)
+  const base = countRuns()
+  const since = performance.now()
+  await runOrder(mesh, account, 'restore', dataCentre, RESTORE_LIMIT_MS)
+  await awaitCondition('work again', () => countRuns() > base, RESTORE_LIMIT_MS).catch(() => undefined)
+  // Work after the restore order shows something only if there was none before it.
+  account.add(late === 0 && countRuns() > base, `${dataCentre} gets work again within ${RESTORE_LIMIT_MS} ms`,
+    late === 0 ? formatMs(performance.now() - since) : 'not measured, it never lost its work')
+}
+
+/** Watches one rollout until it ends; returns the time that it took from the publish. */
+async function watchRollout (mesh: EmulatedMesh, account: Account, service: string, limitMs: number): Promise<void> {
+  const expected = NEXT_VERSION[service]
+  if (expected === undefined) return
+  const since = performance.now()
+  let last = await readService(mesh, service)
+  await awaitCondition(`rollout of ${service} ends`, async () => {
+    last = await readService(mesh, service)
+    return last.rollout !== undefined && last.rollout.outcome !== 'running'
+  }, limitMs).catch(() => undefined)
+  const { rollout, shares } = last
+  const figures = `${rollout?.outcome ?? 'no rollout'} after ${formatMs(performance.now() - since)}, shares ` +
+    `${JSON.stringify(shares)}, reason "${rollout?.reason ?? ''}"`
+  const isOnTime = rollout?.endedAt !== undefined && rollout.endedAt <= rollout.finishBy + ROLLOUT_GRACE_MS
+  account.add(rollout?.outcome === expected.outcome && isOnTime, `${service} is ${expected.outcome} on time`, figures)
+}
+
+async function runRollouts (mesh: EmulatedMesh, account: Account, load: RunningLoad): Promise<void> {
+  const finishBy = new Date(Date.now() + ROLLOUT_MS)
+  const rollouts = Object.fromEntries(Object.entries(NEXT_VERSION).map(([service, { to }]) =>
+    [service, formatWrobelIntent(service, { to, finishBy })]))
+  const mark = load.records.length
+  const countBad = (): number => mesh.hosts.filter(({ version }) => version === 'v2-bad')
+    .reduce((sum, { backendServer }) => sum + backendServer.record.runs.length, 0)
+  const countRepairs = (): number => mesh.listRuns().filter(({ url }) => url.startsWith('/repairs')).length
+  const [badBefore, repairsBefore] = [countBad(), countRepairs()]
+  account.add(badBefore === 0, 'the new version gets nothing before its rollout', `${badBefore} requests`)
+  await publishAndMeasure(mesh, { ...wrobelSmall.intents, ...rollouts }, START_LIMIT_MS)
+  const limit = ROLLOUT_MS + ROLLOUT_GRACE_MS
+  await Promise.all(Object.keys(NEXT_VERSION).map((service) => watchRollout(mesh, account, service, limit)))
+  const [bad, repairs] = [countBad() - badBefore, countRepairs() - repairsBefore]
+  account.add(bad > 0 && bad <= repairs * BAD_SHARE_LIMIT, 'the bad version gets a small share, and some traffic to judge it',
+    `${bad} of ${repairs} requests of repairs during the rollout`)
+  const end = countBad()
+  await awaitTime(AFTERMATH_MS)
+  account.add(countBad() === end, 'the bad version gets nothing after it', `${countBad() - end} requests in ${AFTERMATH_MS} ms`)
+  const during = load.records.slice(mark)
+  const failed = during.filter(({ status }) => status >= 500).length
+  account.add(failed <= during.length * FAILED_SHARE_LIMIT, 'most callers are served meanwhile',
+    `${failed} of ${during.length} answers failed`)
+  const history = await mesh.runCommand('history', '--json')
+  account.add(history.code === 0 && isJson(history.output), 'the history can be read', describeOutput(history))
+}
+
+async function checkRequests (
+  mesh: EmulatedMesh, account: Account, load: RunningLoad, print: (line: string) => void
+): Promise<void> {
+  const records = await load.stop()
+  const summary = createSummary(records)
+  print(formatSummary(summary))
+  for (const { kind, sent, whole } of summary.kinds) {
+    account.add(whole > 0, `requests of kind ${kind} are answered`, `${whole} whole answers of ${sent} attempts`)
+  }
+  const keyed = mesh.listRuns().filter(({ key }) => key !== undefined).length
+  account.add(keyed > 0, 'orders run under a key', `${keyed} runs with a key`)
+  const refusals = records.filter(({ outcome }) => outcome === 'not-run').length
+  account.add(refusals > 0, 'callers without a key are told not-run', `${refusals} refusals`)
+  const violations = checkRecords(records, mesh.listRuns())
+  for (const [kind, promise] of [
+    ['key-ran-twice', 'no order ran twice'], ['false-not-run', 'each not-run is true'],
+    ['ran-without-run', 'each answer comes from a run'], ['crossed-answer', 'no answer of another request'],
+    ['truncated-accepted', 'no truncated answer taken as whole'], ['upload-differs', 'uploads arrive whole']
+  ] as const) {
+    const found = violations.filter((violation) => violation.kind === kind)
+    account.add(found.length === 0, promise, `${found.length} violations${found[0] === undefined ? '' : `, first: ${found[0].detail}`}`)
+  }
+}
+
+/** Runs the demonstration and prints its account; resolves with whether every promise shown held. */
+export async function runDemo (print: (line: string) => void): Promise<boolean> {
+  const account = createAccount(print)
+  const begin = performance.now()
+  const mesh = await startMesh(buildPlans(), { seed: SEED, backends: 'process' })
+  try {
+    await account.run('publish of intent', () => runPublish(mesh, account))
+    const load = startDemoLoad(mesh)
+    await account.run('data centre taken out and back', () => runDrain(mesh, account, 'tarnow'))
+    await account.run('one good and one bad rollout', () => runRollouts(mesh, account, load))
+    await account.run('status of the mesh', async () => {
+      const status = await mesh.runCommand('status', '--json')
+      const isStatus = isJson(status.output) && statusSchema.safeParse(JSON.parse(status.output)).success
+      account.add(status.code === 0 && isStatus, 'the status can be read', describeOutput(status))
+    })
+    await account.run('requests', () => checkRequests(mesh, account, load, print))
+  } finally {
+    await mesh.stop()
+  }
+  print(`${account.hasHeld() ? 'every promise shown held' : 'at least one promise shown FAILED'}, ` +
+    `${((performance.now() - begin) / 1000).toFixed(1)} s`)
+  return account.hasHeld()
+}
--- a/packages/emulator/tests/load/startLoad.test.ts
+++ b/packages/emulator/tests/load/startLoad.test.ts
@@ -63,7 +63,9 @@
   })
 
   async function run (duplicates: number, disconnects = 0): Promise<ReturnType<typeof startLoad>['records']> {
-    const load = startLoad({ nodes: () => [address], mix: MIX, ratePerSecond: 300, seed: 3, duplicates, disconnects, timeoutMs: 1000 })
+    const load = startLoad({
+      nodes: () => [address], mix: MIX, ratePerSecond: 300, seed: 3, duplicates, disconnects, timeoutMs: 1000
+    })
     await awaitCondition('enough requests', () => load.records.length >= 60)
     return await load.stop()
   }
