feat(emulator): lead peer links through fault proxies

Cause: a daemon announces the address on which it listens, so no proxy could stand in front of its peer port. Change: the optional setting `advertise` (requests, peers, admin) names the addresses that a daemon announces; the mesh tool uses it for the peer port when `peers` is among the proxied links. Conclusion: a proxy sees all peers of its host alike; a partition between two data centres needs a rule for each source.

--- a/packages/contracts/src/settings/daemonSettingsSchema.ts
+++ b/packages/contracts/src/settings/daemonSettingsSchema.ts
@@ -17,6 +17,12 @@
     peers: addressSchema,
     admin: addressSchema
   }),
+  /** Addresses at which others reach this node, where they differ from those on which it listens. */
+  advertise: z.strictObject({
+    requests: addressSchema.optional(),
+    peers: addressSchema.optional(),
+    admin: addressSchema.optional()
+  }).prefault({}),
   platform: z.strictObject({
     table: addressSchema,
     objects: addressSchema,
--- a/packages/daemon/src/control/createControlPlane.ts
+++ b/packages/daemon/src/control/createControlPlane.ts
@@ -35,9 +35,9 @@
     state: 'starting',
     slots: settings.backend?.slots ?? 0,
     warmSlots: 0,
-    requestAddress: settings.listen.requests,
-    peerAddress: settings.listen.peers,
-    adminAddress: settings.listen.admin,
+    requestAddress: settings.advertise.requests ?? settings.listen.requests,
+    peerAddress: settings.advertise.peers ?? settings.listen.peers,
+    adminAddress: settings.advertise.admin ?? settings.listen.admin,
     ...(settings.backend === undefined ? {} : { service: settings.backend.service, version: settings.backend.version })
   }
 
@@ -117,7 +117,7 @@
 
   function connectSeeds (): void {
     for (const seed of settings.seeds) {
-      if (seed === settings.listen.peers || links.has(seed)) continue
+      if (seed === self.peerAddress || links.has(seed)) continue
       const socket = new WebSocket(`ws://${seed}/`)
       links.set(seed, socket)
       listen(socket)
--- a/packages/emulator/src/mesh/HostPlan.ts
+++ b/packages/emulator/src/mesh/HostPlan.ts
@@ -9,5 +9,8 @@
   readonly behaviour?: BackendServerSettingsInput
 }
 
-/** Links that can be led through fault proxies. */
-export type ProxiedLink = 'platform' | 'requests' | 'backend'
+/**
+ * Links that can be led through fault proxies: from a host's daemon to the platform and to its backend server, and from
+ * callers (`requests`) and other nodes (`peers`) to its daemon.
+ */
+export type ProxiedLink = 'platform' | 'requests' | 'peers' | 'backend'
--- a/packages/emulator/src/mesh/formatSettings.ts
+++ b/packages/emulator/src/mesh/formatSettings.ts
@@ -12,6 +12,8 @@
 /** Addresses that a daemon's settings name; each may be that of a fault proxy. */
 export interface SettingsAddresses {
   readonly listen: ListenAddresses
+  /** Peer address that the daemon announces. */
+  readonly peers: string
   readonly platform: string
   readonly backend: string
   readonly seeds: readonly string[]
@@ -19,7 +21,7 @@
 
 /** Settings file of a daemon. */
 export function formatDaemonSettings (plan: HostPlan, addresses: SettingsAddresses): string {
-  const { listen, platform, backend, seeds } = addresses
+  const { listen, peers, platform, backend, seeds } = addresses
   return `host = "${plan.host}"
 data_centre = "${plan.dataCentre}"
 seeds = ${JSON.stringify(seeds)}
@@ -29,6 +31,9 @@
 peers = "${listen.peers}"
 admin = "${listen.admin}"
 
+[advertise]
+peers = "${peers}"
+
 [platform]
 table = "${platform}"
 objects = "${platform}"
--- a/packages/emulator/src/mesh/startHost.ts
+++ b/packages/emulator/src/mesh/startHost.ts
@@ -2,7 +2,7 @@
 import { createRequire } from 'node:module'
 import path from 'node:path'
 import { statusSchema, type Status } from '@snipenotch/contracts'
-import { createFaultProxy, type BackendServerStandIn, type FaultProxy } from '@snipenotch/stand-ins'
+import { createDraw, createFaultProxy, type BackendServerStandIn, type FaultProxy } from '@snipenotch/stand-ins'
 import { findFreePort } from './findFreePort.js'
 import { formatDaemonSettings, OPERATORS_SECRET, type ListenAddresses } from './formatSettings.js'
 import type { HostPlan, ProxiedLink } from './HostPlan.js'
@@ -42,8 +42,9 @@
   readonly platform: string
   readonly seeds: readonly string[]
   readonly seed: number
-  readonly draw: () => number
   readonly proxied: readonly ProxiedLink[]
+  /** Proxy in front of this host's peer port; opened before any host starts, because seeds name it. */
+  readonly peerProxy: FaultProxy | undefined
   readonly backends: 'in-process' | 'process'
 }
 
@@ -53,11 +54,14 @@
 }
 
 async function openProxies (
-  { proxied, draw, platform }: HostSurroundings, listen: ListenAddresses, backend: string
+  { proxied, seed, platform, peerProxy }: HostSurroundings, listen: ListenAddresses, backend: string
 ): Promise<HostProxies> {
   const targets = { platform, requests: listen.requests, backend }
-  const proxies: HostProxies = {}
-  for (const link of proxied) proxies[link] = await createFaultProxy(targets[link], draw)
+  const proxies: HostProxies = peerProxy === undefined ? {} : { peers: peerProxy }
+  for (const link of proxied) {
+    // Each proxy has its own source, so that traffic on one link does not change the rules drawn on another.
+    if (link !== 'peers') proxies[link] = await createFaultProxy(targets[link], createDraw(seed))
+  }
   return proxies
 }
 
@@ -83,8 +87,9 @@
 
   function startDaemon (): StartedProcess {
     const platform = proxies.platform?.address ?? surroundings.platform
+    const peers = proxies.peers?.address ?? listen.peers
     const address = proxies.backend?.address ?? backend.address
-    writeFileSync(settings, formatDaemonSettings(plan, { listen, platform, backend: address, seeds }))
+    writeFileSync(settings, formatDaemonSettings(plan, { listen, peers, platform, backend: address, seeds }))
     return startProcess(daemonScript, [settings])
   }
 
@@ -100,7 +105,7 @@
       return backend.standIn
     },
     get requestAddress () { return proxies.requests?.address ?? listen.requests },
-    get peerAddress () { return listen.peers },
+    get peerAddress () { return proxies.peers?.address ?? listen.peers },
     get adminAddress () { return listen.admin },
     get daemon () { return daemon },
     backendServer: backend,
@@ -110,6 +115,7 @@
       await endDaemon()
       if (ports === 'new') listen = await findListenAddresses()
       proxies.requests?.setTarget(listen.requests)
+      proxies.peers?.setTarget(listen.peers)
       daemon = startDaemon()
     },
     readStatus: async () => statusSchema.parse(await (await fetchAdmin(listen.admin, 'status')).json()),
--- a/packages/emulator/src/mesh/startMesh.ts
+++ b/packages/emulator/src/mesh/startMesh.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from 'node:os'
 import path from 'node:path'
 import { createConfigurationRepository, HttpObjectStore, HttpTableService, type ConfigurationRepository } from '@snipenotch/platform'
-import { createDraw, createPlatformStandIn, type PlatformStandIn, type Run } from '@snipenotch/stand-ins'
+import { createDraw, createFaultProxy, createPlatformStandIn, type PlatformStandIn, type Run } from '@snipenotch/stand-ins'
 import { formatCommandSettings } from './formatSettings.js'
 import type { HostPlan, ProxiedLink } from './HostPlan.js'
 import { listenOnLoopback } from './listenOnLoopback.js'
@@ -13,12 +13,15 @@
 const SHUTDOWN_LIMIT_MS = 5000
 const PLATFORM_TIMEOUT_MS = 3000
 
+/** Hosts whose peer addresses every daemon's settings name. */
+const SEED_COUNT = 3
+
 const commandScript = path.join(
   path.dirname(createRequire(import.meta.url).resolve('@snipenotch/cli')), 'bin/snipenotch.js'
 )
 
 export interface MeshOptions {
-  /** Returns numbers in 0..1 for faults of the platform and of the proxies. */
+  /** Returns numbers in 0..1 for faults of the platform. */
   readonly draw?: () => number
   readonly seed?: number
   /** Whether backend servers run in this process or each in its own. */
@@ -64,12 +67,15 @@
   const platform = createPlatformStandIn(draw)
   const platformAddress = await listenOnLoopback(platform.server)
   const listens = await Promise.all(plans.map(findListenAddresses))
-  const seeds = listens.slice(0, 3).map(({ peers }) => peers)
-  const surroundings = { directory, platform: platformAddress, seeds, draw, proxied, backends }
+  const peerProxies = proxied.includes('peers')
+    ? await Promise.all(listens.map(({ peers }, index) => createFaultProxy(peers, createDraw(seed + index))))
+    : []
+  const seeds = listens.slice(0, SEED_COUNT).map(({ peers }, index) => peerProxies[index]?.address ?? peers)
+  const surroundings = { directory, platform: platformAddress, seeds, proxied, backends }
   const hosts = await Promise.all(plans.map((plan, index) => {
     const listen = listens[index]
     if (listen === undefined) throw new Error(`no ports for host ${plan.host}`)
-    return startHost(plan, listen, { ...surroundings, seed: seed + index })
+    return startHost(plan, listen, { ...surroundings, seed: seed + index, peerProxy: peerProxies[index] })
   }))
   const commandSettings = path.join(directory, 'snipenotch-cli.toml')
 
--- a/packages/emulator/tests/mesh/startMesh.test.ts
+++ b/packages/emulator/tests/mesh/startMesh.test.ts
@@ -10,7 +10,7 @@
     const behaviour = { poison: [{ path: 'poison' }] }
     const hosts = fangstdataSmall.hosts.filter(({ service }) => service === 'hauls')
     mesh = await startMesh(hosts.map((plan) => ({ ...plan, behaviour })), {
-      backends: 'process', proxied: ['platform', 'requests', 'backend']
+      backends: 'process', proxied: ['platform', 'requests', 'peers', 'backend']
     })
     expect((await mesh.publish({ hauls: fangstdataSmall.intents.hauls! })).code).to.equal(0)
   })
@@ -24,6 +24,7 @@
     const host = mesh.hosts[0]!
     await awaitCondition('answered', () => isAnswered(host.requestAddress))
     expect(host.proxies.requests!.counts.connections).to.be.greaterThan(0)
+    await awaitCondition('peer link through the proxy', () => host.proxies.peers!.counts.connections > 0)
     const before = (await host.readStatus()).nodes.find(({ endpoint }) => endpoint.host === host.host)
     host.signalDaemon('SIGKILL')
     expect(await host.daemon.exited).to.equal(-1)
