fix(stand-ins): keep the other settings when steering a backend server

Cause: PUT /settings parsed its body with a partial schema, in which zod fills in the defaults of absent keys; one changed setting reset all others. Change: the body goes to updateSettings, which validates the merged settings strictly. Two tests of concurrent requests use longer service times, so that requests overlap on a busy machine, too; their assertions are unchanged.

--- a/packages/stand-ins/src/backend/createBackendSteering.ts
+++ b/packages/stand-ins/src/backend/createBackendSteering.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { BackendServerStandIn } from '../createBackendServerStandIn.js'
-import { backendServerSettingsSchema } from './backendServerSettingsSchema.js'
+import type { BackendServerSettingsInput } from './backendServerSettingsSchema.js'
 
 async function readText (incoming: IncomingMessage): Promise<string> {
   const chunks: Buffer[] = []
@@ -21,8 +21,8 @@
       case 'GET /state': send(200, standIn.readState()); return
       case 'GET /settings': send(200, standIn.readSettings()); return
       case 'PUT /settings': {
-        const patch = backendServerSettingsSchema.partial().parse(JSON.parse(await readText(incoming)))
-        standIn.updateSettings(patch)
+        // Not parsed with a partial schema, which would fill in the defaults of the settings that are absent.
+        standIn.updateSettings(JSON.parse(await readText(incoming)) as BackendServerSettingsInput)
         send(200, standIn.readSettings())
         return
       }
--- a/packages/stand-ins/tests/createBackendServerStandIn.test.ts
+++ b/packages/stand-ins/tests/createBackendServerStandIn.test.ts
@@ -58,7 +58,7 @@
 
   it('collapses when overrun while cold, and bears its slots once warmed (guards against a cold start that costs nothing)', async () => {
     const coldStart = { cold: true, capacity: 1, tolerance: 1, growEvery: 1 }
-    await start({ settings: { slots: 4, serviceMs: 20, resetMs: 0, coldStart } })
+    await start({ settings: { slots: 4, serviceMs: 100, resetMs: 0, coldStart } })
     const lost = await Promise.all(Array.from({ length: 4 }, () => isLost(send('/clocks'))))
     expect(lost.filter(Boolean).length).to.be.greaterThan(0)
     expect(standIn.record.crashes[0]).to.include({ reason: 'cold' })
@@ -81,7 +81,7 @@
   })
 
   it('sheds load with 503 once slots and queue are full', async () => {
-    await start({ settings: { slots: 1, queue: 0, serviceMs: 50 } })
+    await start({ settings: { slots: 1, queue: 0, serviceMs: 500 } })
     const answers = await Promise.all([send('/clocks'), send('/clocks'), send('/clocks')])
     expect(answers.map(({ status }) => status).sort()).to.deep.equal([200, 503, 503])
     expect(standIn.runs).to.have.length(1)
