--- a/packages/daemon/src/control/createControlPlane.ts
+++ b/packages/daemon/src/control/createControlPlane.ts
@@ -11,16 +11,16 @@
 const MAX_WAITING_EVENTS = 16_384
 
 function composeEndpoint ({ settings, identity }: NodeContext): Endpoint {
-  const { backend, listen } = settings
+  const { advertise, backend, listen } = settings
   return {
     ...identity,
     sequence: 0,
     state: 'starting',
     slots: backend?.slots ?? 0,
     warmSlots: 0,
-    requestAddress: listen.requests,
-    peerAddress: listen.peers,
-    adminAddress: listen.admin,
+    requestAddress: advertise.requests ?? listen.requests,
+    peerAddress: advertise.peers ?? listen.peers,
+    adminAddress: advertise.admin ?? listen.admin,
     ...(backend === undefined ? {} : { service: backend.service, version: backend.version })
   }
 }
--- a/packages/daemon/src/requests/home/createBackendHandler.ts
+++ b/packages/daemon/src/requests/home/createBackendHandler.ts
@@ -93,14 +93,14 @@
   function startRun ({ visit, fingerprint, head }: WaitingVisit): void {
     const now = clock.now()
     const { incoming, outgoing, request } = visit
-    const { route, deadlineAt } = request
+    const { route, deadlineAt, attempt, caller } = request
     counters.record('queue', now - visit.arrivedAt)
     const entry: RunningVisit = { visit, fingerprint, startedAt: now, concurrent: running.size + 1, run: undefined }
     running.set(visit.id, entry)
     crashes.begin(fingerprint)
     const isIdempotent = route.idempotent
     entry.run = startBackendRun(
-      client, clock, { incoming, outgoing, head, isKeyed: !isIdempotent, isIdempotent, deadlineAt, buildHeaders },
+      client, clock, { incoming, outgoing, head, isKeyed: !isIdempotent, isIdempotent, deadlineAt, attempt, caller, buildHeaders },
       (end) => endRun(entry, end)
     )
   }
--- a/packages/daemon/src/requests/home/pickHeaders.ts
+++ b/packages/daemon/src/requests/home/pickHeaders.ts
@@ -7,33 +7,38 @@
   'transfer-encoding', 'upgrade', 'expect'
 ])
 
-/** Headers between nodes; the token proves membership of the mesh and is not shown to backend servers. */
-const NODE_HEADERS: ReadonlySet<string> = new Set([HEADERS.token, HEADERS.route, HEADERS.request])
+/** Begin of the names of headers that only nodes may set; those of callers and backend servers are dropped. */
+const MESH_HEADER_PREFIX = 'snipenotch-'
 
-/** Headers of an answer that only the home node sets. */
-const ANSWER_HEADERS: ReadonlySet<string> = new Set([
-  HEADERS.outcome, HEADERS.reason, HEADERS.load, HEADERS.version, HEADERS.request
-])
+/** What the home node tells the backend server about a request. */
+export interface ForwardedFacts {
+  /** Time left in milliseconds. */
+  readonly remaining: number
+  readonly attempt: number
+  readonly caller: string
+}
 
-function filterHeaders (headers: IncomingHttpHeaders, dropped: ReadonlySet<string>): OutgoingHttpHeaders {
+function filterHeaders (headers: IncomingHttpHeaders): OutgoingHttpHeaders {
   const named = new Set((headers.connection ?? '').toLowerCase().split(',').map((name) => name.trim()))
   const picked: OutgoingHttpHeaders = {}
   for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || HOP_BY_HOP.has(name) || dropped.has(name) || named.has(name)) continue
-    picked[name] = value
+    const isDropped = HOP_BY_HOP.has(name) || name.startsWith(MESH_HEADER_PREFIX) || named.has(name)
+    if (value !== undefined && !isDropped) picked[name] = value
   }
   return picked
 }
 
-/** Headers of a request for the backend server; `remaining` is the time left in milliseconds. */
-export function pickRequestHeaders (headers: IncomingHttpHeaders, remaining: number): OutgoingHttpHeaders {
-  const picked = filterHeaders(headers, NODE_HEADERS)
+/** Headers of a request for the backend server. */
+export function pickRequestHeaders (headers: IncomingHttpHeaders, facts: ForwardedFacts): OutgoingHttpHeaders {
+  const picked = filterHeaders(headers)
   if (headers['transfer-encoding'] !== undefined) picked['transfer-encoding'] = 'chunked'
-  picked[HEADERS.deadline] = String(Math.max(1, Math.floor(remaining)))
+  picked[HEADERS.deadline] = String(Math.max(1, Math.floor(facts.remaining)))
+  picked[HEADERS.attempt] = String(facts.attempt)
+  picked[HEADERS.caller] = facts.caller
   return picked
 }
 
-/** Headers of a backend server's answer, less those that the home node sets itself. */
+/** Headers of a backend server's answer, less those that only the home node sets. */
 export function pickAnswerHeaders (headers: IncomingHttpHeaders): Record<string, string | string[]> {
-  return filterHeaders(headers, ANSWER_HEADERS) as Record<string, string | string[]>
+  return filterHeaders(headers) as Record<string, string | string[]>
 }
--- a/packages/daemon/src/requests/home/startBackendRun.ts
+++ b/packages/daemon/src/requests/home/startBackendRun.ts
@@ -14,6 +14,8 @@
   readonly isKeyed: boolean
   readonly isIdempotent: boolean
   readonly deadlineAt: Milliseconds
+  readonly attempt: number
+  readonly caller: string
   /** Headers that the home node adds to the answer. */
   readonly buildHeaders: () => Record<string, string>
 }
@@ -134,7 +136,9 @@
   const { upstream, hasSent } = client.open({
     method: incoming.method ?? 'GET',
     path: incoming.url ?? '/',
-    headers: pickRequestHeaders(incoming.headers, request.deadlineAt - startedAt),
+    headers: pickRequestHeaders(incoming.headers, {
+      remaining: request.deadlineAt - startedAt, attempt: request.attempt, caller: request.caller
+    }),
     needsNewConnection: !isIdempotent
   }, {
     onAnswer: handleAnswer,
--- a/packages/daemon/tests/requests/home/createHomeHandler.test.ts
+++ b/packages/daemon/tests/requests/home/createHomeHandler.test.ts
@@ -34,10 +34,11 @@
 
   it('sends the remaining time and no node headers to the backend server (guards against a leaked token)', async () => {
     await start(answerOk)
-    await home.call({ deadlineMs: 3000, headers: { [HEADERS.token]: 'secret', connection: 'close, x-hop', 'x-hop': '1', 'x-end': '2' } })
+    await home.call({ deadlineMs: 3000, headers: { [HEADERS.token]: 'secret', [HEADERS.attempt]: '7', [HEADERS.outcome]: 'not-run', connection: 'close, x-hop', 'x-hop': '1', 'x-end': '2' } })
     const headers = backend.runs[0]!.headers
     expect(Number(headers[HEADERS.deadline])).to.be.within(1, 3000)
-    expect(headers).to.not.have.any.keys(HEADERS.token, 'x-hop')
+    expect(headers).to.not.have.any.keys(HEADERS.token, HEADERS.outcome, 'x-hop')
+    expect(headers[HEADERS.attempt]).to.equal('0')
     expect(headers['x-end']).to.equal('2')
   })
 
--- a/packages/emulator/src/bench/latency.ts
+++ b/packages/emulator/src/bench/latency.ts
@@ -119,7 +119,8 @@
  */
 export async function runLatencyBench (options: LatencyBenchOptions = {}): Promise<LatencyBench> {
   const {
-    rates = DEFAULT_RATES, warmUpMs = 1000, durationMs = 4000, rounds = 3, connections = DEFAULT_CONNECTIONS
+    rates = DEFAULT_RATES, warmUpMs = 1000, durationMs = 4000, rounds = 3, connections = DEFAULT_CONNECTIONS,
+    profileDirectory: profile
   } = options
   const backendPort = await findFreePort()
   const backend = startProcess(findScript('backendProcess'), [String(backendPort)])
@@ -128,9 +129,7 @@
   const mesh = await startMesh([
     { host: 'home', dataCentre: 'krakow', service: 'clocks', version: 'v1', backendAddress },
     { host: 'entry', dataCentre: 'krakow', service: 'other', version: 'v1' }
-  ], () => 1, options.profileDirectory === undefined
-    ? []
-    : ['--cpu-prof', `--cpu-prof-dir=${options.profileDirectory}`])
+  ], { draw: () => 1, nodeOptions: profile === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${profile}`] })
   try {
     const [home, entry] = mesh.hosts
     if (home === undefined || entry === undefined) throw new Error('no hosts')
