--- a/packages/decisions/src/home/createKeyLedger.ts
+++ b/packages/decisions/src/home/createKeyLedger.ts
@@ -186,7 +186,10 @@
       const { id, record } = takeRunning(key)
       record.reason = reason
       record.settledAt = time.now
-      return recordRefused(id, record, time)
+      const outcome = recordRefused(id, record, time)
+      // Without room among the refused, the key keeps the place that it had while it ran.
+      if (outcome === 'unknown') settled.set(id, record)
+      return outcome
     },
     expire: (time) => {
       expireRecords(settled, time, (id, issuedAt) => {
--- /dev/null
+++ b/packages/decisions/tests/home/printSeed.ts
@@ -0,0 +1,6 @@
+/** Returns the seed of a property test, from SEED if that is set, and prints it so that a failure can be repeated. */
+export function printSeed (name: string): number {
+  const seed = process.env['SEED'] === undefined ? Date.now() % 2 ** 31 : Number(process.env['SEED'])
+  console.log(`      ${name}: SEED=${seed}`)
+  return seed
+}
