fix(limits): forget references of a crashed server and shrink in proportion to latency

Cause: references learned from an overrun server hid the next overrun, so that a server that had fallen over once fell over again; slow steps down came too late for a server that turned cold under load. Change: references are cleared on a reset and begin with the mean of 8 answers, before which the limit does not grow; quick answers are no credit against slow ones; a slow answer shrinks the limit in proportion to its latency.

--- a/packages/decisions/src/home/createConcurrencyLimit.ts
+++ b/packages/decisions/src/home/createConcurrencyLimit.ts
@@ -39,7 +39,9 @@
 
 /** Limits after trouble, as a share of the limit before. */
 const SHRINK_OVERLOADED = 0.5
-const SHRINK_SLOW = 0.7
+/** A slow answer shrinks the limit in proportion to its latency, between these bounds. */
+const SHRINK_SLOW_MOST = 0.2
+const SHRINK_SLOW_LEAST = 0.7
 
 /** Weights of the latest sample. The reference follows quicker answers fast and slower ones slowly. */
 const PRESSURE_WEIGHT = 0.2
@@ -48,6 +50,9 @@
 const REFERENCE_WEIGHT_UP = 0.02
 const REFERENCE_WEIGHT_UNDER_PRESSURE = 0.005
 
+/** Answers of a route whose plain mean is its first reference. Until then they do not let the limit grow. */
+const FIRST_SAMPLES = 8
+
 /** Mean ratio of latencies to their references above which the limit does not grow, and above which it shrinks. */
 const PRESSURE_HOLD = 1.5
 const PRESSURE_JUMP = 3
@@ -67,6 +72,16 @@
 /** Routes remembered; more than a service has. */
 const MAX_ROUTES = 1000
 
+/** Latency that a route's answers usually take, in milliseconds. */
+interface Reference {
+  readonly latency: number
+  readonly samples: number
+}
+
+function computeSlowFactor (tolerance: number, latency: number): number {
+  return Math.min(SHRINK_SLOW_LEAST, Math.max(SHRINK_SLOW_MOST, tolerance / latency))
+}
+
 /** Creates a limit of 1. */
 export function createConcurrencyLimit (initial: LimitBounds): ConcurrencyLimit {
   let bounds = initial
@@ -75,10 +90,12 @@
   let failureShare = 0
   let shrunkAt = -Infinity
   let lastEvidenceAt: number | undefined
-  const references = new Map<string, number>()
+  const references = new Map<string, Reference>()
+
+  const hasReference = (route: string): boolean => (references.get(route)?.samples ?? 0) >= FIRST_SAMPLES
 
   function computeTolerance (route: string): number {
-    return Math.max(bounds.expectedLatency, PRESSURE_HOLD * (references.get(route) ?? 0))
+    return Math.max(bounds.expectedLatency, PRESSURE_HOLD * (references.get(route)?.latency ?? 0))
   }
 
   /** Shrinks once for each round: requests that started before the last time tell nothing about the limit since. */
@@ -91,15 +108,16 @@
   }
 
   function observeRatio (route: string, latency: number): void {
-    const reference = references.get(route)
-    if (reference === undefined) {
-      if (references.size < MAX_ROUTES) references.set(route, latency)
-      return
-    }
-    const ratio = Math.min(MAX_RATIO, latency / Math.max(reference, 0.01))
-    pressure += PRESSURE_WEIGHT * (ratio - pressure)
+    const reference = references.get(route) ?? { latency, samples: 0 }
+    const ratio = Math.min(MAX_RATIO, latency / Math.max(reference.latency, 0.01))
+    // A quick answer is no credit against later slow ones, so it counts as 1.
+    pressure += PRESSURE_WEIGHT * (Math.max(1, ratio) - pressure)
+    const samples = reference.samples + 1
     const upwards = pressure > PRESSURE_HOLD ? REFERENCE_WEIGHT_UNDER_PRESSURE : REFERENCE_WEIGHT_UP
-    references.set(route, reference + (ratio < 1 ? REFERENCE_WEIGHT_DOWN : upwards) * (latency - reference))
+    const weight = samples <= FIRST_SAMPLES ? 1 / samples : ratio < 1 ? REFERENCE_WEIGHT_DOWN : upwards
+    if (samples > 1 || references.size < MAX_ROUTES) {
+      references.set(route, { latency: reference.latency + weight * (latency - reference.latency), samples })
+    }
   }
 
   function stepUp (concurrent: number): void {
@@ -113,8 +131,8 @@
     const tolerance = computeTolerance(route)
     observeRatio(route, latency)
     const isJump = pressure > PRESSURE_JUMP && latency > JUMP_FLOOR * bounds.expectedLatency
-    if (latency > 2 * tolerance || isJump) stepDown(SHRINK_SLOW, startedAt, now)
-    else if (latency <= tolerance && startedAt >= shrunkAt) stepUp(concurrent)
+    if (latency > 2 * tolerance || isJump) stepDown(computeSlowFactor(tolerance, latency), startedAt, now)
+    else if (latency <= tolerance && startedAt >= shrunkAt && hasReference(route)) stepUp(concurrent)
   }
 
   function applyIdleTime (now: Milliseconds): void {
@@ -143,13 +161,17 @@
       }
     },
     observeUnanswered: (route, startedAt, now) => {
-      if (now - startedAt > 2 * computeTolerance(route)) stepDown(SHRINK_SLOW, startedAt, now)
+      const tolerance = computeTolerance(route)
+      const age = now - startedAt
+      if (age > 2 * tolerance) stepDown(computeSlowFactor(tolerance, age), startedAt, now)
     },
     reset: () => {
       limit = 1
       pressure = 1
       failureShare = 0
       lastEvidenceAt = undefined
+      // References learned just before a crash are those of an overrun server and would hide the next overrun.
+      references.clear()
     },
     setBounds: (next) => {
       bounds = next
--- /dev/null
+++ b/packages/decisions/tests/home/createConcurrencyLimit.test.ts
@@ -0,0 +1,101 @@
+import { toMilliseconds } from '@snipenotch/contracts'
+import { expect } from 'chai'
+import { createConcurrencyLimit, type ConcurrencyLimit, type RunResult } from '../../src/home/createConcurrencyLimit.js'
+
+const BOUNDS = { slots: 10, expectedLatency: 50 }
+
+/** Feeds rounds of answers at the full limit; returns the time after them. */
+function runRounds (limit: ConcurrencyLimit, start: number, rounds: number, latency: number, result: RunResult = 'success'): number {
+  let now = start
+  for (let round = 0; round < rounds; round++) {
+    const concurrent = limit.get()
+    const startedAt = toMilliseconds(now)
+    now += latency
+    for (let index = 0; index < concurrent; index++) {
+      limit.observe({ route: 'r', result, startedAt, latency, concurrent }, toMilliseconds(now))
+    }
+    now += 1
+  }
+  return now
+}
+
+describe('concurrency limit', () => {
+  it('begins at 1 and reaches all slots on quick answers (guards against an overrun cold server and a lasting low limit)', () => {
+    const limit = createConcurrencyLimit(BOUNDS)
+    expect(limit.get()).to.equal(1)
+    runRounds(limit, 0, 4, 20)
+    expect(limit.get()).to.be.below(4)
+    runRounds(limit, 1000, 40, 20)
+    expect(limit.get()).to.equal(10)
+  })
+
+  it('does not grow without use (guards against a limit that nothing has tested)', () => {
+    const limit = createConcurrencyLimit(BOUNDS)
+    for (let now = 0; now < 5000; now += 50) {
+      const startedAt = toMilliseconds(now)
+      limit.observe({ route: 'r', result: 'success', startedAt, latency: 20, concurrent: 1 }, toMilliseconds(now + 20))
+    }
+    expect(limit.get()).to.be.at.most(3)
+  })
+
+  const troubles: Array<[string, RunResult, number]> = [
+    ['shedding', 'shed', 20], ['lost connections', 'lost', 20], ['failures', 'failure', 20], ['a latency jump', 'success', 300]
+  ]
+  for (const [what, result, latency] of troubles) {
+    it(`shrinks on ${what} and recovers (guards against a server that turns cold, and a limit stuck low)`, () => {
+      const limit = createConcurrencyLimit(BOUNDS)
+      let now = runRounds(limit, 0, 60, 20)
+      now = runRounds(limit, now, 6, latency, result)
+      expect(limit.get()).to.be.at.most(3)
+      runRounds(limit, now, 300, 20)
+      expect(limit.get()).to.equal(10)
+    })
+  }
+
+  it('shrinks on a jump within the expected latency (guards against a cold server behind a generous expectation)', () => {
+    const limit = createConcurrencyLimit({ slots: 10, expectedLatency: 400 })
+    const now = runRounds(limit, 0, 60, 20)
+    runRounds(limit, now, 3, 200)
+    expect(limit.get()).to.be.at.most(5)
+  })
+
+  it('shrinks on requests that are not answered at all (guards against a stalled server)', () => {
+    const limit = createConcurrencyLimit(BOUNDS)
+    const now = runRounds(limit, 0, 60, 20)
+    limit.observeUnanswered('r', toMilliseconds(now), toMilliseconds(now + 90))
+    expect(limit.get()).to.equal(10)
+    limit.observeUnanswered('r', toMilliseconds(now), toMilliseconds(now + 500))
+    expect(limit.get()).to.equal(2)
+  })
+
+  it('shrinks once for each round (guards against a burst of old failures that undoes the recovery)', () => {
+    const limit = createConcurrencyLimit(BOUNDS)
+    const now = runRounds(limit, 0, 60, 20)
+    runRounds(limit, now, 1, 20, 'shed')
+    expect(limit.get()).to.equal(5)
+  })
+
+  it('keeps its limit when a tenth of the requests fail (guards against a failing route that starves the others)', () => {
+    const limit = createConcurrencyLimit(BOUNDS)
+    let now = runRounds(limit, 0, 60, 20)
+    for (let round = 0; round < 50; round++) {
+      limit.observe({ route: 'f', result: 'failure', startedAt: toMilliseconds(now), latency: 20, concurrent: 10 }, toMilliseconds(now + 20))
+      now = runRounds(limit, now + 20, 1, 20)
+    }
+    expect(limit.get()).to.equal(10)
+  })
+
+  it('grows on a route that is always slower than expected (guards against a limit stuck at 1)', () => {
+    const limit = createConcurrencyLimit(BOUNDS)
+    runRounds(limit, 0, 100, 300)
+    expect(limit.get()).to.equal(10)
+  })
+
+  it('halves after a minute without evidence (guards against a burst onto a server that turned cold while idle)', () => {
+    const limit = createConcurrencyLimit(BOUNDS)
+    const now = runRounds(limit, 0, 60, 20)
+    const later = toMilliseconds(now + 61_000)
+    limit.observe({ route: 'r', result: 'success', startedAt: later, latency: 20, concurrent: 1 }, later)
+    expect(limit.get()).to.equal(5)
+  })
+})
