style(control): wrap lines longer than 120 characters

Change: line breaks only. Measured: lint is clean; 45 tests of the core, codec, handshake and the whole path pass. Conclusion: format:check holds again.

--- a/packages/daemon/src/control/createControlPlane.ts
+++ b/packages/daemon/src/control/createControlPlane.ts
@@ -80,7 +80,10 @@
       let tick = csp.timeout(TICK_INTERVAL_MS)
       handleEvent({ kind: 'tick' })
       while (!stopping.closed) {
-        const result = (yield csp.alts([stopping, tick, events], { priority: true })) as { channel: unknown, value: ControlEvent }
+        const result = (yield csp.alts([stopping, tick, events], { priority: true })) as {
+          channel: unknown,
+          value: ControlEvent
+        }
         if (result.channel === tick) {
           handleEvent({ kind: 'tick' })
           tick = csp.timeout(TICK_INTERVAL_MS)
--- a/packages/daemon/src/control/createPeerSockets.ts
+++ b/packages/daemon/src/control/createPeerSockets.ts
@@ -144,7 +144,8 @@
         socket.end('HTTP/1.1 401 Unauthorized\r\nconnection: close\r\ncontent-length: 0\r\n\r\n')
         return
       }
-      server.handleUpgrade(incoming, socket, head, (accepted) => attachSocket(accepted, verified.value.host, verified.value))
+      server.handleUpgrade(incoming, socket, head, (accepted) => attachSocket(accepted, verified.value.host,
+        verified.value))
     },
     stop: () => {
       stopped = true
--- a/packages/daemon/src/control/frameCodec.ts
+++ b/packages/daemon/src/control/frameCodec.ts
@@ -44,7 +44,11 @@
   const [kind, ...rest] = values
   const fields = typeof kind === 'number' ? FIELDS[kind] : undefined
   if (fields === undefined) return Err({ reason: 'message-invalid', detail: `found message kind ${String(kind)}` })
-  const message = { kind: KINDS[kind as number], ...Object.fromEntries(fields.map((field, index) => [field, rest[index]])) }
+  const message = {
+    kind: KINDS[kind as number],
+    ...Object.fromEntries(fields.map((field, index) => [field,
+      rest[index]]))
+  }
   const parsed = peerMessageSchema.safeParse(message)
   return parsed.success ? Ok(parsed.data) : Err({ reason: 'message-invalid', detail: parsed.error.issues[0]?.message ?? '' })
 }
--- a/packages/daemon/src/control/handshake.ts
+++ b/packages/daemon/src/control/handshake.ts
@@ -22,7 +22,8 @@
 }
 
 /** Headers of an upgrade request that prove knowledge of the mesh secret; `wall` is wall-clock milliseconds. */
-export function signHandshake (secret: string, { host, incarnation }: ProvenPeer, wall: number): Record<string, string> {
+export function signHandshake (secret: string, { host, incarnation }: ProvenPeer, wall: number): Record<string,
+  string> {
   const time = String(Math.floor(wall))
   return {
     [HANDSHAKE_HOST]: host,
@@ -38,7 +39,8 @@
 }
 
 /** Checks the proof in an upgrade request; the error says what is wrong with it. */
-export function verifyHandshake (secret: string, headers: IncomingHttpHeaders, wall: number): Result<ProvenPeer, string> {
+export function verifyHandshake (secret: string, headers: IncomingHttpHeaders, wall: number): Result<ProvenPeer,
+  string> {
   const host = getHeader(headers, HANDSHAKE_HOST)
   const incarnation = getHeader(headers, HANDSHAKE_INCARNATION)
   const time = getHeader(headers, HANDSHAKE_TIME)
--- a/packages/daemon/tests/control/frameCodec.test.ts
+++ b/packages/daemon/tests/control/frameCodec.test.ts
@@ -55,6 +55,9 @@
   }
 
   it(`throws on no bytes at all (guards against a frame that crashes the process; seed ${SEED})`, () => {
-    fc.assert(fc.property(fc.uint8Array({ maxLength: 200 }), (data) => { decodeFrame(data) }), { seed: SEED, numRuns: 5000 })
+    fc.assert(fc.property(fc.uint8Array({ maxLength: 200 }), (data) => { decodeFrame(data) }), {
+      seed: SEED,
+      numRuns: 5000
+    })
   })
 })
--- a/packages/decisions/src/control/controlLimits.ts
+++ b/packages/decisions/src/control/controlLimits.ts
@@ -48,7 +48,10 @@
 export const AVOID_MS = 10_000
 /** The side with the higher name dials only if the other has not done so by then; avoids two links for one pair. */
 export const DIAL_YIELD_MS = 3000
-/** A relay asks another data centre for introductions this often, so that islands of one data centre find each other. */
+/**
+ * A relay asks another data centre for introductions this often, so that islands of one data centre
+ * find each other.
+ */
 export const INTRODUCTION_INTERVAL_MS = 10_000
 /** Ranking is repeated this often without a change of members, because hosts settle with time. */
 export const RANK_INTERVAL_MS = 2000
--- a/packages/decisions/src/control/createConfigurationFollower.ts
+++ b/packages/decisions/src/control/createConfigurationFollower.ts
@@ -147,7 +147,8 @@
     },
     reject,
     tick: () => {
-      if (pending !== undefined && context.now - pending.since < FETCH_TIMEOUT_MS && context.peers.has(pending.link)) return
+      if (pending !== undefined && context.now - pending.since < FETCH_TIMEOUT_MS &&
+        context.peers.has(pending.link)) return
       const avoid = pending?.link
       pending = undefined
       planFetch(avoid)
--- a/packages/decisions/src/control/createConfigurationState.ts
+++ b/packages/decisions/src/control/createConfigurationState.ts
@@ -41,7 +41,8 @@
   /** True if this version with this digest was found invalid here. */
   readonly isRejected: (version: number, digest: string) => boolean
   /** Answers a fetch: a delta if the base is known here, else the whole part in scope; undefined if it cannot. */
-  readonly composeAnswer: (base: number, baseDigest: string, scope: readonly string[]) => ConfigurationAnswer | undefined
+  readonly composeAnswer: (base: number, baseDigest: string, scope: readonly string[]) =>
+    ConfigurationAnswer | undefined
 }
 
 export type ConfigurationAnswer =
@@ -125,7 +126,8 @@
     if (cached !== undefined) return cached
     const target = selectScope(active.configuration, scope)
     const known = history.find(({ configuration, digest }) => configuration.version === base && digest === baseDigest)
-    const usable = known !== undefined && known.configuration.version < target.version && (known.scope.length === 0 || scope.join() === known.scope.join())
+    const usable = known !== undefined && known.configuration.version < target.version &&
+      (known.scope.length === 0 || scope.join() === known.scope.join())
     const answer: ConfigurationAnswer = usable
       ? diffConfiguration(selectScope(known.configuration, scope), target, active.digest)
       : { kind: 'snapshot', digest: active.digest, contentDigest: digestContent(target), configuration: target }
--- a/packages/decisions/src/control/createControlCore.ts
+++ b/packages/decisions/src/control/createControlCore.ts
@@ -25,7 +25,10 @@
 export interface ControlCore {
   readonly step: (event: ControlEvent, now: Milliseconds, wall: Milliseconds) => ControlAction[]
   /** Takes an operator's order; the actions spread it. */
-  readonly submitOrder: (request: OrderRequest, now: Milliseconds, wall: Milliseconds) => { order: Order, actions: ControlAction[] }
+  readonly submitOrder: (request: OrderRequest, now: Milliseconds, wall: Milliseconds) => {
+    order: Order,
+    actions: ControlAction[]
+  }
   readonly configuration: () => Configuration | undefined
   readonly digest: () => string
   readonly self: () => Endpoint
--- a/packages/decisions/src/control/createEndpointFlood.ts
+++ b/packages/decisions/src/control/createEndpointFlood.ts
@@ -31,7 +31,8 @@
     const { hello } = peer
     if (hello === undefined || hello.host === endpoint.host) return false
     if (hello.dataCentre !== context.self.dataCentre) return endpoint.dataCentre === context.self.dataCentre
-    const inScope = hello.scope.length === 0 || (endpoint.service !== undefined && hello.scope.includes(endpoint.service))
+    const inScope = hello.scope.length === 0 || (endpoint.service !== undefined &&
+      hello.scope.includes(endpoint.service))
     if (hello.relay || inScope) return true
     return endpoint.dataCentre === context.self.dataCentre && !isMinor(previous, endpoint)
   }
--- a/packages/decisions/src/control/createGossip.ts
+++ b/packages/decisions/src/control/createGossip.ts
@@ -45,7 +45,8 @@
     const reached = new Set<string>()
     for (const peer of listGreeted(context)) {
       const dataCentre = peer.hello?.dataCentre ?? ''
-      if (!isRemote(context, peer) || !peer.subscribed || reached.has(dataCentre) || !ranking.isHolder(dataCentre)) continue
+      if (!isRemote(context, peer) || !peer.subscribed || reached.has(dataCentre) ||
+        !ranking.isHolder(dataCentre)) continue
       reached.add(dataCentre)
       context.send(peer, message)
     }
--- a/packages/decisions/src/control/createHostWatch.ts
+++ b/packages/decisions/src/control/createHostWatch.ts
@@ -75,7 +75,8 @@
     for (const peer of listGreeted(context)) if (isLocalRelay(context, peer)) claimed.add(peer.hello?.host ?? '')
     for (const entry of table.entries()) {
       const { host, dataCentre } = entry.endpoint
-      if (dataCentre !== context.self.dataCentre || !isLive(entry) || claimed.has(host)) { unclaimedSince.delete(host); continue }
+      if (dataCentre !== context.self.dataCentre || !isLive(entry) ||
+        claimed.has(host)) { unclaimedSince.delete(host); continue }
       const since = unclaimedSince.get(host)
       if (since === undefined) unclaimedSince.set(host, context.now)
       else if (context.now - since > ORPHAN_LIMIT_MS) {
@@ -127,7 +128,8 @@
     sendRoster: () => {
       if ((!context.isRelay && watched.size === 0) || context.now - rosterAt < ROSTER_INTERVAL_MS) return
       rosterAt = context.now
-      const relays = listGreeted(context).filter((peer) => isLocalRelay(context, peer) && (peer.subscriber || peer.subscribed))
+      const relays = listGreeted(context).filter((peer) => isLocalRelay(context, peer) && (peer.subscriber ||
+        peer.subscribed))
       const roster = composeRoster()
       const text = JSON.stringify([roster, relays.map(({ link }) => link)])
       if (text === sent) return
--- a/packages/decisions/src/control/createLinkPlan.ts
+++ b/packages/decisions/src/control/createLinkPlan.ts
@@ -1,5 +1,6 @@
 import {
-  DIAL_YIELD_MS, HEARTBEAT_INTERVAL_MS, INTRODUCTION_INTERVAL_MS, PROBE_INTERVAL_MS, SILENCE_LIMIT_MS, STANDBY_HEARTBEAT_INTERVAL_MS
+  DIAL_YIELD_MS, HEARTBEAT_INTERVAL_MS, INTRODUCTION_INTERVAL_MS, PROBE_INTERVAL_MS, SILENCE_LIMIT_MS,
+  STANDBY_HEARTBEAT_INTERVAL_MS
 } from './controlLimits.js'
 import { type CoreContext, isLocalRelay, isRemote, listGreeted, type Peer } from './CoreContext.js'
 import type { Dialer } from './createDialer.js'
@@ -72,7 +73,8 @@
   /** Dials known addresses at random while no relay is known. */
   function dialSeeds (): void {
     if ([...peers.values()].filter(({ address }) => address !== undefined).length >= SEEDS_AT_ONCE) return
-    const addresses = [...new Set([...settings.seeds, ...contacts])].filter((address) => address !== context.self.peerAddress)
+    const addresses = [...new Set([...settings.seeds, ...contacts])].filter((address) =>
+      address !== context.self.peerAddress)
     for (let count = 0; count < SEEDS_AT_ONCE && addresses.length > 0; count++) {
       const [address] = addresses.splice(Math.floor(settings.draw() * addresses.length), 1)
       if (address !== undefined) dialer.dial(address)
--- a/packages/decisions/src/control/diffConfiguration.ts
+++ b/packages/decisions/src/control/diffConfiguration.ts
@@ -15,7 +15,11 @@
     const known = base[name]
     return known === undefined || (known !== resource && digestResource(known) !== digestResource(resource))
   })
-  return { changed: Object.fromEntries(changed), removed: Object.keys(base).filter((name) => target[name] === undefined) }
+  return {
+    changed: Object.fromEntries(changed),
+    removed: Object.keys(base).filter((name) =>
+      target[name] === undefined)
+  }
 }
 
 /** Returns what turns `base` into `target`, by resource digest; `digest` is that of the whole target configuration. */
--- a/packages/decisions/tests/control/createConfigurationState.test.ts
+++ b/packages/decisions/tests/control/createConfigurationState.test.ts
@@ -41,7 +41,8 @@
 
   it(`keeps receivers whole and in order over a lossy, reordering, duplicating queue (guards against deltas on a wrong base; seed ${SEED})`, () => {
     const step = fc.record({
-      kind: fc.constantFrom('publish' as const, 'publish-bad' as const, 'fetch' as const, 'deliver' as const, 'deliver-alter' as const, 'drop' as const),
+      kind: fc.constantFrom('publish' as const, 'publish-bad' as const, 'fetch' as const, 'deliver' as const,
+        'deliver-alter' as const, 'drop' as const),
       receiver: fc.nat({ max: 2 }),
       position: fc.nat({ max: 9 })
     })
@@ -61,7 +62,8 @@
         const configuration = state.active()?.configuration
         if (configuration === undefined) return
         expect(checkClosure(configuration)).to.deep.equal([])
-        expect(digestContent(configuration)).to.equal(digestContent(selectScope(published.get(configuration.version)!, scopes[receiver]!)))
+        const whole = published.get(configuration.version)!
+        expect(digestContent(configuration)).to.equal(digestContent(selectScope(whole, scopes[receiver]!)))
       }
       const fetch = (receiver: number): void => {
         const state = receivers[receiver]!
--- a/packages/decisions/tests/control/createTestNetwork.ts
+++ b/packages/decisions/tests/control/createTestNetwork.ts
@@ -4,7 +4,8 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import {
-  type ControlAction, type ControlCore, type ControlEvent, type ControlSettings, createControlCore, isNewerOrder, type StoreCall
+  type ControlAction, type ControlCore, type ControlEvent, type ControlSettings, createControlCore, isNewerOrder,
+  type StoreCall
 } from '../../src/index.js'
 
 const TICK_MS = 250
@@ -246,7 +247,8 @@
     step,
     submitOrder: (index, subject, action, id) => {
       const request = { subject, action, operator: 'test', id }
-      const submitted = nodes[index]!.core.submitOrder(request, now as Milliseconds, (WALL_ORIGIN + now) as Milliseconds)
+      const submitted = nodes[index]!.core.submitOrder(request, now as Milliseconds,
+        (WALL_ORIGIN + now) as Milliseconds)
       execute(index, submitted.actions)
       return submitted.order
     },
--- a/packages/decisions/tests/control/runSchedule.ts
+++ b/packages/decisions/tests/control/runSchedule.ts
@@ -46,7 +46,10 @@
 
 interface Checked { version: number, run: number, configuration: Configuration | undefined }
 
-/** Checks a node after each of its steps: versions only rise, and what is in force is a published version as a whole. */
+/**
+ * Checks a node after each of its steps: versions only rise, and what is in force is a published
+ * version as a whole.
+ */
 function createStepCheck (published: Map<number, Configuration>): (node: TestNode) => void {
   const seen = new Map<string, Checked>()
   return ({ core, plan, run }) => {
@@ -69,7 +72,8 @@
 
 export interface Outcome { network: TestNetwork, naive: NaiveState }
 
-export function runSchedule ({ seed, steps }: { seed: number, steps: ReadonlyArray<[Command, number]> }, create?: CoreFactory): Outcome {
+export function runSchedule ({ seed, steps }: { seed: number, steps: ReadonlyArray<[Command, number]> },
+  create?: CoreFactory): Outcome {
   const published = new Map<number, Configuration>()
   const submitted: Order[] = []
   const network = createTestNetwork(seed, PLANS, createStepCheck(published), create)
@@ -114,7 +118,11 @@
   for (const configuration of published.values()) mergeNaive(naive, { configuration, orders: new Map() })
   // An order that died with its only holder is lost to both; what a node still knows must have won.
   for (const { core } of network.nodes) {
-    mergeNaive(naive, { configuration: undefined, orders: new Map(core.readStatus().orders.map((order) => [order.subject, order])) })
+    mergeNaive(naive, {
+      configuration: undefined,
+      orders: new Map(core.readStatus().orders.map((order) =>
+        [order.subject, order]))
+    })
   }
   return { network, naive }
 }
--- a/packages/emulator/src/bench/convergence.ts
+++ b/packages/emulator/src/bench/convergence.ts
@@ -12,7 +12,12 @@
 export interface Spread { readonly p50: number, readonly p99: number, readonly max: number }
 
 /** Bytes sent and received by one node: median of plain nodes, greatest plain node, median and greatest relay. */
-export interface ByteSpread { readonly plain: number, readonly plainMax: number, readonly relay: number, readonly relayMax: number }
+export interface ByteSpread {
+  readonly plain: number,
+  readonly plainMax: number,
+  readonly relay: number,
+  readonly relayMax: number
+}
 
 export interface ConvergenceReport {
   readonly nodes: number
@@ -34,7 +39,10 @@
   readonly naiveChurnBytes: ByteSpread
   readonly storeReadsPerSecond: number
   readonly storeWritesPerSecond: number
-  /** Processor milliseconds of all plain nodes, of all relays, and of one relay for each of its subscribers, per change. */
+  /**
+   * Processor milliseconds of all plain nodes, of all relays, and of one relay for each of its
+   * subscribers, per change.
+   */
   readonly plainMsPerChange: number
   readonly relayMsPerChange: number
   readonly relayMsPerSubscriber: number
@@ -112,7 +120,10 @@
   return configuration
 }
 
-function collectApplied (nodes: readonly BenchNode[], version: number, since: number): { spread: Spread, missing: number } {
+function collectApplied (nodes: readonly BenchNode[], version: number, since: number): {
+  spread: Spread,
+  missing: number
+} {
   const times = nodes.flatMap(({ appliedAt }) => appliedAt.get(version) ?? []).map((at) => at - since)
   return { spread: computeSpread(times), missing: nodes.length - times.length }
 }
@@ -164,8 +175,13 @@
   }
 }
 
-function runHerd (network: CoreNetwork, draw: () => number, version: number): { spread: Spread, missing: number, known: number } {
-  const half = [...network.nodes.entries()].filter(([index, { plan }]) => plan.dataCentre === 0 && index % (2 * DATA_CENTRES) === 0)
+function runHerd (network: CoreNetwork, draw: () => number, version: number): {
+  spread: Spread,
+  missing: number,
+  known: number
+} {
+  const half = [...network.nodes.entries()].filter(([index, { plan }]) => plan.dataCentre === 0 &&
+    index % (2 * DATA_CENTRES) === 0)
   for (const [index] of half) network.stop(index)
   network.advance(5000)
   const since = network.now()
@@ -174,7 +190,8 @@
   for (let waited = 0; waited < OBSERVED_MS && known < 0; waited += 100) {
     network.advance(100)
     const relays = network.nodes.filter(({ core, up }) => up && core.isRelay())
-    const isKnown = half.every(([, { plan, up }]) => up && relays.every(({ core }) => core.findEndpoint(plan.host) !== undefined))
+    const isKnown = half.every(([, { plan, up }]) => up && relays.every(({ core }) =>
+      core.findEndpoint(plan.host) !== undefined))
     if (isKnown) known = network.now() - since
   }
   network.advance(5000)
--- a/packages/emulator/src/bench/createCoreNetwork.ts
+++ b/packages/emulator/src/bench/createCoreNetwork.ts
@@ -58,7 +58,8 @@
 /** Binary heap by (time, order of insertion). */
 function createQueue (): { insert: (item: Item) => void, take: (until: number) => Item | undefined } {
   const heap: Item[] = []
-  const isBefore = (left: Item, right: Item): boolean => left.at < right.at || (left.at === right.at && left.order < right.order)
+  const isBefore = (left: Item, right: Item): boolean => left.at < right.at || (left.at === right.at &&
+    left.order < right.order)
   return {
     insert: (item) => {
       let index = heap.length
