--- /dev/null
+++ b/packages/decisions/tests/rollouts/decideRollout.test.ts
@@ -0,0 +1,157 @@
+import { toMilliseconds, type Evidence } from '@snipenotch/contracts'
+import { expect } from 'chai'
+import { decideRollout, type EvidenceWindows, ROLLOUT_WATCH_PERIOD_MS, type RolloutInput } from '../../src/index.js'
+import { createEvidence, createService, FINISH_BY } from './rolloutFixture.js'
+
+function locate (evidence: Evidence[], dataCentre = 'krakow') {
+  return evidence.map((part) => ({ ...part, dataCentre }))
+}
+
+function createWindows (evidence: Evidence[], earlier: Evidence[] = []): EvidenceWindows {
+  const located = locate(evidence)
+  return { sinceStep: located, lastMinute: located, lastSeconds: located, sinceStart: [...located, ...locate(earlier)] }
+}
+
+const GOOD = [createEvidence('v1', 900, 1), createEvidence('v2', 100)]
+
+function createInput (parts: Partial<Omit<RolloutInput, 'now' | 'wall'>> & { now?: number, wall?: number }): RolloutInput {
+  const { now = 102_000, wall = 100_000, ...others } = parts
+  return {
+    service: createService(0.1),
+    windows: createWindows(GOOD),
+    capacity: { from: 100, to: 100 },
+    dataCentres: ['krakow'],
+    stepSeenAt: toMilliseconds(0),
+    pooledSince: toMilliseconds(0),
+    suspectedSince: undefined,
+    now: toMilliseconds(now),
+    wall: toMilliseconds(wall),
+    ...others
+  }
+}
+
+describe('decideRollout', () => {
+  it('raises the share of a version that behaves like the old one', () => {
+    const decision = decideRollout(createInput({}))
+    expect(decision).to.deep.include({ kind: 'step', shares: { v1: 0.8, v2: 0.2 } })
+    expect(decision?.reason).to.equal('v2 behaves like v1: 100 requests, 0 failed, 0 slow, against 900 requests, 1 failed, 0 slow on v1; share raised from 10% to 20%')
+  })
+
+  it('begins with a small share, larger when traffic is rare (guards against a first step that most callers notice)', () => {
+    const choose = (requests: number) => decideRollout(createInput({
+      service: createService(0), windows: createWindows([createEvidence('v1', requests)])
+    }))
+    expect(choose(100_000)).to.have.nested.property('shares.v2', 0.01)
+    expect(choose(10)).to.have.nested.property('shares.v2', 0.1)
+    expect(choose(0)).to.include({ kind: 'hold', reason: 'the evidence is too thin: no traffic since the last step' })
+  })
+
+  it('holds a share for part of the time left (guards against reaching full share before load shows a fault)', () => {
+    expect(decideRollout(createInput({ now: 10_000 }))).to.include({ kind: 'hold' })
+  })
+
+  it('passes through full share before it finishes', () => {
+    const nearly = createInput({ service: createService(0.6), windows: createWindows([createEvidence('v1', 40), createEvidence('v2', 60)]), now: 302_000 })
+    expect(decideRollout(nearly)).to.deep.include({ kind: 'step', shares: { v1: 0, v2: 1 } })
+    const full = createInput({ service: createService(1), windows: createWindows([createEvidence('v2', 100)], GOOD), now: 502_000 })
+    expect(decideRollout(full)).to.deep.include({ kind: 'finish', shares: { v1: 0, v2: 1 } })
+  })
+
+  const missing: Array<[name: string, input: Parameters<typeof createInput>[0], reason: string]> = [
+    ['without evidence since the last step', { windows: { ...createWindows(GOOD), sinceStep: [] } }, 'no evidence since the last step from data centre krakow'],
+    ['while a data centre is silent', { dataCentres: ['krakow', 'tarnow'] }, 'from data centre tarnow'],
+    ['on too few requests', { windows: createWindows([createEvidence('v1', 90), createEvidence('v2', 10)]) }, 'too thin: 10 requests on v2'],
+    ['when nodes have cut the version', { windows: createWindows([createEvidence('v1', 970), createEvidence('v2', 30)]) }, 'received 30 requests where its share is 100'],
+    ['when nodes have cut a route', {
+      windows: createWindows([...GOOD, createEvidence('v1', 495, 0, 0, 'repairs'), createEvidence('v2', 5, 0, 0, 'repairs')])
+    }, 'received 5 requests on route repairs where its share is 50'],
+    ['on a doubtful difference', { windows: createWindows([createEvidence('v1', 900), createEvidence('v2', 100, 4)]) }, 'not proven yet: v2 fails in total'],
+    ['without warm backend servers', { service: createService(0), capacity: { from: 100, to: 0 }, windows: createWindows([createEvidence('v1', 900)]) }, 'no warm backend server']
+  ]
+  for (const [name, input, reason] of missing) {
+    it(`takes no step ${name}`, () => {
+      const decision = decideRollout(createInput(input))
+      expect(decision).to.include({ kind: 'hold' })
+      expect(decision?.reason).to.include(reason)
+    })
+  }
+
+  const faults: Array<[name: string, windows: EvidenceWindows, reason: string]> = [
+    ['a failing version', createWindows([createEvidence('v1', 900, 2), createEvidence('v2', 100, 30)]), 'v2 fails in total: 30 of 100 requests failed, against 2 of 900 requests failed on v1 in the same time'],
+    ['a slow version', createWindows([createEvidence('v1', 900, 0, 9), createEvidence('v2', 100, 0, 40)]), 'v2 is slow in total: 40 of 100 requests were slow'],
+    ['a version that fails on a single route', createWindows([...GOOD, createEvidence('v1', 100, 0, 0, 'repairs'), createEvidence('v2', 10, 10, 0, 'repairs')]), 'v2 fails on route repairs: 10 of 10'],
+    ['a version that fails in a single data centre', {
+      ...createWindows(GOOD), sinceStep: [...locate([createEvidence('v1', 9000), createEvidence('v2', 1000)]), ...locate([createEvidence('v1', 90), createEvidence('v2', 10, 8)], 'tarnow')]
+    }, 'v2 fails in data centre tarnow: 8 of 10'],
+    ['a version that fails all of a sudden', {
+      ...createWindows([createEvidence('v1', 90_000), createEvidence('v2', 10_000)]), lastSeconds: locate([createEvidence('v1', 90), createEvidence('v2', 10, 9)])
+    }, 'v2 fails in total: 9 of 10']
+  ]
+  for (const [name, windows, reason] of faults) {
+    it(`takes back ${name}`, () => {
+      const decision = decideRollout(createInput({ windows }))
+      expect(decision).to.deep.include({ kind: 'take-back', shares: { v1: 1, v2: 0 } })
+      expect(decision?.reason).to.include(reason)
+    })
+  }
+
+  it('does not take back for a fault that both versions share (guards against false take-backs)', () => {
+    const windows = createWindows([createEvidence('v1', 900, 450), createEvidence('v2', 100, 50)])
+    expect(decideRollout(createInput({ windows }))?.kind).to.not.equal('take-back')
+  })
+
+  it('is not misled by a route that one version receives more of (guards against comparing different mixes)', () => {
+    const windows = createWindows([
+      createEvidence('v1', 9000, 0, 0, 'status'), createEvidence('v1', 100, 0, 50, 'photos'),
+      createEvidence('v2', 100, 0, 0, 'status'), createEvidence('v2', 100, 0, 50, 'photos')
+    ])
+    expect(decideRollout(createInput({ windows }))?.kind).to.not.equal('take-back')
+  })
+
+  it('waits for something to compare with at full share, then takes back (guards against blaming a shared fault)', () => {
+    const input = createInput({ service: createService(1), windows: createWindows([createEvidence('v2', 100, 50)], GOOD) })
+    expect(decideRollout(input)).to.include({ kind: 'hold', suspected: true })
+    const confirmed = { ...input, suspectedSince: toMilliseconds(90_000) }
+    expect(decideRollout(confirmed)).to.include({ kind: 'take-back' })
+    const shared = { ...confirmed, windows: createWindows([createEvidence('v2', 100, 50), createEvidence('v1', 40, 20)], GOOD) }
+    expect(decideRollout(shared)?.kind).to.equal('hold')
+  })
+
+  it('never gives a version more than its warm capacity bears (guards against overload by rollout)', () => {
+    // 1000 requests of 20 ms in 100 s keep 0.2 slots busy.
+    const held = decideRollout(createInput({ capacity: { from: 100, to: 0.025 } }))
+    expect(held).to.include({ kind: 'hold', reason: 'the warm capacity of v2 bears 10% of the traffic and no more' })
+    const lowered = decideRollout(createInput({ capacity: { from: 100, to: 0.0125 } }))
+    expect(lowered).to.have.property('kind', 'step')
+    expect(lowered).to.have.nested.property('shares.v2').that.is.closeTo(0.04, 1e-9)
+  })
+
+  const ends: Array<[name: string, input: Parameters<typeof createInput>[0], kind: string, reason: string]> = [
+    ['takes back when traffic was too thin to tell', { windows: createWindows([createEvidence('v1', 9), createEvidence('v2', 1)]) }, 'take-back', 'not shown to be good by the stated time: the evidence is too thin: 1 requests on v2'],
+    ['takes back at a small share', {}, 'take-back', 'shown itself only at a share of 10%'],
+    ['finishes a good version from half of the traffic', { service: createService(0.5), windows: createWindows([createEvidence('v1', 500), createEvidence('v2', 500)]) }, 'finish', 'v2 behaves like v1'],
+    ['lets a controller that has just taken over gather evidence first', { pooledSince: toMilliseconds(95_000), windows: createWindows([]) }, 'hold', 'has just taken over']
+  ]
+  for (const [name, input, kind, reason] of ends) {
+    it(`at the stated time ${name}`, () => {
+      const decision = decideRollout(createInput({ ...input, wall: FINISH_BY }))
+      expect(decision).to.include({ kind })
+      expect(decision?.reason).to.include(reason)
+    })
+  }
+
+  it('keeps watching a finished version, and takes it back for a late fault only within the watch period', () => {
+    const finished = createService(1, { outcome: 'finished', endedAt: FINISH_BY })
+    const bad = createWindows([createEvidence('v2', 100, 60), createEvidence('v1', 100)], GOOD)
+    const watched = { service: finished, wall: FINISH_BY + ROLLOUT_WATCH_PERIOD_MS - 1 }
+    expect(decideRollout(createInput({ ...watched, windows: createWindows([createEvidence('v2', 100)], GOOD) }))).to.include({ kind: 'hold' })
+    expect(decideRollout(createInput({ ...watched, windows: bad }))).to.include({ kind: 'take-back' })
+    expect(decideRollout(createInput({ ...watched, windows: bad, wall: FINISH_BY + ROLLOUT_WATCH_PERIOD_MS }))).to.include({ kind: 'hold' })
+  })
+
+  it('decides nothing without a rollout or after a take-back (guards against reviving a bad version)', () => {
+    const { rollout: _, ...plain } = createService(0)
+    expect(decideRollout(createInput({ service: plain }))).to.equal(undefined)
+    expect(decideRollout(createInput({ service: createService(0, { outcome: 'taken-back' }) }))).to.equal(undefined)
+  })
+})
