feat(rollouts): drive rollouts under the controller's lease

Cause: decisions have to be published once each, also when relays change, pause or lose the store. Log events 500 to 508.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -19,6 +19,15 @@
   internalError: { number: 104, level: 'error', text: 'unexpected internal error' },
   configurationApplied: { number: 200, level: 'info', text: 'configuration applied' },
   configurationRejected: { number: 201, level: 'error', text: 'configuration rejected; the one in force stays' },
+  leaseAcquired: { number: 500, level: 'info', text: 'lease acquired' },
+  leaseLost: { number: 501, level: 'info', text: 'lease no longer held' },
+  leaseNotWritten: { number: 502, level: 'warn', text: 'lease could not be written' },
+  rolloutStepped: { number: 503, level: 'info', text: 'rollout step published' },
+  rolloutFinished: { number: 504, level: 'info', text: 'rollout finished' },
+  rolloutTakenBack: { number: 505, level: 'warn', text: 'rollout taken back' },
+  rolloutHeld: { number: 506, level: 'info', text: 'rollout holds its shares' },
+  rolloutStepFailed: { number: 507, level: 'warn', text: 'rollout step not published' },
+  rolloutStepUsed: { number: 508, level: 'warn', text: 'rollout step number already used by an earlier rollout of the same id' },
   storeUnavailable: { number: 600, level: 'warn', text: 'platform store unavailable' },
   storeAvailable: { number: 601, level: 'info', text: 'platform store available again' }
 } as const satisfies Record<string, EventDefinition>
--- a/packages/daemon/src/createDaemon.ts
+++ b/packages/daemon/src/createDaemon.ts
@@ -8,6 +8,7 @@
 import { createCounters } from './observability/createCounters.js'
 import { createEventLog } from './observability/createEventLog.js'
 import { createRequestPlane } from './requests/createRequestPlane.js'
+import { createRolloutController } from './rollouts/createRolloutController.js'
 
 export interface Daemon {
   /** Resolves once all ports listen. */
@@ -53,6 +54,7 @@
   const control = createControlPlane(context)
   const requests = createRequestPlane(context, control.view)
   const admin = createAdminServer(context, control, requests)
+  const rollouts = createRolloutController(context, control)
   requests.peers.on('upgrade', control.acceptUpgrade)
 
   return {
@@ -62,13 +64,14 @@
       await listenOn(admin, parseAddress(settings.listen.admin))
       control.start()
       requests.start()
+      rollouts.start()
       if (settings.backend !== undefined) control.announce({ state: 'serving' })
       context.log('daemonStarted', { incarnation: context.identity.incarnation, listen: settings.listen })
     },
     stop: async () => {
       context.log('daemonStopping')
       control.announce({ state: 'draining' })
-      await requests.drain()
+      await Promise.all([requests.drain(), rollouts.stop()])
       control.announce({ state: 'left' })
       control.stop()
       admin.closeAllConnections()
--- /dev/null
+++ b/packages/daemon/src/rollouts/createRolloutDriver.ts
@@ -0,0 +1,189 @@
+import { composeRolloutStep, type Milliseconds, type Rollout, type Service } from '@snipenotch/contracts'
+import {
+  createEvidencePool, decideRollout, ROLLOUT_WATCH_PERIOD_MS, type EvidencePool, type RolloutDecision
+} from '@snipenotch/decisions'
+import {
+  createConfigurationRepository, formatPublishError, type PublishOutcome, type StoredConfiguration
+} from '@snipenotch/platform'
+import type { ControlPlane, PooledEvidence } from '../node/ControlPlane.js'
+import type { NodeContext } from '../node/NodeContext.js'
+import { createLease } from './createLease.js'
+
+/** Name of the controller's lease. */
+const LEASE_NAME = 'controller'
+
+/** Shortest time between two log lines about the same held rollout, in milliseconds. */
+const HOLD_LOG_INTERVAL_MS = 30_000
+
+/** Drives the rollouts of the mesh, one round at a time, while its node is a relay and holds the lease. */
+export interface RolloutDriver {
+  /** Ensures the lease, reads the accepted configuration and publishes what is decided; never fails. */
+  readonly runRound: () => Promise<void>
+  readonly release: () => Promise<void>
+}
+
+interface RolloutState {
+  readonly rollout: Rollout
+  readonly pool: EvidencePool
+  step: number
+  suspectedSince: Milliseconds | undefined
+  /** Highest step whose operation id a removed rollout of the same id has used. */
+  usedStep: number
+  holdLoggedAt: Milliseconds | undefined
+}
+
+type Change = Exclude<RolloutDecision, { kind: 'hold' }>
+
+const OUTCOMES = { step: 'running', finish: 'finished', 'take-back': 'taken-back' } as const
+
+const EVENT_NAMES = { step: 'rolloutStepped', finish: 'rolloutFinished', 'take-back': 'rolloutTakenBack' } as const
+
+/** Creates the driver; it begins to pool evidence at once, so that a takeover finds some. */
+export function createRolloutDriver (context: NodeContext, control: ControlPlane): RolloutDriver {
+  const { clock, log, counters, identity } = context
+  const repository = createConfigurationRepository(context.table, context.objects)
+  const lease = createLease(context, LEASE_NAME, `${identity.host}/${identity.incarnation}`)
+  const states = new Map<string, RolloutState>()
+  let accepted: StoredConfiguration | undefined
+
+  function isActive ({ rollout }: Service): boolean {
+    if (rollout === undefined || rollout.outcome === 'taken-back') return false
+    return rollout.outcome === 'running' || clock.wall() - (rollout.endedAt ?? 0) < ROLLOUT_WATCH_PERIOD_MS
+  }
+
+  /** Keeps one state for each active rollout, and starts its evidence anew when a step is first seen. */
+  function updateStates (services: readonly Service[]): void {
+    const active = services.filter(isActive)
+    for (const name of states.keys()) if (!active.some((service) => service.name === name)) states.delete(name)
+    for (const { name, rollout } of active) {
+      if (rollout === undefined) continue
+      const state = states.get(name)
+      if (state?.rollout.id !== rollout.id || state.rollout.startedAt !== rollout.startedAt) {
+        const pool = createEvidencePool(clock.now())
+        const { step } = rollout
+        states.set(name, { rollout, pool, step, suspectedSince: undefined, usedStep: 0, holdLoggedAt: undefined })
+      } else if (state.step < rollout.step) {
+        state.step = rollout.step
+        state.pool.beginStep(clock.now())
+      }
+    }
+  }
+
+  function addEvidence ({ dataCentre, evidence }: PooledEvidence): void {
+    for (const [name, { pool }] of states) {
+      const own = evidence.filter(({ service }) => service === name)
+      if (own.length > 0) pool.add(dataCentre, own, clock.now())
+    }
+  }
+
+  /** Reads the accepted configuration; the body only if it has changed. False while the store is away. */
+  async function readAccepted (): Promise<boolean> {
+    const current = await repository.readCurrent()
+    if (current.isErr()) return false
+    if (current.value === undefined) return false
+    if (current.value.digest === accepted?.digest) return true
+    const body = await repository.readBody(current.value.digest)
+    if (body.isErr()) return false
+    accepted = { digest: current.value.digest, configuration: body.value }
+    return true
+  }
+
+  function decide (service: Service, state: RolloutState): RolloutDecision | undefined {
+    const now = clock.now()
+    const endpoints = control.view.listEndpoints(service.name)
+    const sumWarm = (version: string): number =>
+      endpoints.reduce((sum, endpoint) => endpoint.version === version ? sum + endpoint.warmSlots : sum, 0)
+    return decideRollout({
+      service,
+      windows: state.pool.read(now),
+      capacity: { from: sumWarm(state.rollout.from), to: sumWarm(state.rollout.to) },
+      dataCentres: state.pool.listDataCentres(now),
+      stepSeenAt: state.pool.stepSeenAt(),
+      pooledSince: state.pool.pooledSince,
+      suspectedSince: state.suspectedSince,
+      now,
+      wall: clock.wall()
+    })
+  }
+
+  function recordHold (service: Service, state: RolloutState, decision: RolloutDecision & { kind: 'hold' }): void {
+    state.suspectedSince = decision.suspected ? state.suspectedSince ?? clock.now() : undefined
+    if (state.holdLoggedAt !== undefined && clock.now() - state.holdLoggedAt < HOLD_LOG_INTERVAL_MS) return
+    state.holdLoggedAt = clock.now()
+    log('rolloutHeld', { service: service.name, rollout: state.rollout.id, step: state.step, reason: decision.reason })
+  }
+
+  function recordPublished (
+    service: Service, state: RolloutState, change: Change, step: number, outcome: PublishOutcome, base: number
+  ): void {
+    const fields = { service: service.name, rollout: state.rollout.id, step }
+    if (outcome.written) {
+      counters.count('rollouts', change.kind)
+      const { shares, reason } = change
+      log(EVENT_NAMES[change.kind], { ...fields, version: outcome.version, shares, reason })
+    } else if (outcome.version <= base) {
+      // The configuration read before is as new as this operation, yet lacks the step: a removed rollout used its id.
+      state.usedStep = step
+      log('rolloutStepUsed', { ...fields, version: outcome.version })
+    }
+  }
+
+  async function publish (
+    service: Service, state: RolloutState, change: Change, fencing: number, base: number
+  ): Promise<void> {
+    const { id, from, to } = state.rollout
+    const step = Math.max(state.step, state.usedStep) + 1
+    const operationId = `rollout/${id}/${step}`
+    const share = Math.round((change.shares[to] ?? 0) * 1000) / 10
+    const outcome = OUTCOMES[change.kind]
+    const summary = `rollout of ${service.name} from ${from} to ${to} ${outcome} at ${share}%: ${change.reason}`
+    const author = `rollout-controller/${identity.host}`
+    const published = await repository.publish(operationId, (previous) => {
+      const { shares, reason } = change
+      const next = { service: service.name, rolloutId: id, after: state.step, step, shares, outcome, reason }
+      const composed = composeRolloutStep(previous, next, { operationId, author, acceptedAt: clock.wall(), summary })
+      return composed.unwrapOr(undefined)
+    }, { lease: LEASE_NAME, fencing })
+    if (published.isOk()) {
+      recordPublished(service, state, change, step, published.value, base)
+      return
+    }
+    log('rolloutStepFailed', { service: service.name, rollout: id, step, detail: formatPublishError(published.error) })
+    if (published.error.kind === 'fenced') lease.reset()
+  }
+
+  async function runRound (): Promise<void> {
+    if (!control.isRelay()) {
+      states.clear()
+      await lease.release()
+      return
+    }
+    const seen = control.view.configuration()
+    if (seen !== undefined && seen.version >= (accepted?.configuration.version ?? 0)) {
+      updateStates(Object.values(seen.services))
+    }
+    const fencing = await lease.ensureHeld()
+    if (fencing === undefined || !await readAccepted() || accepted === undefined) return
+    const { services, version } = accepted.configuration
+    updateStates(Object.values(services))
+    for (const [name, state] of states) {
+      const service = services[name]
+      const decision = service === undefined ? undefined : decide(service, state)
+      if (service === undefined || decision === undefined) continue
+      if (decision.kind === 'hold') recordHold(service, state, decision)
+      else await publish(service, state, decision, fencing, version)
+    }
+  }
+
+  control.onEvidence(addEvidence)
+  return {
+    runRound: async () => {
+      try {
+        await runRound()
+      } catch (error) {
+        log('internalError', { error: String(error) })
+      }
+    },
+    release: () => lease.release()
+  }
+}
