--- a/packages/daemon/src/control/createControlPlane.ts
+++ b/packages/daemon/src/control/createControlPlane.ts
@@ -1,6 +1,6 @@
 import type { Endpoint } from '@snipenotch/contracts'
 import { type ControlAction, type ControlEvent, createControlCore } from '@snipenotch/decisions'
-import csp from 'js-csp'
+import { csp } from '../csp.js'
 import type { ControlPlane, PooledEvidence } from '../node/ControlPlane.js'
 import type { NodeContext } from '../node/NodeContext.js'
 import { createPeerSockets } from './createPeerSockets.js'
--- a/packages/daemon/src/requests/home/createBackendHandler.ts
+++ b/packages/daemon/src/requests/home/createBackendHandler.ts
@@ -1,6 +1,6 @@
 import { HEADERS, type Milliseconds } from '@snipenotch/contracts'
 import { createAdmission, createConcurrencyLimit, type AdmissionAction, type RunResult } from '@snipenotch/decisions'
-import { csp } from './csp.js'
+import { csp } from '../../csp.js'
 import type { ControlPlane } from '../../node/ControlPlane.js'
 import type { MeshView } from '../../node/MeshView.js'
 import type { NodeContext } from '../../node/NodeContext.js'
@@ -100,7 +100,8 @@
     crashes.begin(fingerprint)
     const isIdempotent = route.idempotent
     entry.run = startBackendRun(
-      client, clock, { incoming, outgoing, head, isKeyed: !isIdempotent, isIdempotent, deadlineAt, attempt, caller, buildHeaders },
+      client, clock,
+      { incoming, outgoing, head, isKeyed: !isIdempotent, isIdempotent, deadlineAt, attempt, caller, buildHeaders },
       (end) => endRun(entry, end)
     )
   }
--- a/packages/daemon/src/requests/home/createBackendWatch.ts
+++ b/packages/daemon/src/requests/home/createBackendWatch.ts
@@ -1,7 +1,7 @@
 import { connect } from 'node:net'
 import { parseAddress } from '@snipenotch/contracts'
 import type { Channel } from 'js-csp'
-import { csp } from './csp.js'
+import { csp } from '../../csp.js'
 
 /** Longest wait for a probe's connection. */
 const PROBE_TIMEOUT_MS = 1000
