feat(cli): start, watch and take back rollouts; refuse publishes that move traffic at once

Cause: rollouts could be started only by intent and not taken back by hand; a publish that changed stable without a rollout, or removed a finished one, moved all traffic at once to a version that nothing watched. Conclusion: an emergency move stays possible and is named as such.

--- a/packages/cli/src/commands/publish.ts
+++ b/packages/cli/src/commands/publish.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto'
-import { composeConfiguration } from '@snipenotch/contracts'
+import { checkTransition, composeConfiguration } from '@snipenotch/contracts'
 import { Err, Ok, type Result } from 'ts-results-es'
 import type { CommandContext, CommandOutput } from '../CommandContext.js'
 import type { CommandError } from '../CommandError.js'
@@ -12,6 +12,8 @@
   readonly operation?: string
   /** Milliseconds to wait for the version to be in force; 0 for not waiting. */
   readonly waitMs: number
+  /** Publishes even if traffic moves at once to a version that no rollout watches. */
+  readonly force: boolean
 }
 
 /** Makes the intent files below `directory` the accepted configuration. */
@@ -22,8 +24,12 @@
   if (files.isErr()) return Err({ kind: 'invalid', problems: files.error })
   const intents = files.value.map(({ intent }) => intent)
   const operationId = options.operation ?? `publish/${randomUUID()}`
-  const published = await publishChange(context, operationId, `publish of ${intents.length} services`, (previous, stamp) =>
-    Ok(composeConfiguration(previous, intents, stamp)))
+  const summary = `publish of ${intents.length} services`
+  const published = await publishChange(context, operationId, summary, (previous, stamp) => {
+    const next = composeConfiguration(previous, intents, stamp)
+    const faults = options.force ? [] : checkTransition(previous, next)
+    return faults.length === 0 ? Ok(next) : Err(`${faults.join('\n')}\npublish with --force to move it all the same`)
+  })
   if (published.isErr()) return published
   const { version, written } = published.value
   const accepted = written ? `accepted as version ${version}` : `nothing to change, version ${version} stays`
--- a/packages/cli/src/createProgram.ts
+++ b/packages/cli/src/createProgram.ts
@@ -1,5 +1,5 @@
 import { cac, type CAC } from 'cac'
-import type { Result } from 'ts-results-es'
+import { Err, type Result } from 'ts-results-es'
 import { type CommandError, formatCommandError, toExitCode } from './CommandError.js'
 import type { CommandContext, CommandOutput } from './CommandContext.js'
 import { checkDirectory } from './commands/check.js'
@@ -7,6 +7,7 @@
 import { readHistory } from './commands/history.js'
 import { submitOrder } from './commands/order.js'
 import { publishDirectory } from './commands/publish.js'
+import { startRollout, takeRolloutBack, watchRollout } from './commands/rollout.js'
 import { readMeshStatus } from './commands/status.js'
 import { createCommandContext } from './createCommandContext.js'
 import { EXIT_CODES } from './EXIT_CODES.js'
@@ -38,6 +39,28 @@
   process.exitCode = toExitCode(result.error)
 }
 
+interface RolloutOptions extends CommonOptions {
+  /** Values that look like numbers arrive as numbers. */
+  readonly to?: string | number
+  readonly by?: string | number
+  readonly reason?: string
+  readonly timeout: number | string
+}
+
+async function runRollout (
+  context: CommandContext, action: string, service: string, options: RolloutOptions
+): Promise<Result<CommandOutput, CommandError>> {
+  const { to, by, reason = 'no reason given', timeout } = options
+  switch (action) {
+    case 'start':
+      if (to === undefined || by === undefined) return Err({ kind: 'usage', detail: 'rollout start: expected --to and --by' })
+      return await startRollout(context, service, { to: String(to), by: String(by) })
+    case 'watch': return await watchRollout(context, service, Number(timeout) * 1000)
+    case 'take-back': return await takeRolloutBack(context, service, reason)
+    default: return Err({ kind: 'usage', detail: `rollout: found "${action}", expected start, watch or take-back` })
+  }
+}
+
 type Run = (context: CommandContext) => Promise<Result<CommandOutput, CommandError>>
 
 async function runWithContext (options: CommonOptions, run: Run): Promise<void> {
@@ -57,9 +80,11 @@
   program.command('publish <dir>', 'Make the intent files below DIR the accepted configuration')
     .option('--wait [seconds]', 'Wait until the version is in force on every known host')
     .option('--operation <id>', 'Operation id of an earlier attempt whose outcome is unknown')
-    .action((dir: string, options: CommonOptions & { operation?: string }) => runWithContext(options, (context) =>
+    .option('--force', 'Allow traffic to move at once, without a rollout')
+    .action((dir: string, options: CommonOptions & { operation?: string, force?: boolean }) => runWithContext(options, (context) =>
       publishDirectory(context, dir, {
         waitMs: toWaitMs(options.wait),
+        force: options.force === true,
         ...(options.operation === undefined ? {} : { operation: options.operation })
       })))
 
@@ -83,6 +108,15 @@
         submitOrder(context, action, subject, { waitMs: toWaitMs(options.wait) })))
   }
 
+  const rolloutText = 'Start, watch or take back a rollout; ACTION is start, watch or take-back'
+  program.command('rollout <action> <service>', rolloutText)
+    .option('--to <version>', 'Version that is to take the traffic (start)')
+    .option('--by <time>', 'Stated time, such as 2026-12-04T18:00:00Z (start)')
+    .option('--reason <text>', 'Why, for the history (take-back)')
+    .option('--timeout <seconds>', 'Longest time to watch; 0 for no limit', { default: 0 })
+    .action((action: string, service: string, options: RolloutOptions) =>
+      runWithContext(options, (context) => runRollout(context, action, service, options)))
+
   program.help()
   return program
 }
--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -1,5 +1,6 @@
 export * from './admin/adminSchemas.js'
 export * from './configuration/checkClosure.js'
+export * from './configuration/checkTransition.js'
 export * from './configuration/composeConfiguration.js'
 export * from './configuration/composeRolloutStart.js'
 export * from './configuration/composeRolloutStep.js'
