--- a/packages/cli/src/createProgram.ts
+++ b/packages/cli/src/createProgram.ts
@@ -39,6 +39,11 @@
   process.exitCode = toExitCode(result.error)
 }
 
+interface PublishCommandOptions extends CommonOptions {
+  readonly operation?: string
+  readonly force?: boolean
+}
+
 interface RolloutOptions extends CommonOptions {
   /** Values that look like numbers arrive as numbers. */
   readonly to?: string | number
@@ -81,7 +86,7 @@
     .option('--wait [seconds]', 'Wait until the version is in force on every known host')
     .option('--operation <id>', 'Operation id of an earlier attempt whose outcome is unknown')
     .option('--force', 'Allow traffic to move at once, without a rollout')
-    .action((dir: string, options: CommonOptions & { operation?: string, force?: boolean }) => runWithContext(options, (context) =>
+    .action((dir: string, options: PublishCommandOptions) => runWithContext(options, (context) =>
       publishDirectory(context, dir, {
         waitMs: toWaitMs(options.wait),
         force: options.force === true,
