test(integration): run orders and cold starts through real daemons under faults

Cause: at-most-once runs, true refusals and cold starts were checked only inside one process.

Runs at the servers are compared with what callers were told.

--- /dev/null
+++ b/packages/emulator/tests/integration/requests/createCaller.ts
@@ -0,0 +1,71 @@
+import { Agent } from 'node:http'
+import type { CallerRecord, RequestKind } from '../../../src/load/CallerRecord.js'
+import { sendRequest } from '../../../src/load/sendRequest.js'
+
+const METHODS = { lookup: 'GET', order: 'POST', upload: 'PUT' } as const
+
+export interface CallerRequest {
+  readonly kind: RequestKind
+  readonly path: string
+  readonly node: string
+  readonly key?: string
+  readonly body?: Buffer
+  readonly answerBytes?: number
+  readonly timeoutMs?: number
+}
+
+/** A caller that repeats keyed requests and records everything that it is told. */
+export interface Caller {
+  readonly records: CallerRecord[]
+  readonly send: (request: CallerRequest) => Promise<CallerRecord>
+  /** Gets a key for an order; undefined if the node gives none. */
+  readonly fetchKey: (node: string) => Promise<string | undefined>
+  /** Sends an order with its key; the body is the same for each repeat. */
+  readonly sendOrder: (key: string, node: string) => Promise<CallerRecord>
+  readonly stop: () => void
+}
+
+export function createCaller (name: string): Caller {
+  const agent = new Agent({ keepAlive: true })
+  const records: CallerRecord[] = []
+  const nonces = new Map<string, string[]>()
+  let count = 0
+
+  async function sendAttempt (request: CallerRequest): Promise<{ record: CallerRecord, freshKey: string | undefined }> {
+    const { kind, path, node, key, body = Buffer.alloc(0), answerBytes = 0, timeoutMs = 3000 } = request
+    count += 1
+    const nonce = `${name}-${count}`
+    // Shared by all attempts with this key; read only when an answer arrives.
+    const otherNonces = key === undefined ? [] : nonces.get(key) ?? []
+    if (key !== undefined) nonces.set(key, otherNonces)
+    otherNonces.push(nonce)
+    const result = await sendRequest({
+      id: count,
+      kind,
+      method: METHODS[kind],
+      path,
+      node,
+      nonce,
+      key,
+      otherNonces,
+      body,
+      answerBytes,
+      caller: name,
+      disconnectAfterMs: undefined,
+      timeoutMs,
+      agent
+    })
+    records.push(result.record)
+    return result
+  }
+
+  return {
+    records,
+    send: async (request) => (await sendAttempt(request)).record,
+    fetchKey: async (node) =>
+      (await sendAttempt({ kind: 'order', path: '/parts/orders', node, body: Buffer.from('x') })).freshKey,
+    sendOrder: async (key, node) =>
+      (await sendAttempt({ kind: 'order', path: '/parts/orders', node, key, body: Buffer.from('two clock hands') })).record,
+    stop: () => agent.destroy()
+  }
+}
