test(integration): check that delayed answers reach their own callers whole

Cause: crossed answers were not checked over real daemons.

Change: lookups and orders run while each connection of the peers and backend links has a delay drawn from a seed.

--- /dev/null
+++ b/packages/emulator/tests/integration/requests/answers.test.ts
@@ -0,0 +1,56 @@
+import { setTimeout as awaitTime } from 'node:timers/promises'
+import { createDraw } from '@snipenotch/stand-ins'
+import { expect } from 'chai'
+import { startLoad } from '../../../src/load/startLoad.js'
+import type { EmulatedMesh } from '../../../src/mesh/startMesh.js'
+import { expectPromises, planHosts, startRequestMesh } from './startRequestMesh.js'
+
+const SEED = 20_261_204
+
+describe('answers under faults', () => {
+  let mesh: EmulatedMesh
+  const draw = createDraw(SEED)
+
+  before(async () => {
+    mesh = await startRequestMesh(
+      [...planHosts('clocks', ['krakow', 'tarnow'], { serviceMs: 4, spread: 1 }), ...planHosts('parts', ['katowice'])],
+      { seed: SEED, proxied: ['peers', 'backend'] }
+    )
+  })
+  after(async () => { await mesh.stop() })
+
+  async function runLoad (seed: number): Promise<ReturnType<typeof startLoad>['records']> {
+    const load = startLoad({
+      nodes: () => mesh.hosts.map(({ requestAddress }) => requestAddress),
+      ratePerSecond: 200,
+      seed,
+      duplicates: 0.5,
+      disconnects: 0.05,
+      mix: [
+        { kind: 'lookup', method: 'GET', path: '/clocks/1', weight: 3 },
+        { kind: 'lookup', method: 'GET', path: '/clocks/2', weight: 2, answerBytes: 30_000 },
+        { kind: 'order', method: 'POST', path: '/parts/orders', weight: 1 }
+      ]
+    })
+    await awaitTime(2000)
+    return await load.stop()
+  }
+
+  it('P7: each caller gets its own whole answer when answers are delayed and overtake each other', async () => {
+    for (const { proxies } of mesh.hosts) {
+      const rules = Array.from({ length: 5 }, () => ({ share: 0.2, rule: { delayMs: Math.floor(draw() * 60) } }))
+      proxies.peers!.setRules(rules)
+      proxies.backend!.setRules(rules)
+      proxies.peers!.resetAll()
+      proxies.backend!.resetAll()
+    }
+    const records = await runLoad(SEED)
+    expectPromises(mesh, records)
+    const whole = records.filter(({ body }) => body === 'whole')
+    expect(whole.length).to.be.greaterThan(records.length / 2)
+    // Without overtaking, the test would show nothing about crossed answers.
+    const ends = whole.map(({ startedAt, durationMs }) => ({ startedAt, endedAt: startedAt + durationMs }))
+    expect(ends.some(({ startedAt, endedAt }) =>
+      ends.some((other) => other.startedAt > startedAt && other.endedAt < endedAt))).to.equal(true)
+  })
+})
