fix(control): fetch a version from the relay relied on

Cause: a node fetched from whichever relay offered first, standby included. Change: an offer of a standby waits for the next tick; peers relied on come first.

--- a/packages/decisions/src/control/createConfigurationFollower.ts
+++ b/packages/decisions/src/control/createConfigurationFollower.ts
@@ -62,15 +62,21 @@
     })
   }
 
-  /** Fetches the highest version that a peer offers, from another peer than the one that did not answer. */
-  function planFetch (avoid: number | undefined): void {
+  /**
+   * Fetches the highest version that a peer offers, from another peer than the one that did not answer. Peers that this
+   * node relies on come first; an offer of a standby waits for the tick. Without this, the relay that is first to read
+   * a version from the store serves the subscribers of the other relays too.
+   */
+  function planFetch (avoid: number | undefined, isTick = false): void {
     if (pending !== undefined) return
+    const mayUseStandby = isTick || !listGreeted(context).some(({ subscribed }) => subscribed)
     const offers = listGreeted(context).filter(({ version }) => isWanted(version) &&
       !configuration.isRejected(version, digests.get(version) ?? ''))
     const highest = Math.max(0, ...offers.map(({ version }) => version))
     const best = offers.filter(({ version }) => version === highest)
-    const source = best.find(({ link }) => link !== avoid) ?? best[0]
-    if (source !== undefined) sendFetch(source, source.link === avoid)
+    const others = best.filter(({ link }) => link !== avoid)
+    const source = others.find(({ subscribed }) => subscribed) ?? others[0] ?? best[0]
+    if (source !== undefined && (mayUseStandby || source.subscribed)) sendFetch(source, source.link === avoid)
   }
 
   function reportConflict (version: number, found: string, expected: string): void {
@@ -151,7 +157,7 @@
         context.peers.has(pending.link)) return
       const avoid = pending?.link
       pending = undefined
-      planFetch(avoid)
+      planFetch(avoid, true)
     },
     rejection: () => rejection
   }
--- a/packages/decisions/tests/control/createControlCore.test.ts
+++ b/packages/decisions/tests/control/createControlCore.test.ts
@@ -170,4 +170,14 @@
     network.advance(10_000)
     expect(network.nodes[first]!.core.isRelay()).to.equal(true)
   })
+  it('fetches from the relay relied on (guards against one relay that serves every change to all)', () => {
+    const network = createTestNetwork(13, createPlans(1, 63))
+    network.advance(40_000)
+    network.publish(createTestConfiguration(1))
+    network.advance(4000)
+    const relays = network.nodes.filter(({ core }) => core.isRelay())
+    expect(relays.length).to.equal(3)
+    // An even share is 20.
+    for (const { plan, served } of relays) expect(served, plan.host).to.be.within(10, 30)
+  })
 })
--- a/packages/decisions/tests/control/createTestNetwork.ts
+++ b/packages/decisions/tests/control/createTestNetwork.ts
@@ -23,6 +23,8 @@
   up: boolean
   pausedUntil: number
   run: number
+  /** Deltas and snapshots sent. */
+  served: number
   readonly log: Array<{ at: number, name: string, fields: Readonly<Record<string, unknown>> }>
 }
 
@@ -87,7 +89,7 @@
   }
 
   function createNode (plan: NodePlan): TestNode {
-    return { plan, core: createFor(plan, 0), up: true, pausedUntil: 0, run: 0, log: [] }
+    return { plan, core: createFor(plan, 0), up: true, pausedUntil: 0, run: 0, served: 0, log: [] }
   }
 
   function createFor (plan: NodePlan, run: number): ControlCore {
@@ -158,6 +160,7 @@
     if (wire === undefined || !wire.open) return
     const target = wire.ends[0] === index ? wire.ends[1] : wire.ends[0]
     const { run } = nodes[target]!
+    if (message.kind === 'delta' || message.kind === 'snapshot') nodes[index]!.served += 1
     if (isCut(index, target) || draw() < faults.lose) { wire.flawed = true; return }
     const copies = draw() < faults.repeat ? 2 : 1
     for (let copy = 0; copy < copies; copy++) {
