--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -1,6 +1,7 @@
 export * from './bench/convergence.js'
 export * from './bench/latency.js'
 export * from './bench/overload.js'
+export * from './bench/resources.js'
 export * from './layouts/HostLayout.js'
 export * from './layouts/fangstdata.js'
 export * from './layouts/wrobel.js'
