fix(cli): reject unknown commands, bad numbers and ports with a message

Change: messages and exit code 2 for the first three, exit code 1 with the key for the port. Conclusion: tests for the single commands and most exit codes remain.

--- a/packages/cli/src/bin/snipenotch.ts
+++ b/packages/cli/src/bin/snipenotch.ts
@@ -6,7 +6,9 @@
 try {
   program.parse(process.argv, { run: false })
   if (program.matchedCommand === undefined && program.options['help'] !== true) {
-    program.outputHelp()
+    const [name] = program.args
+    const found = name === undefined ? 'found no command' : `found unknown command "${name}"`
+    process.stderr.write(`snipenotch: ${found}, expected a command listed by snipenotch --help\n`)
     process.exitCode = EXIT_CODES.usage
   } else await program.runMatchedCommand()
 } catch (error) {
--- a/packages/cli/src/createProgram.ts
+++ b/packages/cli/src/createProgram.ts
@@ -22,8 +22,16 @@
 
 function toWaitMs (wait: number | string | boolean | undefined): number {
   if (wait === undefined || wait === false) return 0
+  if (typeof wait === 'boolean' || wait === '') return DEFAULT_WAIT_MS
   const value = Number(wait)
-  return typeof wait === 'boolean' || Number.isNaN(value) || wait === '' ? DEFAULT_WAIT_MS : value * 1000
+  if (!(value >= 0)) throw new Error(`--wait: found "${wait}", expected a number of seconds`)
+  return value * 1000
+}
+
+function toLimit (limit: number | string): number {
+  const value = Number(limit)
+  if (!Number.isInteger(value) || value < 1) throw new Error(`--limit: found "${limit}", expected a whole number above 0`)
+  return value
 }
 
 function printResult (result: Result<CommandOutput, CommandError>, json: boolean): void {
@@ -68,8 +76,10 @@
 
   program.command('history', 'List accepted versions, newest first')
     .option('--limit <n>', 'Number of versions', { default: 20 })
-    .action((options: CommonOptions & { limit: number }) =>
-      runWithContext(options, (context) => readHistory(context, options.limit)))
+    .action((options: CommonOptions & { limit: number | string }) => {
+      const limit = toLimit(options.limit)
+      return runWithContext(options, (context) => readHistory(context, limit))
+    })
 
   program.command('explain <method> <path>', 'Show which route, version and backend server a request would meet')
     .action((method: string, path: string, options: CommonOptions) =>
@@ -79,8 +89,10 @@
     const text = action === 'drain' ? 'Take a data centre or a host out' : 'Bring a data centre or a host back'
     program.command(`${action} <subject>`, `${text}; SUBJECT is data-centre/NAME or host/NAME`)
       .option('--wait [seconds]', 'Wait until every contact knows the order')
-      .action((subject: string, options: CommonOptions) => runWithContext(options, (context) =>
-        submitOrder(context, action, subject, { waitMs: toWaitMs(options.wait) })))
+      .action((subject: string, options: CommonOptions) => {
+        const waitMs = toWaitMs(options.wait)
+        return runWithContext(options, (context) => submitOrder(context, action, subject, { waitMs }))
+      })
   }
 
   program.help()
--- a/packages/contracts/src/settings/addressSchema.ts
+++ b/packages/contracts/src/settings/addressSchema.ts
@@ -2,8 +2,11 @@
 
 const ADDRESS = /^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/i
 
+const MAX_PORT = 65_535
+
 /** An IP address and port, such as `127.0.0.1:8080` or `[::1]:8080`. */
 export const addressSchema = z.string().regex(ADDRESS, 'an IP address and port such as "127.0.0.1:8080"')
+  .refine((address) => parseAddress(address).port <= MAX_PORT, `a port of at most ${MAX_PORT}`)
 
 export interface HostAndPort {
   readonly host: string
