--- a/packages/cli/tests/startFakes.ts
+++ b/packages/cli/tests/startFakes.ts
@@ -101,7 +101,10 @@
     return [200, order]
   }
   const server = createServer((incoming, outgoing) => {
-    void answer(incoming).then(([status, body]) => outgoing.writeHead(status).end(JSON.stringify(body)))
+    answer(incoming).then(
+      ([status, body]) => outgoing.writeHead(status).end(JSON.stringify(body)),
+      (error: unknown) => outgoing.writeHead(500).end(String(error))
+    )
   })
   servers.push(server)
   const node: FakeNode = {
@@ -139,7 +142,10 @@
   const servers: Server[] = []
   const platform = createPlatformStandIn(() => 1)
   const front = createServer((incoming, outgoing) => {
-    void Promise.resolve(fakes.beforeCall(incoming)).then(() => platform.server.emit('request', incoming, outgoing))
+    Promise.resolve(fakes.beforeCall(incoming)).then(
+      () => platform.server.emit('request', incoming, outgoing),
+      (error: unknown) => outgoing.writeHead(500).end(String(error))
+    )
   })
   servers.push(front)
   const address = await listen(front)
