--- a/packages/decisions/src/rollouts/decideRollout.ts
+++ b/packages/decisions/src/rollouts/decideRollout.ts
@@ -26,6 +26,9 @@
 /** Time that a controller which has just taken over may gather evidence past the stated time, in milliseconds. */
 const TAKEOVER_GRACE_MS = 15_000
 
+/** Time after a rollout's start within which a controller that begins to pool has not taken over, but began with it. */
+const START_SLACK_MS = 5000
+
 /** Part of the warm slots that a version's share may use. */
 const USED_CAPACITY = 0.8
 
@@ -127,15 +130,21 @@
   return composeTakeBack(rollout, reason, fault)
 }
 
-/** Returns what evidence is missing for a step, in words, or undefined if it is complete. */
-function describeMissing (input: RolloutInput, standing: Standing): string | undefined {
+/** Returns, in words, that too little was seen of the new version in `evidence`; undefined if it suffices. */
+function describeThin (
+  input: RolloutInput, rollout: Rollout, evidence: readonly RolloutEvidence[], reach: string
+): string | undefined {
+  const silent = input.dataCentres.filter((name) => !evidence.some(({ dataCentre }) => dataCentre === name))
+  if (silent.length > 0) return `no evidence ${reach} from data centre ${silent.join(', ')}`
+  const { requests } = sumVersion(evidence, rollout.to)
+  if (requests >= STEP_REQUESTS) return undefined
+  return `the evidence is too thin: ${requests} requests on ${rollout.to} ${reach}, ${STEP_REQUESTS} needed`
+}
+
+/** Returns, in words, that nodes send the new version less than its share; undefined if they do not. */
+function describeCut (input: RolloutInput, standing: Standing): string | undefined {
   const { rollout: { from, to }, share, total: { candidate, reference } } = standing
   const { sinceStep } = input.windows
-  const silent = input.dataCentres.filter((name) => !sinceStep.some(({ dataCentre }) => dataCentre === name))
-  if (silent.length > 0) return `no evidence since the last step from data centre ${silent.join(', ')}`
-  if (candidate.requests < STEP_REQUESTS) {
-    return `the evidence is too thin: ${candidate.requests} requests on ${to} since the last step, ${STEP_REQUESTS} needed`
-  }
   const expected = share * (candidate.requests + reference.requests)
   if (expected >= EXPECTED_REQUESTS && candidate.requests < SEEN_SHARE * expected) {
     return `${to} received ${candidate.requests} requests where its share is ${Math.round(expected)}: nodes have cut it or have not applied the step`
@@ -151,14 +160,32 @@
   return undefined
 }
 
+/** Returns, in words, that the new version looks worse in `evidence`; undefined if it does not. */
+function describeDoubt (
+  input: RolloutInput, rollout: Rollout, evidence: readonly RolloutEvidence[]
+): string | undefined {
+  const doubt = findFault(evidence, input.windows.sinceStart, rollout)
+  return doubt.likelihood >= DOUBTFUL_LIKELIHOOD ? undefined : `not proven yet: ${describeFault(rollout, doubt)}`
+}
+
 /** Returns why the evidence since the last step does not bear a step, or undefined if it does. */
 function describeObstacle (input: RolloutInput, standing: Standing): string | undefined {
-  const missing = describeMissing(input, standing)
-  if (missing !== undefined) return missing
-  const { windows: { sinceStep, sinceStart } } = input
-  const doubt = findFault(sinceStep, sinceStart, standing.rollout)
-  if (doubt.likelihood >= DOUBTFUL_LIKELIHOOD) return undefined
-  return `not proven yet: ${describeFault(standing.rollout, doubt)}`
+  const { rollout } = standing
+  const { sinceStep } = input.windows
+  return describeThin(input, rollout, sinceStep, 'since the last step') ?? describeCut(input, standing) ??
+    describeDoubt(input, rollout, sinceStep)
+}
+
+/**
+ * Returns why the new version has not shown itself good at the stated time, or undefined if it has. A last step shortly
+ * before has gathered little evidence of its own, so the last minute counts as well; the watch period follows.
+ */
+function describeEndObstacle (input: RolloutInput, standing: Standing): string | undefined {
+  const { rollout } = standing
+  const { sinceStep, lastMinute } = input.windows
+  const evidence = describeThin(input, rollout, sinceStep, 'since the last step') === undefined ? sinceStep : lastMinute
+  return describeThin(input, rollout, evidence, 'lately') ?? describeCut(input, standing) ??
+    describeDoubt(input, rollout, evidence)
 }
 
 function describeGood ({ rollout: { from, to }, total: { candidate, reference } }: Standing): string {
@@ -167,11 +194,17 @@
   return `${to} behaves like ${from}: ${describe(candidate)}, against ${describe(reference)} on ${from}`
 }
 
+/** Whether this controller has evidence of only a part of the rollout. */
+function isTakenOver ({ now, pooledSince, wall }: RolloutInput, { startedAt }: Rollout): boolean {
+  return wall - startedAt - (now - pooledSince) >= START_SLACK_MS
+}
+
 /** Decides at or after the stated time: without proof that the new version is good, the old one keeps the traffic. */
-function decideEnd (input: RolloutInput, standing: Standing, obstacle: string | undefined): RolloutDecision {
+function decideEnd (input: RolloutInput, standing: Standing): RolloutDecision {
   const { rollout, share, total, bearable } = standing
+  const obstacle = describeEndObstacle(input, standing)
   if (obstacle === undefined && share >= FINISH_SHARE && bearable >= 1) return composeFinish(standing)
-  if (input.now - input.pooledSince < TAKEOVER_GRACE_MS) {
+  if (isTakenOver(input, rollout) && input.now - input.pooledSince < TAKEOVER_GRACE_MS) {
     return composeHold('past the stated time; this controller has just taken over and is gathering evidence', total)
   }
   const why = obstacle ?? (bearable < 1
@@ -206,8 +239,8 @@
 function decideStep (input: RolloutInput, standing: Standing): RolloutDecision {
   const { rollout, share, total, rate, bearable, timeLeft, heldFor } = standing
   if (share === 0 && timeLeft > 0) return decideFirst(standing)
+  if (timeLeft <= 0) return decideEnd(input, standing)
   const obstacle = describeObstacle(input, standing)
-  if (timeLeft <= 0) return decideEnd(input, standing, obstacle)
   if (obstacle !== undefined) return composeHold(obstacle, total)
   const plan = planShare(share, timeLeft, rate)
   if (heldFor < plan.holdMs) return composeHold(`${describeGood(standing)}; holding ${formatShare(share)}`, total)
--- a/packages/decisions/tests/rollouts/decideRollout.test.ts
+++ b/packages/decisions/tests/rollouts/decideRollout.test.ts
@@ -130,6 +130,8 @@
     ['takes back when traffic was too thin to tell', { windows: createWindows([createEvidence('v1', 9), createEvidence('v2', 1)]) }, 'take-back', 'not shown to be good by the stated time: the evidence is too thin: 1 requests on v2'],
     ['takes back at a small share', {}, 'take-back', 'shown itself only at a share of 10%'],
     ['finishes a good version from half of the traffic', { service: createService(0.5), windows: createWindows([createEvidence('v1', 500), createEvidence('v2', 500)]) }, 'finish', 'v2 behaves like v1'],
+    ['finishes when the last minute bears what the last step is too young for', { service: createService(0.5), windows: { ...createWindows([createEvidence('v1', 28), createEvidence('v2', 28)]), lastMinute: [createEvidence('v1', 500), createEvidence('v2', 200)] } }, 'finish', 'v2 behaves like v1'],
+    ['takes back what looks doubtful over the last minute', { service: createService(0.5), windows: { ...createWindows([createEvidence('v1', 28), createEvidence('v2', 28)]), lastMinute: [createEvidence('v1', 500), createEvidence('v2', 200, 4)] } }, 'take-back', 'not proven yet'],
     ['lets a controller that has just taken over gather evidence first', { pooledSince: toMilliseconds(95_000), windows: createWindows([]) }, 'hold', 'has just taken over']
   ]
   for (const [name, input, kind, reason] of ends) {
@@ -140,6 +142,14 @@
     })
   }
 
+  it('gives no grace to a controller that has pooled since the start (guards against a short rollout that ends late)', () => {
+    const started = { pooledSince: toMilliseconds(95_000), windows: createWindows([]), now: 107_000, wall: FINISH_BY }
+    const isHeldFrom = (startedAt: number) =>
+      decideRollout(createInput({ ...started, service: createService(0.1, { startedAt }) }))?.kind === 'hold'
+    expect(isHeldFrom(FINISH_BY - 12_000)).to.equal(false)
+    expect(isHeldFrom(FINISH_BY - 17_000)).to.equal(true)
+  })
+
   it('keeps watching a finished version, and takes it back for a late fault only within the watch period', () => {
     const finished = createService(1, { outcome: 'finished', endedAt: FINISH_BY })
     const bad = createWindows([createEvidence('v2', 100, 60), createEvidence('v1', 100)], GOOD)
