--- a/packages/decisions/tests/rollouts/decideRollout.test.ts
+++ b/packages/decisions/tests/rollouts/decideRollout.test.ts
@@ -130,8 +130,8 @@
     ['takes back when traffic was too thin to tell', { windows: createWindows([createEvidence('v1', 9), createEvidence('v2', 1)]) }, 'take-back', 'not shown to be good by the stated time: the evidence is too thin: 1 requests on v2'],
     ['takes back at a small share', {}, 'take-back', 'shown itself only at a share of 10%'],
     ['finishes a good version from half of the traffic', { service: createService(0.5), windows: createWindows([createEvidence('v1', 500), createEvidence('v2', 500)]) }, 'finish', 'v2 behaves like v1'],
-    ['finishes when the last minute bears what the last step is too young for', { service: createService(0.5), windows: { ...createWindows([createEvidence('v1', 28), createEvidence('v2', 28)]), lastMinute: [createEvidence('v1', 500), createEvidence('v2', 200)] } }, 'finish', 'v2 behaves like v1'],
-    ['takes back what looks doubtful over the last minute', { service: createService(0.5), windows: { ...createWindows([createEvidence('v1', 28), createEvidence('v2', 28)]), lastMinute: [createEvidence('v1', 500), createEvidence('v2', 200, 4)] } }, 'take-back', 'not proven yet'],
+    ['finishes when the last minute bears what the last step is too young for', { service: createService(0.5), windows: { ...createWindows([createEvidence('v1', 28), createEvidence('v2', 28)]), lastMinute: locate([createEvidence('v1', 500), createEvidence('v2', 200)]) } }, 'finish', 'v2 behaves like v1'],
+    ['takes back what looks doubtful over the last minute', { service: createService(0.5), windows: { ...createWindows([createEvidence('v1', 28), createEvidence('v2', 28)]), lastMinute: locate([createEvidence('v1', 500), createEvidence('v2', 200, 8)]) } }, 'take-back', 'not proven yet'],
     ['lets a controller that has just taken over gather evidence first', { pooledSince: toMilliseconds(95_000), windows: createWindows([]) }, 'hold', 'has just taken over']
   ]
   for (const [name, input, kind, reason] of ends) {
