--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,10 +3,10 @@
 import { functionVerb } from './tools/lint/functionVerb.js'
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', 'coverage/**'] },
+  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**', 'coverage/**'] },
   ...neostandard({ ts: true, noStyle: true }),
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     extends: [tseslint.configs.strictTypeChecked],
     languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
     plugins: { snipenotch: { rules: { 'function-verb': functionVerb } } },
@@ -26,7 +26,7 @@
     }
   },
   {
-    files: ['packages/*/tests/**/*.ts'],
+    files: ['packages/*/tests/**/*.ts', 'platform/tests/**/*.ts'],
     rules: {
       // chai assertions are property reads.
       '@typescript-eslint/no-unused-expressions': 'off',
--- a/eslint.format.config.js
+++ b/eslint.format.config.js
@@ -9,7 +9,7 @@
 }))
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'coverage/**'] },
+  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**', 'coverage/**'] },
   { linterOptions: { reportUnusedDisableDirectives: 'off' } },
   ...formatting,
   { rules: { '@stylistic/max-len': ['error', { code: 120, ignoreUrls: true, ignoreStrings: true, ignoreTemplateLiterals: true, ignoreRegExpLiterals: true }] } }
--- a/packages/cli/src/CommandContext.ts
+++ b/packages/cli/src/CommandContext.ts
@@ -1,5 +1,5 @@
 import type { CliSettings, Clock } from '@snipenotch/contracts'
-import type { ConfigurationRepository, TableService } from '@snipenotch/platform'
+import type { ConfigurationRepository, TableService } from '@snipenotch/store'
 import type { NodeClient } from './mesh/createNodeClient.js'
 
 /** What the commands work with. */
--- a/packages/cli/src/CommandError.ts
+++ b/packages/cli/src/CommandError.ts
@@ -1,5 +1,5 @@
 import { formatProblem, type Problem } from '@snipenotch/contracts'
-import { formatPublishError, type PublishError } from '@snipenotch/platform'
+import { formatPublishError, type PublishError } from '@snipenotch/store'
 import { EXIT_CODES, type ExitCode } from './EXIT_CODES.js'
 
 /** Why a command failed. */
--- a/packages/cli/src/commands/publishChange.ts
+++ b/packages/cli/src/commands/publishChange.ts
@@ -1,6 +1,6 @@
 import type { Configuration, PublishStamp } from '@snipenotch/contracts'
 import { formatCanonicalJson } from '@snipenotch/contracts'
-import type { PublishOutcome } from '@snipenotch/platform'
+import type { PublishOutcome } from '@snipenotch/store'
 import { Err, Ok, type Result } from 'ts-results-es'
 import type { CommandContext } from '../CommandContext.js'
 import type { CommandError } from '../CommandError.js'
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -1,5 +1,5 @@
 import type { Configuration, Rollout } from '@snipenotch/contracts'
-import { formatPublishError } from '@snipenotch/platform'
+import { formatPublishError } from '@snipenotch/store'
 import { createMesh, type Mesh } from '@snipenotch/world'
 import { Ok, type Result } from 'ts-results-es'
 import type { CommandContext, CommandOutput } from '../CommandContext.js'
--- a/packages/cli/src/createCommandContext.ts
+++ b/packages/cli/src/createCommandContext.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from 'node:fs'
 import { cliSettingsSchema, createSystemClock, parseTomlWith } from '@snipenotch/contracts'
-import { createConfigurationRepository, HttpObjectStore, HttpTableService } from '@snipenotch/platform'
+import { createConfigurationRepository, HttpObjectStore, HttpTableService } from '@snipenotch/store'
 import { Err, Ok, type Result } from 'ts-results-es'
 import type { CommandContext } from './CommandContext.js'
 import type { CommandError } from './CommandError.js'
--- a/packages/cli/src/mesh/createNodeClient.ts
+++ b/packages/cli/src/mesh/createNodeClient.ts
@@ -3,7 +3,7 @@
   contactRowSchema, explanationSchema, orderSchema, parseAddress, statusSchema,
   type CliSettings, type Explanation, type Order, type OrderRequest, type Status
 } from '@snipenotch/contracts'
-import type { TableService } from '@snipenotch/platform'
+import type { TableService } from '@snipenotch/store'
 import { Err, Ok, type Result } from 'ts-results-es'
 import type { z } from 'zod'
 import type { CommandError } from '../CommandError.js'
--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -8,7 +8,8 @@
 }
 
 /**
- * Numbered log events. 1xx daemon, 2xx configuration, 3xx peers, 4xx requests, 5xx rollouts, 6xx store, 7xx orders.
+ * Numbered log events. 1xx daemon, 2xx configuration, 3xx peers, 4xx requests, 5xx rollouts, 6xx store, 7xx orders,
+ * 8xx nodes beside backend servers.
  * `docs/events.md` lists the same numbers and texts; CI compares both.
  */
 export const EVENTS = {
@@ -54,7 +55,29 @@
   storeAvailable: { number: 601, level: 'info', text: 'platform store available again' },
   storeRowInvalid: { number: 602, level: 'warn', text: 'row in the platform store has an unexpected form and was skipped' },
   orderTaken: { number: 700, level: 'info', text: 'operator order in effect' },
-  orderStored: { number: 701, level: 'info', text: 'operator order stored in the table' }
+  orderStored: { number: 701, level: 'info', text: 'operator order stored in the table' },
+  settingsReloaded: { number: 800, level: 'info', text: 'settings read again' },
+  reportUnreadable: { number: 801, level: 'warn', text: 'status report unreadable or not from the backend server beside this node' },
+  reportOutdated: { number: 802, level: 'info', text: 'status report older than what is known; ignored' },
+  instanceChanged: { number: 803, level: 'info', text: 'state of the backend server changed' },
+  instanceUnreachable: { number: 804, level: 'warn', text: 'backend server refuses connections; nothing is sent until it reports' },
+  requestAnswered: { number: 805, level: 'info', text: 'request answered' },
+  requestRefused: { number: 806, level: 'info', text: 'request refused; it has not run' },
+  requestFailed: { number: 807, level: 'warn', text: 'request failed; it may have run' },
+  requestResent: { number: 808, level: 'info', text: 'request sent to another backend server' },
+  requestLeft: { number: 809, level: 'info', text: 'caller left before the answer' },
+  tryEnded: { number: 810, level: 'info', text: 'request ended at the node of its backend server' },
+  hostAvoided: { number: 811, level: 'warn', text: 'host does not answer; it gets no requests from here until it does' },
+  hostReturned: { number: 812, level: 'info', text: 'host answers again' },
+  rowUnreadable: { number: 813, level: 'warn', text: 'row unreadable; skipped' },
+  tableRead: { number: 814, level: 'info', text: 'table read whole' },
+  rowsFromPeer: { number: 815, level: 'info', text: 'rows taken from a peer' },
+  recordWritten: { number: 816, level: 'info', text: 'record of this host written' },
+  recordNotWritten: { number: 817, level: 'warn', text: 'record of this host not written; tried again' },
+  evacuationsChanged: { number: 818, level: 'warn', text: 'evacuated data centres changed' },
+  releaseChanged: { number: 819, level: 'info', text: 'release of a service changed' },
+  versionCutOff: { number: 820, level: 'warn', text: 'version under rollout fails here; it gets no more requests' },
+  linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
 
 export type EventName = keyof typeof EVENTS
--- /dev/null
+++ b/packages/contracts/src/mesh/index.ts
@@ -0,0 +1,6 @@
+export * from './hostRecordSchema.js'
+export * from './meshConfigurationSchema.js'
+export * from './nodeSettingsSchema.js'
+export * from './releaseSchema.js'
+export * from './servingReasons.js'
+export * from './statusReportSchema.js'
--- a/packages/daemon/src/control/createStoreClient.ts
+++ b/packages/daemon/src/control/createStoreClient.ts
@@ -1,6 +1,6 @@
 import { type ContactRow, contactRowSchema, type Order, orderSchema } from '@snipenotch/contracts'
 import { type ControlEvent, isNewerOrder, type StoreCall } from '@snipenotch/decisions'
-import { createConfigurationRepository, formatPlatformError, formatPublishError, type PlatformError, type Row } from '@snipenotch/platform'
+import { createConfigurationRepository, formatPlatformError, formatPublishError, type PlatformError, type Row } from '@snipenotch/store'
 import type { z } from 'zod'
 import type { NodeContext } from '../node/NodeContext.js'
 
--- a/packages/daemon/src/createDaemon.ts
+++ b/packages/daemon/src/createDaemon.ts
@@ -1,6 +1,6 @@
 import type { Server } from 'node:http'
 import { createSystemClock, type DaemonSettings, type HostAndPort, parseAddress } from '@snipenotch/contracts'
-import { HttpObjectStore, HttpTableService } from '@snipenotch/platform'
+import { HttpObjectStore, HttpTableService } from '@snipenotch/store'
 import { createAdminServer } from './admin/createAdminServer.js'
 import { createControlPlane } from './control/createControlPlane.js'
 import { createIdentity } from './node/createIdentity.js'
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,2 +1,6 @@
 export * from './createDaemon.js'
 export * from './control/frameCodec.js'
+export * from './observability/createCounters.js'
+export * from './observability/createEventLog.js'
+export * from './requests/GuardedAgent.js'
+export { selectHeaders } from './requests/filterHeaders.js'
--- a/packages/daemon/src/node/NodeContext.ts
+++ b/packages/daemon/src/node/NodeContext.ts
@@ -1,5 +1,5 @@
 import type { Clock, DaemonSettings } from '@snipenotch/contracts'
-import type { ObjectStore, TableService } from '@snipenotch/platform'
+import type { ObjectStore, TableService } from '@snipenotch/store'
 import type { Counters } from '../observability/createCounters.js'
 import type { EventLog } from '../observability/createEventLog.js'
 import type { Identity } from './createIdentity.js'
--- a/packages/daemon/src/observability/createCounters.ts
+++ b/packages/daemon/src/observability/createCounters.ts
@@ -1,4 +1,6 @@
-import type { CloseReason, RefusalReason, RetryReason, RetryStopReason } from '@snipenotch/contracts'
+import type {
+  CloseReason, RefusalReason, RetryReason, RetryStopReason, ServingLoss, ServingRefusal
+} from '@snipenotch/contracts'
 import { build, type Histogram } from 'hdr-histogram-js'
 
 /** Names of counters with the label that tells their reasons apart. */
@@ -11,6 +13,16 @@
   store_calls: 'ok' | 'unavailable' | 'conflict'
   control_bytes: 'sent' | 'received'
   requests: 'entry' | 'home' | 'completed' | 'cancelled'
+  /** Requests that a node beside a backend server did not send to one. */
+  serving_refusals: ServingRefusal
+  /** Tries whose outcome is unknown or whose answer cannot be used. */
+  serving_losses: ServingLoss
+  /** Tries sent again to another backend server. */
+  serving_resends: 'not-run' | 'failed' | 'lost' | 'budget-spent'
+  /** Requests by how they ended at the node that their caller is connected to. */
+  serving_requests: 'received' | 'answered' | 'failed' | 'refused' | 'left'
+  /** Log lines left out to bound the volume. */
+  log_lines: 'omitted'
   /** Rollout steps by their kind. */
   rollouts: string
 }
--- a/packages/daemon/src/requests/GuardedAgent.ts
+++ b/packages/daemon/src/requests/GuardedAgent.ts
@@ -17,12 +17,13 @@
  * belong to no request; Node would read them as the answer to the next one, so the connection is closed instead.
  */
 export class GuardedAgent extends Agent {
-  constructor (maxConnections: number) {
+  /** `idleLimitMs` is how long an idle connection is kept. */
+  constructor (maxConnections: number, idleLimitMs = IDLE_LIMIT_MS) {
     super({
       keepAlive: true,
       maxSockets: maxConnections,
       maxFreeSockets: Math.min(MAX_FREE_CONNECTIONS, maxConnections),
-      timeout: IDLE_LIMIT_MS
+      timeout: idleLimitMs
     })
   }
 
--- a/packages/daemon/src/requests/filterHeaders.ts
+++ b/packages/daemon/src/requests/filterHeaders.ts
@@ -17,8 +17,9 @@
   return connection.toLowerCase().split(',').map((name) => name.trim())
 }
 
-function selectHeaders (
-  raw: readonly string[], connection: string | undefined, isControlKept: (name: string) => boolean
+/** End-to-end headers of a message as a flat list; `isKept` tells by the lower-case name which of them to keep. */
+export function selectHeaders (
+  raw: readonly string[], connection: string | undefined, isKept: (name: string) => boolean
 ): string[] {
   const named = listConnectionNames(connection)
   const kept: string[] = []
@@ -26,7 +27,7 @@
     const rawName = raw[index] ?? ''
     const name = rawName.toLowerCase()
     if (HOP_BY_HOP.has(name) || named?.includes(name) === true) continue
-    if (name.startsWith(CONTROL_PREFIX) && !isControlKept(name)) continue
+    if (!isKept(name)) continue
     kept.push(rawName, raw[index + 1] ?? '')
   }
   return kept
@@ -34,10 +35,10 @@
 
 /** Headers of a request to send on, as a flat list, without hop-by-hop headers and without any control header. */
 export function filterRequestHeaders (raw: readonly string[], connection: string | undefined): string[] {
-  return selectHeaders(raw, connection, () => false)
+  return selectHeaders(raw, connection, (name) => !name.startsWith(CONTROL_PREFIX))
 }
 
 /** Headers of an answer to send on, as a flat list, with the control headers that are meant for the caller. */
 export function filterAnswerHeaders (raw: readonly string[], connection: string | undefined): string[] {
-  return selectHeaders(raw, connection, (name) => ANSWER_CONTROL_HEADERS.has(name))
+  return selectHeaders(raw, connection, (name) => !name.startsWith(CONTROL_PREFIX) || ANSWER_CONTROL_HEADERS.has(name))
 }
--- a/packages/daemon/src/rollouts/createLease.ts
+++ b/packages/daemon/src/rollouts/createLease.ts
@@ -1,6 +1,6 @@
 import { leaseRowSchema, type Milliseconds } from '@snipenotch/contracts'
 import { decideLease, isLeaseValid, type LeaseReading, type LeaseWrite } from '@snipenotch/decisions'
-import { formatPlatformError } from '@snipenotch/platform'
+import { formatPlatformError } from '@snipenotch/store'
 import type { NodeContext } from '../node/NodeContext.js'
 
 /** A lease row of the table, as one holder sees it. */
--- a/packages/daemon/src/rollouts/createRolloutDriver.ts
+++ b/packages/daemon/src/rollouts/createRolloutDriver.ts
@@ -4,7 +4,7 @@
 } from '@snipenotch/decisions'
 import {
   createConfigurationRepository, formatPublishError, type PublishOutcome, type StoredConfiguration
-} from '@snipenotch/platform'
+} from '@snipenotch/store'
 import type { ControlPlane, PooledEvidence } from '../node/ControlPlane.js'
 import type { NodeContext } from '../node/NodeContext.js'
 import { createLease } from './createLease.js'
--- a/packages/daemon/tests/control/createControlPlane.test.ts
+++ b/packages/daemon/tests/control/createControlPlane.test.ts
@@ -4,7 +4,7 @@
 import {
   type CloseReason, composeConfiguration, createSystemClock, daemonSettingsSchema, intentSchema, MAX_FRAME_BYTES
 } from '@snipenotch/contracts'
-import { createConfigurationRepository, HttpObjectStore, HttpTableService } from '@snipenotch/platform'
+import { createConfigurationRepository, HttpObjectStore, HttpTableService } from '@snipenotch/store'
 import { createPlatformStandIn, type PlatformStandIn } from '@snipenotch/stand-ins'
 import { expect } from 'chai'
 import { pack } from 'msgpackr'
--- a/packages/daemon/tests/rollouts/racingControllers.test.ts
+++ b/packages/daemon/tests/rollouts/racingControllers.test.ts
@@ -1,6 +1,6 @@
 import { CURRENT_ROW } from '@snipenotch/contracts'
 import { LEASE_DURATION_MS } from '@snipenotch/decisions'
-import { TableService, type ListOptions, type Transaction } from '@snipenotch/platform'
+import { TableService, type ListOptions, type Transaction } from '@snipenotch/store'
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { createRolloutDriver } from '../../src/rollouts/createRolloutDriver.js'
--- a/packages/daemon/tests/rollouts/rolloutFixture.ts
+++ b/packages/daemon/tests/rollouts/rolloutFixture.ts
@@ -3,7 +3,7 @@
   composeConfiguration, createManualClock, daemonSettingsSchema, intentSchema, type Configuration, type Evidence,
   type EventName, type ManualClock
 } from '@snipenotch/contracts'
-import { createConfigurationRepository, HttpObjectStore, HttpTableService, type ConfigurationRepository } from '@snipenotch/platform'
+import { createConfigurationRepository, HttpObjectStore, HttpTableService, type ConfigurationRepository } from '@snipenotch/store'
 import { createPlatformStandIn, type PlatformStandIn } from '@snipenotch/stand-ins'
 import { createCounters } from '../../src/observability/createCounters.js'
 import type { ControlPlane, PooledEvidence } from '../../src/node/ControlPlane.js'
--- a/packages/decisions/src/requests/createRetryBudget.ts
+++ b/packages/decisions/src/requests/createRetryBudget.ts
@@ -17,8 +17,18 @@
 const SLICE_MS = 1000
 const SLICES = RETRY_WINDOW_MS / SLICE_MS
 
-/** Creates a budget: 10% of the first tries of the last ten seconds, plus a floor. */
-export function createRetryBudget (): RetryBudget {
+/** Limits of a retry budget. */
+export interface RetryBudgetOptions {
+  /** Retries for each first try. */
+  readonly ratio: number
+  /** Retries in each window whatever the traffic. */
+  readonly floor: number
+}
+
+const DEFAULT_OPTIONS: RetryBudgetOptions = { ratio: RETRY_RATIO, floor: RETRY_FLOOR }
+
+/** Creates a budget for the first tries of the last ten seconds: by default 10% of them, plus a floor. */
+export function createRetryBudget ({ ratio, floor } = DEFAULT_OPTIONS): RetryBudget {
   const firstTries = new Int32Array(SLICES)
   const retries = new Int32Array(SLICES)
   let slice = 0
@@ -39,7 +49,7 @@
   }
 
   function computeRemaining (): number {
-    return Math.floor(firstTotal * RETRY_RATIO) + RETRY_FLOOR - retryTotal
+    return Math.floor(firstTotal * ratio + floor) - retryTotal
   }
 
   return {
--- /dev/null
+++ b/packages/decisions/src/serving/createHomeGate.ts
@@ -0,0 +1,173 @@
+import { type Milliseconds, type ServingRefusal } from '@snipenotch/contracts'
+import { createRateWindow } from './createRateWindow.js'
+import { createServiceTimes } from './createServiceTimes.js'
+
+/** A request that asks for a slot of the backend server. */
+export interface GateJob {
+  readonly route: string
+  /** Rank of the route; 0 is the highest. */
+  readonly priority: number
+  /** An answer after this point is worth little. */
+  readonly targetAt: Milliseconds
+  /** An answer after this point is worth nothing. */
+  readonly endAt: Milliseconds
+  readonly targetLatencyMs: number
+}
+
+export type GateVerdict =
+  | { readonly kind: 'start' }
+  | { readonly kind: 'wait' }
+  | { readonly kind: 'refuse', readonly reason: ServingRefusal, readonly waitMs: number }
+
+/** Limits in force at a moment. */
+export interface GateLimits {
+  readonly slots: number
+  /** Sends allowed in a second while the backend server is cold; undefined while it is warm. */
+  readonly coldPerSecond: number | undefined
+  /** Why no request may be taken; undefined while the gate is open. */
+  readonly closed: ServingRefusal | undefined
+  /** Requests that already wait may still start. */
+  readonly mayStart: boolean
+}
+
+/** Load that the gate reports to the nodes that send to it. */
+export interface GateLoad {
+  /** Requests running and waiting. */
+  readonly load: number
+  /** Requests that it serves at once, lowered while the backend server is cold. */
+  readonly slots: number
+  /** Average time of a request at the backend server in milliseconds; 0 without samples. */
+  readonly serviceMs: number
+}
+
+/**
+ * Decides which requests reach the backend server and when. Answers every pattern in which more arrives than the
+ * backend server can run: bursts, slow or cold backend servers, and callers that send again at once.
+ */
+export interface HomeGate<Job extends GateJob> {
+  readonly submit: (job: Job, limits: GateLimits, now: Milliseconds) => GateVerdict
+  /** Waiting requests that may start now, in order; they count as running. */
+  readonly takeReady: (limits: GateLimits, now: Milliseconds) => Job[]
+  /** Waiting requests that can no longer be answered in time. */
+  readonly takeExpired: (now: Milliseconds) => Job[]
+  /** Removes all waiting requests. */
+  readonly takeAll: () => Job[]
+  /** Removes a waiting request whose caller has left; false if it does not wait. */
+  readonly cancel: (job: Job) => boolean
+  /** Ends a running request; `durationMs` is its time at the backend server, undefined if it tells nothing. */
+  readonly finish: (job: Job, durationMs: number | undefined) => void
+  /** Delay after which `takeReady` or `takeExpired` may have something to do; undefined if nothing waits. */
+  readonly computeDelay: (limits: GateLimits, now: Milliseconds) => number | undefined
+  readonly getLoad: (limits: GateLimits) => GateLoad
+  readonly countRunning: () => number
+  readonly countWaiting: () => number
+  /** Forgets the times of an earlier run of the backend server. */
+  readonly resetTimes: () => void
+}
+
+/** Share of the expected time that must be left for a request to start: half of all requests take less than average. */
+const MIN_TIME_LEFT_SHARE = 0.7
+/** Part of the time until the deadline that a wait may be expected to take; the rest covers the spread of work times. */
+const WAIT_SHARE_OF_TIME_LEFT = 0.8
+/** Shortest pause between two looks at the queue, in milliseconds. */
+const MIN_DELAY_MS = 2
+
+/** Creates a gate without requests. */
+export function createHomeGate<Job extends GateJob> (): HomeGate<Job> {
+  const times = createServiceTimes()
+  const sends = createRateWindow()
+  let waiting: Job[] = []
+  let running = 0
+
+  const getServiceMs = (job: Job): number => times.get(job.route, job.targetLatencyMs)
+  const isAttainable = (job: Job, now: Milliseconds): boolean => now + getServiceMs(job) <= job.targetAt
+
+  /** Requests that can still meet their target come first, then by rank, then by the earlier target. */
+  function isBefore (left: Job, right: Job, now: Milliseconds): boolean {
+    const isLeftAttainable = isAttainable(left, now)
+    if (isLeftAttainable !== isAttainable(right, now)) return isLeftAttainable
+    if (left.priority !== right.priority) return left.priority < right.priority
+    return left.targetAt < right.targetAt
+  }
+
+  function hasRoom (limits: GateLimits, now: Milliseconds): boolean {
+    if (running >= limits.slots) return false
+    return limits.coldPerSecond === undefined || sends.count(now) < limits.coldPerSecond
+  }
+
+  function computeWait (job: Job, limits: GateLimits, now: Milliseconds): number {
+    let ahead = 0
+    for (const other of waiting) if (!isBefore(job, other, now)) ahead += 1
+    const average = times.getAverage() ?? getServiceMs(job)
+    const isSlotFree = running < limits.slots && ahead === 0
+    const slotWait = isSlotFree ? 0 : (ahead + 1) * average / Math.max(1, limits.slots)
+    if (limits.coldPerSecond === undefined) return slotWait
+    const rateWait = sends.computeDelay(limits.coldPerSecond, now) + ahead * 1000 / Math.max(1, limits.coldPerSecond)
+    return Math.max(slotWait, rateWait)
+  }
+
+  function begin (now: Milliseconds): void {
+    running += 1
+    sends.record(now)
+  }
+
+  return {
+    submit: (job, limits, now) => {
+      if (limits.closed !== undefined) return { kind: 'refuse', reason: limits.closed, waitMs: 0 }
+      if (waiting.length === 0 && hasRoom(limits, now)) {
+        begin(now)
+        return { kind: 'start' }
+      }
+      const waitMs = computeWait(job, limits, now)
+      const spare = job.endAt - now - getServiceMs(job) * MIN_TIME_LEFT_SHARE
+      if (waitMs > spare * WAIT_SHARE_OF_TIME_LEFT) return { kind: 'refuse', reason: 'busy', waitMs }
+      waiting.push(job)
+      return { kind: 'wait' }
+    },
+    takeReady: (limits, now) => {
+      const ready: Job[] = []
+      while (limits.mayStart && waiting.length > 0 && hasRoom(limits, now)) {
+        const best = waiting.reduce((first, job) => isBefore(job, first, now) ? job : first)
+        waiting.splice(waiting.indexOf(best), 1)
+        begin(now)
+        ready.push(best)
+      }
+      return ready
+    },
+    takeExpired: (now) => {
+      const expired = waiting.filter((job) => now + getServiceMs(job) * MIN_TIME_LEFT_SHARE > job.endAt)
+      if (expired.length > 0) waiting = waiting.filter((job) => !expired.includes(job))
+      return expired
+    },
+    takeAll: () => {
+      const all = waiting
+      waiting = []
+      return all
+    },
+    cancel: (job) => {
+      const index = waiting.indexOf(job)
+      if (index !== -1) waiting.splice(index, 1)
+      return index !== -1
+    },
+    finish: (job, durationMs) => {
+      running -= 1
+      if (durationMs !== undefined) times.record(job.route, durationMs)
+    },
+    computeDelay: (limits, now) => {
+      if (waiting.length === 0) return undefined
+      const expiry = Math.min(...waiting.map((job) => job.endAt - getServiceMs(job) * MIN_TIME_LEFT_SHARE - now))
+      const rate = limits.coldPerSecond === undefined ? Infinity : sends.computeDelay(limits.coldPerSecond, now)
+      return Math.max(MIN_DELAY_MS, Math.min(expiry, rate === 0 ? Infinity : rate))
+    },
+    getLoad: (limits) => {
+      const serviceMs = times.getAverage() ?? 0
+      const coldSlots = limits.coldPerSecond === undefined || serviceMs === 0
+        ? limits.slots
+        : Math.max(1, limits.coldPerSecond * serviceMs / 1000)
+      return { load: running + waiting.length, slots: Math.min(limits.slots, coldSlots), serviceMs }
+    },
+    countRunning: () => running,
+    countWaiting: () => waiting.length,
+    resetTimes: () => { times.reset() }
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/serving/createPlacement.ts
@@ -0,0 +1,128 @@
+import type { Milliseconds } from '@snipenotch/contracts'
+
+/** Load that a host reported with an answer. */
+export interface ReportedLoad {
+  readonly load: number
+  readonly slots: number
+  readonly serviceMs: number
+  /** Share of its answers that failed lately, 0 to 1. */
+  readonly failureShare: number
+}
+
+/** A host that could run a request. */
+export interface PlacementCandidate {
+  readonly host: string
+  readonly slots: number
+  /** Extra time and cost of reaching the host, in milliseconds. */
+  readonly distanceMs: number
+}
+
+/** What a request asks of its host. */
+export interface PlacementRequest {
+  readonly targetLatencyMs: number
+}
+
+/**
+ * Chooses the host of each request by its expected time. Answers slow, failing and cold backend servers, and bursts
+ * that fill the near data centre.
+ */
+export interface Placement {
+  readonly choose: (
+    candidates: readonly PlacementCandidate[], request: PlacementRequest, now: Milliseconds
+  ) => PlacementCandidate | undefined
+  readonly recordSend: (host: string) => void
+  /** Ends a send; `load` is what the host reported, if it answered. */
+  readonly recordEnd: (host: string, load: ReportedLoad | undefined, now: Milliseconds) => void
+  /** Keeps requests away from a host that refused, for `durationMs`. */
+  readonly avoid: (host: string, durationMs: number, now: Milliseconds) => void
+  /** Expected time at a host in milliseconds, its distance included. */
+  readonly computeCost: (candidate: PlacementCandidate, request: PlacementRequest, now: Milliseconds) => number
+}
+
+interface HostLoad {
+  inFlight: number
+  /** Requests of other nodes at the last report. */
+  othersLoad: number
+  reportedAt: Milliseconds
+  slots: number
+  serviceMs: number
+  failureShare: number
+  avoidUntil: Milliseconds
+}
+
+/** Time in which a report loses its weight, in milliseconds: hosts drain their queues in a few hundred. */
+const REPORT_LIFETIME_MS = 1500
+/** Time in which a slow or failing host is tried again, in milliseconds. */
+const JUDGEMENT_LIFETIME_MS = 4000
+/** Share of the target latency that a request is assumed to take at a host that has not reported. */
+const ASSUMED_SHARE_OF_TARGET = 0.3
+/** Growth of the time at a backend server whose slots are all busy. */
+const FULL_SLOWDOWN = 0.4
+/** Share of requests that go to a random host, so that new and recovered hosts are noticed. */
+const EXPLORE_SHARE = 0.01
+/** Spread of the random part of a cost, so that nodes with the same view do not all choose the same host. */
+const NOISE_SHARE = 0.1
+
+/** Creates a placement that knows no load yet. `draw` returns a random number in [0, 1). */
+export function createPlacement (draw: () => number): Placement {
+  const hosts = new Map<string, HostLoad>()
+
+  function getHost (host: string): HostLoad {
+    let found = hosts.get(host)
+    if (found === undefined) {
+      const zero = 0 as Milliseconds
+      found = { inFlight: 0, othersLoad: 0, reportedAt: zero, slots: 0, serviceMs: 0, failureShare: 0, avoidUntil: zero }
+      hosts.set(host, found)
+    }
+    return found
+  }
+
+  function computeCost (candidate: PlacementCandidate, request: PlacementRequest, now: Milliseconds): number {
+    const state = getHost(candidate.host)
+    const age = now - state.reportedAt
+    const freshness = Math.max(0, 1 - age / REPORT_LIFETIME_MS)
+    const judgement = Math.max(0, 1 - age / JUDGEMENT_LIFETIME_MS)
+    const assumed = request.targetLatencyMs * ASSUMED_SHARE_OF_TARGET
+    const serviceMs = state.serviceMs > 0 ? assumed + (state.serviceMs - assumed) * judgement : assumed
+    const slots = Math.max(1, freshness > 0 && state.slots > 0 ? Math.min(candidate.slots, state.slots) : candidate.slots)
+    const load = state.inFlight + state.othersLoad * freshness
+    const waitMs = Math.max(0, load + 1 - slots) / slots * serviceMs
+    const use = Math.min(1, load / slots)
+    const failureMs = state.failureShare * judgement * request.targetLatencyMs * 2
+    return waitMs + serviceMs * (1 + FULL_SLOWDOWN * use * use) + failureMs + candidate.distanceMs
+  }
+
+  return {
+    choose: (candidates, request, now) => {
+      const open = candidates.filter(({ host }) => getHost(host).avoidUntil <= now)
+      const from = open.length > 0 ? open : candidates
+      if (draw() < EXPLORE_SHARE) return from[Math.floor(draw() * from.length)]
+      let best: PlacementCandidate | undefined
+      let bestCost = Infinity
+      for (const candidate of from) {
+        const cost = computeCost(candidate, request, now) * (1 + NOISE_SHARE * draw())
+        if (cost < bestCost) {
+          best = candidate
+          bestCost = cost
+        }
+      }
+      return best
+    },
+    recordSend: (host) => { getHost(host).inFlight += 1 },
+    recordEnd: (host, load, now) => {
+      const state = getHost(host)
+      state.inFlight = Math.max(0, state.inFlight - 1)
+      if (load === undefined) return
+      state.othersLoad = Math.max(0, load.load - state.inFlight)
+      state.reportedAt = now
+      state.slots = load.slots
+      state.serviceMs = load.serviceMs
+      state.failureShare = load.failureShare
+    },
+    avoid: (host, durationMs, now) => {
+      const state = getHost(host)
+      state.avoidUntil = Math.max(state.avoidUntil, now + durationMs) as Milliseconds
+    },
+    computeCost
+  }
+}
--- a/packages/emulator/src/demo/runDemo.ts
+++ b/packages/emulator/src/demo/runDemo.ts
@@ -1,6 +1,6 @@
 import { setTimeout as awaitTime } from 'node:timers/promises'
 import type { Rollout, Service } from '@snipenotch/contracts'
-import { formatPublishError } from '@snipenotch/platform'
+import { formatPublishError } from '@snipenotch/store'
 import { formatWrobelIntent, wrobelSmall } from '../layouts/wrobel.js'
 import { checkRecords } from '../load/checkRecords.js'
 import { createSummary, formatSummary } from '../load/createSummary.js'
--- a/packages/emulator/tests/integration/invalidConfiguration.test.ts
+++ b/packages/emulator/tests/integration/invalidConfiguration.test.ts
@@ -1,5 +1,5 @@
 import { digestValue, formatCanonicalJson, type Configuration } from '@snipenotch/contracts'
-import { HttpObjectStore, HttpTableService } from '@snipenotch/platform'
+import { HttpObjectStore, HttpTableService } from '@snipenotch/store'
 import { expect } from 'chai'
 import { startLoad } from '../../src/load/startLoad.js'
 import { awaitCondition } from '../../src/mesh/awaitCondition.js'
--- a/packages/emulator/tests/integration/rollouts.test.ts
+++ b/packages/emulator/tests/integration/rollouts.test.ts
@@ -1,5 +1,5 @@
 import type { HistoryRow, Service } from '@snipenotch/contracts'
-import { HttpTableService } from '@snipenotch/platform'
+import { HttpTableService } from '@snipenotch/store'
 import { expect } from 'chai'
 import { formatWrobelIntent } from '../../src/layouts/wrobel.js'
 import { startLoad } from '../../src/load/startLoad.js'
--- /dev/null
+++ b/packages/node/src/bin/snipenotchNode.ts
@@ -0,0 +1,53 @@
+import { createSystemClock, type NodeSettings } from '@snipenotch/contracts'
+import { createCounters, createEventLog } from '@snipenotch/daemon'
+import { readSettings, SETTINGS_VARIABLE } from '@snipenotch/platform'
+import { readFileSync } from 'node:fs'
+import { pino } from 'pino'
+import { createNode } from '../createNode.js'
+import { createBoundedLog } from '../operations/createBoundedLog.js'
+
+/** Lines are gathered up to this size before they are written, in bytes, so that logging never waits for its reader. */
+const LOG_BUFFER_BYTES = 4096
+/** Longest time that a line stays in the buffer, in milliseconds. */
+const LOG_FLUSH_MS = 250
+
+const file = process.env[SETTINGS_VARIABLE] ?? '/etc/snipenotch/settings.toml'
+const destination = pino.destination({ dest: 1, sync: false, minLength: LOG_BUFFER_BYTES })
+const clock = createSystemClock()
+const counters = createCounters()
+
+function readSettingsFile (): NodeSettings {
+  const settings = readSettings(readFileSync(file, 'utf8'), file)
+  if (settings.isOk()) return settings.value
+  const log = createEventLog({ host: '', data_centre: '', log: { level: 'info' } }, destination)
+  log('settingsInvalid', { problems: settings.error })
+  destination.flushSync()
+  process.exit(1)
+}
+
+const settings = readSettingsFile()
+const events = createEventLog({ host: settings.host, data_centre: settings.dataCentre, log: { level: 'info' } }, destination)
+const log = createBoundedLog(events, counters, clock)
+const node = createNode({ settings, clock, counters, log, draw: Math.random })
+setInterval(() => { destination.flush() }, LOG_FLUSH_MS).unref()
+
+function stop (): void {
+  node.stop()
+    .catch((error: unknown) => { log('internalError', { error: String(error) }) })
+    .finally(() => {
+      destination.flushSync()
+      process.exit(0)
+    })
+}
+
+process.once('SIGTERM', stop)
+process.once('SIGINT', stop)
+process.on('SIGHUP', () => {
+  const found = readSettings(readFileSync(file, 'utf8'), file)
+  log('settingsReloaded', found.isErr() ? { problems: found.error } : { isChanged: JSON.stringify(found.value) !== JSON.stringify(settings) })
+})
+process.on('uncaughtException', (error) => {
+  log('internalError', { error: error.stack ?? String(error) })
+})
+
+await node.start()
--- /dev/null
+++ b/packages/node/src/createNode.ts
@@ -0,0 +1,156 @@
+import { type HostRecord, type NodeSettings } from '@snipenotch/contracts'
+import { createInstanceState, createPlacement, createReplica, type ReplicaRow } from '@snipenotch/decisions'
+import { createStoreClient } from '@snipenotch/platform'
+import { createServer, type Server } from 'node:http'
+import { createCandidateFinder } from './entry/createCandidateFinder.js'
+import { createEntryServer } from './entry/createEntryServer.js'
+import { createExchange } from './entry/createExchange.js'
+import { createHomeClient } from './entry/createHomeClient.js'
+import { createResendBudgets } from './entry/createResendBudgets.js'
+import { createBackendCaller } from './home/createBackendCaller.js'
+import { createHome } from './home/createHome.js'
+import { createHomeServer } from './home/createHomeServer.js'
+import type { NodeContext } from './NodeContext.js'
+import { createReportServer } from './operations/createReportServer.js'
+import { createRolloutKeeper } from './operations/createRolloutKeeper.js'
+import { createHostHealth } from './peers/createHostHealth.js'
+import { createPeerServer } from './peers/createPeerServer.js'
+import { formatAddress } from './peers/parseAddress.js'
+import { createHostRecorder } from './rows/createHostRecorder.js'
+import { createMeshView } from './rows/createMeshView.js'
+import { createPeerRows } from './rows/createPeerRows.js'
+import { createRowFollower } from './rows/createRowFollower.js'
+import { FOLLOWED_TABLES } from './rows/TABLES.js'
+
+/** A node beside a backend server. */
+export interface MeshNode {
+  readonly start: () => Promise<void>
+  /** Lets requests end and resolves when the process may exit. */
+  readonly stop: () => Promise<void>
+}
+
+/** Time for which callers may still open connections after the stop signal, in milliseconds: two missed questions. */
+const LINGER_MS = 2300
+/** Part of the grace period after which open requests are no longer awaited. */
+const STOP_LIMIT_SHARE = 0.9
+/** Time between two looks at whether all requests have ended, in milliseconds. */
+const STOP_POLL_MS = 25
+/** Time for removing the record of a host whose backend server has left, in milliseconds. */
+const RECORD_FLUSH_MS = 500
+
+function listen (server: Server, address: NodeSettings['callers']): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(address.port, address.host, 1024, resolve)
+  })
+}
+
+/** Creates a node; nothing listens before `start`. */
+export function createNode (context: NodeContext): MeshNode {
+  const { settings, clock, log, counters, draw } = context
+  const store = createStoreClient(settings.store)
+  const replica = createReplica()
+  const instance = createInstanceState()
+  const backend = createBackendCaller(context)
+  const recorder = createHostRecorder(context, store, replica)
+  const health = createHostHealth(context, { getHost: (host) => view.getHost(host) })
+  const view = createMeshView(context, () => {
+    entry.updateLimits()
+    home.update()
+  })
+  const onRows = (rows: readonly ReplicaRow[]): void => { view.apply(rows) }
+  const followers = FOLLOWED_TABLES.map((table) => createRowFollower({ context, store, replica, table, onRows }))
+  const peerRows = createPeerRows({
+    context, view, replica, onRows, isStoreConnected: () => followers.every((follower) => follower.isConnected())
+  })
+  const home = createHome({ context, view, instance, backend, onChange: updateRecord })
+  const homeServer = createHomeServer(context, home, () => peerRows.getVersions())
+  const client = createHomeClient(context, health, peerRows)
+  const budgets = createResendBudgets(context, () => view.listHosts().length)
+  const start = createExchange({
+    context, home, client, budgets, finder: createCandidateFinder(context, view, health), placement: createPlacement(draw)
+  })
+  const entry = createEntryServer({ context, view, start, budgets })
+  const reports = createReportServer({
+    context,
+    instance,
+    onChange: () => {
+      updateRecord()
+      home.update()
+    }
+  })
+  const keeper = createRolloutKeeper({
+    context, view, replica, store, health, onRows, getStoreTime: () => followers[0]?.getStoreTime()
+  })
+  const peers = createPeerServer(replica)
+  const readiness = createServer((_, response) => {
+    const isReady = !isStopping && view.getConfiguration() !== undefined
+    response.writeHead(isReady ? 200 : 503, { 'content-length': 0 }).end()
+  })
+  const metrics = createServer((_, response) => {
+    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(counters.format())
+  })
+  let isStopping = false
+
+  /** Publishes what other nodes need to know of the backend server, if it has changed. */
+  function updateRecord (): void {
+    const run = instance.getRun()
+    if (run === undefined) return
+    const record: HostRecord = {
+      host: settings.host,
+      dataCentre: settings.dataCentre,
+      service: settings.service,
+      requestAddress: formatAddress(settings.requests),
+      peerAddress: formatAddress(settings.peers),
+      serving: instance.isServing(),
+      instance: run.instance,
+      startedAt: run.startedAt,
+      sequence: 0,
+      version: run.version,
+      slots: run.slots,
+      versionCut: home.isVersionCut()
+    }
+    const known = view.getHost(settings.host)
+    // A sequence number alone is no reason to write; it is carried along for a later process of this node.
+    const isSame = known !== undefined && JSON.stringify({ ...known, sequence: 0 }) === JSON.stringify(record)
+    recorder.set(isSame ? known : { ...record, sequence: run.sequence })
+  }
+
+  async function awaitEnd (isOver: () => boolean, limitAt: number): Promise<void> {
+    while (!isOver() && clock.now() < limitAt) await new Promise((resolve) => { setTimeout(resolve, STOP_POLL_MS) })
+  }
+
+  return {
+    start: async () => {
+      for (const follower of followers) follower.start()
+      peerRows.start()
+      keeper.start()
+      await Promise.all([
+        listen(entry.server, settings.callers),
+        listen(homeServer.server, settings.requests),
+        listen(readiness, settings.readiness),
+        listen(reports, settings.reports),
+        listen(peers, settings.peers),
+        listen(metrics, settings.metrics)
+      ])
+      log('daemonStarted', { service: settings.service, listen: formatAddress(settings.callers) })
+    },
+    stop: async () => {
+      isStopping = true
+      const stoppedAt = clock.now()
+      log('daemonStopping', { open: entry.countOpen(), running: home.countRunning() })
+      home.stop()
+      home.update()
+      entry.stop()
+      keeper.stop()
+      if (instance.getLeavingSince() !== undefined) recorder.set(undefined)
+      const limitAt = stoppedAt + settings.gracePeriodMs * STOP_LIMIT_SHARE
+      await awaitEnd(() => false, Math.min(limitAt, stoppedAt + LINGER_MS))
+      entry.server.close()
+      entry.server.closeIdleConnections()
+      await awaitEnd(() => entry.countOpen() === 0 && home.countRunning() === 0, limitAt)
+      await recorder.flush(Math.min(RECORD_FLUSH_MS, Math.max(0, limitAt - clock.now())))
+      log('daemonStopped', { open: entry.countOpen(), running: home.countRunning(), tookMs: Math.round(clock.now() - stoppedAt) })
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/entry/createCandidateFinder.ts
@@ -0,0 +1,58 @@
+import type { HostRecord } from '@snipenotch/contracts'
+import { drawReleaseVersion, type PlacementCandidate } from '@snipenotch/decisions'
+import type { NodeContext } from '../NodeContext.js'
+import type { HostHealth } from '../peers/createHostHealth.js'
+import type { MeshView } from '../rows/createMeshView.js'
+
+/** A host that may run a request, with its record. */
+export interface Candidate extends PlacementCandidate {
+  readonly record: HostRecord
+}
+
+/** Finds the hosts that may run a request. */
+export interface CandidateFinder {
+  /** `version` is the version drawn for the request; hosts in `tried` are left out. */
+  readonly find: (service: string, version: string | undefined, bytes: number, tried: ReadonlySet<string>) => Candidate[]
+  /** Version that takes the next request of a service; undefined if any may. */
+  readonly drawVersion: (service: string) => string | undefined
+}
+
+/** Round trip to another data centre, in milliseconds. */
+const OTHER_DATA_CENTRE_MS = 4
+/** Round trip to another host of the data centre, in milliseconds. */
+const OTHER_HOST_MS = 1
+/** Weight of bytes that leave the data centre, in milliseconds for each kilobyte: they are dear, and links are narrow. */
+const OTHER_DATA_CENTRE_MS_PER_KB = 2
+
+/** Creates the finder of a node. */
+export function createCandidateFinder ({ settings, draw }: NodeContext, view: MeshView, health: HostHealth): CandidateFinder {
+  function computeDistance (record: HostRecord, bytes: number): number {
+    if (record.host === settings.host) return 0
+    if (record.dataCentre === settings.dataCentre) return OTHER_HOST_MS
+    return OTHER_DATA_CENTRE_MS + bytes / 1024 * OTHER_DATA_CENTRE_MS_PER_KB
+  }
+
+  function findOf (records: readonly HostRecord[], bytes: number): Candidate[] {
+    return records.map((record) => ({
+      record, host: record.host, slots: record.slots, distanceMs: computeDistance(record, bytes)
+    }))
+  }
+
+  return {
+    find: (service, version, bytes, tried) => {
+      const usable = view.listServing(service).filter((record) =>
+        !tried.has(record.host) && !health.isDown(record.host) && !view.isEvacuated(record.dataCentre) &&
+        !record.versionCut && view.isVersionAllowed(service, record.version))
+      const stable = view.getRelease(service)?.stable
+      for (const wanted of [version, stable]) {
+        const matching = usable.filter((record) => record.version === wanted)
+        if (matching.length > 0) return findOf(matching, bytes)
+      }
+      return findOf(usable, bytes)
+    },
+    drawVersion: (service) => {
+      const release = view.getRelease(service)
+      return release === undefined ? undefined : drawReleaseVersion(release, draw)
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -0,0 +1,237 @@
+import type { MeshRoute, Milliseconds } from '@snipenotch/contracts'
+import { computeRetryAfter, createSplitPicker } from '@snipenotch/decisions'
+import { selectHeaders } from '@snipenotch/daemon'
+import { HEADERS } from '@snipenotch/platform'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { NodeContext } from '../NodeContext.js'
+import type { HomeOutcome } from '../home/HomeJob.js'
+import { isMeshHeader } from '../peers/peerHeaders.js'
+import type { MeshView } from '../rows/createMeshView.js'
+import type { ExchangeResult, StartExchange } from './createExchange.js'
+import type { ResendBudgets } from './createResendBudgets.js'
+
+/** Takes the requests of callers on the host and of the backend server itself. */
+export interface EntryServer {
+  readonly server: Server
+  /** Ends kept connections with the next answer. */
+  readonly stop: () => void
+  readonly countOpen: () => number
+  /** Limits of the configuration in force apply to new connections. */
+  readonly updateLimits: () => void
+}
+
+/** Time past a request's end in which the backend server's own answer is awaited, in milliseconds: one way back. */
+const END_GRACE_MS = 60
+/** Pause named to callers that came before the configuration, in milliseconds. */
+const NO_CONFIGURATION_WAIT_MS = 300
+/** Kept connections outlive the callers' own limit by this much, in milliseconds, so that callers close first. */
+const IDLE_MARGIN_MS = 2000
+/** Idle limit until the configuration names one, in milliseconds. */
+const DEFAULT_IDLE_MS = 30_000
+/** Largest request head in bytes; configurations allow less. */
+const MAX_HEAD_BYTES = 65_536
+
+export interface EntryOptions {
+  readonly context: NodeContext
+  readonly view: MeshView
+  readonly start: StartExchange
+  readonly budgets: ResendBudgets
+}
+
+interface Arrival {
+  readonly incoming: IncomingMessage
+  readonly response: ServerResponse
+  readonly attemptId: string
+  readonly arrivedAt: Milliseconds
+}
+
+/** Remaining time that the caller names, in milliseconds. */
+function readRemaining (incoming: IncomingMessage, fallback: number): number {
+  const text = incoming.headers[HEADERS.remainingMs]
+  const value = typeof text === 'string' ? Number(text) : NaN
+  return Number.isFinite(value) && value >= 0 ? value : fallback
+}
+
+const SET_HERE: ReadonlySet<string> = new Set([HEADERS.callerService, HEADERS.remainingMs, HEADERS.targetInstance, 'content-length'])
+
+/** Creates the server for callers. */
+export function createEntryServer ({ context, view, start, budgets }: EntryOptions): EntryServer {
+  const { settings, clock, log, counters, draw } = context
+  const picker = createSplitPicker(draw)
+  let isStopping = false
+  let open = 0
+
+  function send (arrival: Arrival, status: number, headers: readonly string[], body: Buffer): void {
+    const { incoming, response } = arrival
+    if (response.destroyed || response.headersSent) return
+    const closing = isStopping ? ['Connection', 'close'] : []
+    const hasNoBody = incoming.method === 'HEAD' || status === 204 || status === 304
+    const length = hasNoBody ? [] : ['Content-Length', String(body.length)]
+    response.writeHead(status, [...headers, ...length, ...closing])
+    response.end(hasNoBody ? undefined : body)
+  }
+
+  /** Answers of the node itself. */
+  function sendOwn (arrival: Arrival, status: number, reason: string, retryAfterMs?: number): void {
+    const retryAfter = retryAfterMs === undefined ? [] : ['Retry-After', computeRetryAfter(retryAfterMs, draw)]
+    const echo = [HEADERS.attemptId, arrival.attemptId]
+    send(arrival, status, [...echo, 'Content-Type', 'text/plain', ...retryAfter], Buffer.from(`${reason}\n`))
+  }
+
+  function refuse (arrival: Arrival, route: MeshRoute | undefined, reason: string, waitMs: number, tries: number): void {
+    counters.count('serving_requests', 'refused')
+    log('requestRefused', {
+      request: arrival.attemptId,
+      route: route?.name,
+      reason,
+      waitMs: Math.round(waitMs),
+      tries,
+      durationMs: Math.round(clock.now() - arrival.arrivedAt),
+      configuration: view.getConfiguration()?.version
+    })
+    sendOwn(arrival, 503, reason, waitMs)
+  }
+
+  function fail (arrival: Arrival, route: MeshRoute, status: number, reason: string, result?: ExchangeResult): void {
+    counters.count('serving_requests', 'failed')
+    log('requestFailed', {
+      request: arrival.attemptId,
+      route: route.name,
+      status,
+      reason,
+      backendHost: result?.host,
+      tries: result?.tries,
+      durationMs: Math.round(clock.now() - arrival.arrivedAt),
+      configuration: view.getConfiguration()?.version
+    })
+    sendOwn(arrival, status, reason)
+  }
+
+  function answer (arrival: Arrival, route: MeshRoute, outcome: Extract<HomeOutcome, { kind: 'answered' }>, result: ExchangeResult): void {
+    counters.count('serving_requests', 'answered')
+    const durationMs = clock.now() - arrival.arrivedAt
+    counters.record('request', durationMs)
+    log('requestAnswered', {
+      request: arrival.attemptId,
+      route: route.name,
+      backendHost: result.host,
+      status: outcome.status,
+      tries: result.tries,
+      durationMs: Math.round(durationMs),
+      configuration: view.getConfiguration()?.version
+    })
+    send(arrival, outcome.status, outcome.headers, outcome.body)
+  }
+
+  function handleResult (arrival: Arrival, route: MeshRoute, result: ExchangeResult): void {
+    const { outcome } = result
+    switch (outcome.kind) {
+      case 'refused': refuse(arrival, route, outcome.reason, outcome.waitMs, result.tries); break
+      case 'lost': fail(arrival, route, 502, outcome.reason, result); break
+      case 'answered':
+        if (outcome.notRun) refuse(arrival, route, 'shed-by-instance', 0, result.tries)
+        else answer(arrival, route, outcome, result)
+    }
+  }
+
+  function composeHeaders (incoming: IncomingMessage): string[] {
+    const kept = selectHeaders(incoming.rawHeaders, incoming.headers.connection,
+      (name) => !SET_HERE.has(name) && !isMeshHeader(name))
+    kept.push(HEADERS.callerService, settings.service)
+    return kept
+  }
+
+  function startRequest (arrival: Arrival, route: MeshRoute, body: Buffer): void {
+    const { incoming, response, arrivedAt } = arrival
+    const remaining = readRemaining(incoming, route.timeoutMs)
+    const endAt = (arrivedAt + Math.min(remaining, route.timeoutMs)) as Milliseconds
+    const service = picker.pick(route)
+    budgets.recordFirst(service)
+    let isDone = false
+    const exchange = start({
+      route,
+      service,
+      attemptId: arrival.attemptId,
+      method: incoming.method ?? 'GET',
+      target: incoming.url ?? '/',
+      headers: composeHeaders(incoming),
+      body,
+      arrivedAt,
+      endAt
+    }, (result) => {
+      if (isDone) return
+      isDone = true
+      clearTimeout(timer)
+      handleResult(arrival, route, result)
+    })
+    const timer = setTimeout(() => {
+      if (isDone) return
+      isDone = true
+      exchange.cancel()
+      fail(arrival, route, 504, 'deadline')
+    }, endAt + END_GRACE_MS - clock.now())
+    response.on('close', () => {
+      if (isDone) return
+      isDone = true
+      clearTimeout(timer)
+      counters.count('serving_requests', 'left')
+      log('requestLeft', { request: arrival.attemptId, route: route.name, durationMs: Math.round(clock.now() - arrivedAt) })
+      exchange.cancel()
+    })
+  }
+
+  function handleWhole (arrival: Arrival, body: Buffer): void {
+    const { incoming } = arrival
+    if (view.getConfiguration() === undefined) {
+      refuse(arrival, undefined, 'no-configuration', NO_CONFIGURATION_WAIT_MS, 0)
+      return
+    }
+    const route = view.findRoute(incoming.headers.host ?? '', incoming.url ?? '/')
+    if (route === undefined) {
+      counters.count('serving_refusals', 'no-route')
+      log('requestRefused', {
+        request: arrival.attemptId, reason: 'no-route', configuration: view.getConfiguration()?.version
+      })
+      sendOwn(arrival, 404, 'no-route')
+      return
+    }
+    startRequest(arrival, route, body)
+  }
+
+  function handleRequest (incoming: IncomingMessage, response: ServerResponse): void {
+    const header = incoming.headers[HEADERS.attemptId]
+    const arrival: Arrival = {
+      incoming, response, arrivedAt: clock.now(), attemptId: typeof header === 'string' ? header : ''
+    }
+    open += 1
+    counters.count('serving_requests', 'received')
+    response.on('close', () => { open -= 1 })
+    const maxBytes = view.getConfiguration()?.limits.maxBodyBytes ?? Infinity
+    const chunks: Buffer[] = []
+    let size = 0
+    incoming.on('data', (chunk: Buffer) => {
+      size += chunk.length
+      if (size <= maxBytes) chunks.push(chunk)
+    })
+    incoming.on('end', () => {
+      if (size > maxBytes) sendOwn(arrival, 413, 'body-too-large')
+      else handleWhole(arrival, Buffer.concat(chunks))
+    })
+    // The caller left before its request was whole; nothing has been sent on.
+    incoming.on('error', () => { response.destroy() })
+  }
+
+  const server = createServer({
+    keepAliveTimeout: DEFAULT_IDLE_MS, requestTimeout: 0, headersTimeout: 0, maxHeaderSize: MAX_HEAD_BYTES
+  }, handleRequest)
+
+  return {
+    server,
+    stop: () => { isStopping = true },
+    countOpen: () => open,
+    updateLimits: () => {
+      const limits = view.getConfiguration()?.limits
+      if (limits !== undefined) server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/entry/createExchange.ts
@@ -0,0 +1,193 @@
+import type { MeshRoute, Milliseconds, ServingRefusal } from '@snipenotch/contracts'
+import type { Placement } from '@snipenotch/decisions'
+import type { NodeContext } from '../NodeContext.js'
+import type { Home } from '../home/createHome.js'
+import { FIRST_FAILURE_STATUS, type HomeJob, type HomeOutcome } from '../home/HomeJob.js'
+import type { Candidate, CandidateFinder } from './createCandidateFinder.js'
+import type { HomeClient } from './createHomeClient.js'
+import type { ResendBudgets } from './createResendBudgets.js'
+
+/** Tries of one request at nodes that refuse it before it reaches a backend server. */
+const MAX_PLACEMENTS = 6
+/** Time for which a host that refused gets nothing from here, by reason, in milliseconds. */
+const AVOID_MS: Partial<Record<ServingRefusal, number>> = {
+  stopping: 1000,
+  'instance-draining': 1000,
+  'instance-unknown': 300,
+  'instance-down': 300,
+  'wrong-service': 1000,
+  'version-not-allowed': 500,
+  'version-cut': 500,
+  evacuated: 500
+}
+/** Time that must be left for another try, as a share of the route's target latency. */
+const MIN_RESEND_SHARE = 0.3
+
+/** How a request ended at the node that its caller is connected to. */
+export interface ExchangeResult {
+  readonly outcome: HomeOutcome
+  readonly host: string | undefined
+  /** Backend servers that the request reached, or may have reached. */
+  readonly tries: number
+}
+
+export interface ExchangeRequest {
+  readonly route: MeshRoute
+  readonly service: string
+  readonly attemptId: string
+  readonly method: string
+  readonly target: string
+  readonly headers: readonly string[]
+  readonly body: Buffer
+  readonly arrivedAt: Milliseconds
+  readonly endAt: Milliseconds
+}
+
+/** A request on its way; `cancel` ends it because the caller has left or its time is over. */
+export interface Exchange {
+  readonly cancel: () => void
+  /** True once the request may have reached a backend server. */
+  readonly isSent: () => boolean
+}
+
+export interface ExchangeOptions {
+  readonly context: NodeContext
+  readonly home: Home
+  readonly client: HomeClient
+  readonly finder: CandidateFinder
+  readonly placement: Placement
+  readonly budgets: ResendBudgets
+}
+
+/** Function that places a request, and places it again where that is allowed, until there is an outcome. */
+export type StartExchange = (request: ExchangeRequest, onResult: (result: ExchangeResult) => void) => Exchange
+
+/** Creates the placing of requests of a node. */
+export function createExchange ({ context, home, client, finder, placement, budgets }: ExchangeOptions): StartExchange {
+  const { settings, clock, log, counters } = context
+
+  return (request, onResult) => {
+    const { route, service, endAt } = request
+    const tried = new Set<string>()
+    const version = finder.drawVersion(service)
+    let placements = 0
+    let tries = 0
+    let isSent = false
+    let isCancelled = false
+    let current: HomeJob | undefined
+    /** Shortest wait that a host named. */
+    let waitMs = Infinity
+    let lastRefusal: ServingRefusal = 'no-host'
+
+    function finish (outcome: HomeOutcome, host: string | undefined): void {
+      current = undefined
+      onResult({ outcome, host, tries })
+    }
+
+    function createJob (): HomeJob {
+      return {
+        attemptId: request.attemptId,
+        service,
+        route: route.name,
+        priority: route.priority,
+        idempotent: route.idempotent,
+        method: request.method,
+        target: request.target,
+        headers: request.headers,
+        body: request.body,
+        arrivedAt: clock.now(),
+        targetAt: (request.arrivedAt + route.targetLatencyMs) as Milliseconds,
+        endAt,
+        targetLatencyMs: route.targetLatencyMs
+      }
+    }
+
+    /** The request has not run: any other host may take it, without drawing on a budget. */
+    function handleRefusal (candidate: Candidate, reason: ServingRefusal, wait: number): void {
+      lastRefusal = reason
+      if (reason === 'busy' || reason === 'expired') waitMs = Math.min(waitMs, wait)
+      const avoidMs = AVOID_MS[reason]
+      if (avoidMs !== undefined) placement.avoid(candidate.host, avoidMs, clock.now())
+      if (reason === 'expired') {
+        refuse()
+        return
+      }
+      place()
+    }
+
+    function refuse (): void {
+      finish({ kind: 'refused', reason: lastRefusal, waitMs: Number.isFinite(waitMs) ? waitMs : 0 }, undefined)
+    }
+
+    /** The request reached a backend server: another one may take it within budget, if it may run again or did not run. */
+    function isResent (candidate: Candidate, outcome: HomeOutcome): boolean {
+      if (outcome.kind === 'refused') return false
+      const isNotRun = outcome.kind === 'answered' && outcome.notRun
+      const isFailure = outcome.kind === 'lost' || outcome.status >= FIRST_FAILURE_STATUS || isNotRun
+      if (!isFailure || (!isNotRun && !route.idempotent)) return false
+      if (tries >= route.maxAttempts || placements >= MAX_PLACEMENTS) return false
+      if (endAt - clock.now() < route.targetLatencyMs * MIN_RESEND_SHARE) return false
+      if (finder.find(service, version, 0, tried).length === 0) return false
+      const reason = isNotRun ? 'not-run' : outcome.kind === 'lost' ? 'lost' : 'failed'
+      if (!budgets.take(service)) {
+        counters.count('serving_resends', 'budget-spent')
+        return false
+      }
+      counters.count('serving_resends', reason)
+      log('requestResent', { request: request.attemptId, route: route.name, reason, backendHost: candidate.host, tries })
+      return true
+    }
+
+    function handleOutcome (candidate: Candidate, outcome: HomeOutcome): void {
+      placement.recordEnd(candidate.host, outcome.load, clock.now())
+      if (isCancelled) return
+      if (outcome.kind === 'refused') {
+        handleRefusal(candidate, outcome.reason, outcome.waitMs)
+        return
+      }
+      tries += 1
+      if (isResent(candidate, outcome)) place()
+      else finish(outcome, candidate.host)
+    }
+
+    function place (): void {
+      const bytes = request.body.length
+      const candidates = placements < MAX_PLACEMENTS ? finder.find(service, version, bytes, tried) : []
+      const chosen = placement.choose(candidates, route, clock.now())
+      const candidate = candidates.find(({ host }) => host === chosen?.host)
+      if (candidate === undefined) {
+        refuse()
+        return
+      }
+      placements += 1
+      tried.add(candidate.host)
+      isSent = true
+      placement.recordSend(candidate.host)
+      const job = createJob()
+      current = job
+      const onOutcome = (outcome: HomeOutcome): void => { handleOutcome(candidate, outcome) }
+      if (candidate.host === settings.host) home.run(job, onOutcome)
+      else client.send(job, candidate.record, onOutcome)
+      releaseOnCancel(job, candidate)
+    }
+
+    /** A cancelled job has no outcome, so its load is given back here. */
+    function releaseOnCancel (job: HomeJob, candidate: Candidate): void {
+      const cancel = job.cancel
+      if (cancel === undefined) return
+      job.cancel = () => {
+        cancel()
+        placement.recordEnd(candidate.host, undefined, clock.now())
+      }
+    }
+
+    place()
+    return {
+      cancel: () => {
+        isCancelled = true
+        current?.cancel?.()
+      },
+      isSent: () => isSent
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/entry/createResendBudgets.ts
@@ -0,0 +1,34 @@
+import { createRetryBudget, type RetryBudget } from '@snipenotch/decisions'
+import type { NodeContext } from '../NodeContext.js'
+
+/** Budgets of requests that are sent to a second backend server, one for each service. */
+export interface ResendBudgets {
+  readonly recordFirst: (service: string) => void
+  readonly take: (service: string) => boolean
+}
+
+/**
+ * Part of the bound that all nodes together may use: calls made by a request that runs again count as repeats too, and
+ * calls between services are not among the requests that the bound is a share of.
+ */
+const USED_SHARE = 0.4
+/** Nodes that share the fixed part of the bound, at least. */
+const MIN_NODES = 4
+
+/** Creates budgets that together stay below the bound in the settings. */
+export function createResendBudgets ({ settings, clock }: NodeContext, countNodes: () => number): ResendBudgets {
+  const budgets = new Map<string, RetryBudget>()
+  function getBudget (service: string): RetryBudget {
+    let budget = budgets.get(service)
+    if (budget === undefined) {
+      const floor = settings.retrySlack * USED_SHARE / Math.max(MIN_NODES, countNodes())
+      budget = createRetryBudget({ ratio: settings.retryRatio * USED_SHARE, floor })
+      budgets.set(service, budget)
+    }
+    return budget
+  }
+  return {
+    recordFirst: (service) => { getBudget(service).recordFirstTry(clock.now()) },
+    take: (service) => getBudget(service).take(clock.now())
+  }
+}
--- /dev/null
+++ b/packages/node/src/home/createBackendCaller.ts
@@ -0,0 +1,143 @@
+import type { ServingLoss } from '@snipenotch/contracts'
+import { GuardedAgent, selectHeaders } from '@snipenotch/daemon'
+import { HEADERS } from '@snipenotch/platform'
+import { request, type IncomingMessage } from 'node:http'
+import type { NodeContext } from '../NodeContext.js'
+import { isMeshHeader } from '../peers/peerHeaders.js'
+import type { HomeJob } from './HomeJob.js'
+
+/** How a call of the backend server ended. */
+export type BackendResult =
+  | { readonly kind: 'answered', readonly status: number, readonly headers: string[], readonly body: Buffer, readonly notRun: boolean }
+  /** No connection was made. */
+  | { readonly kind: 'unreachable', readonly detail: string }
+  | { readonly kind: 'lost', readonly reason: ServingLoss, readonly detail: string }
+
+export interface BackendCall {
+  /** Ends the call and closes its connection. */
+  readonly abort: () => void
+}
+
+/** Sends requests to the backend server beside the node. */
+export interface BackendCaller {
+  readonly call: (
+    job: HomeJob, instance: string, remainingMs: number, onResult: (result: BackendResult) => void
+  ) => BackendCall
+  readonly close: () => void
+}
+
+/** Time to connect to a process of the same host, in milliseconds: its queue of connections may be full for a moment. */
+const CONNECT_TIMEOUT_MS = 1000
+/** Idle connections are closed before the backend server does so; the shortest limit seen there is several seconds. */
+const IDLE_LIMIT_MS = 4000
+/** Connections kept, above any number of slots in use; the backend server accepts far more. */
+const MAX_CONNECTIONS = 64
+
+const SET_HERE: ReadonlySet<string> = new Set([HEADERS.remainingMs, HEADERS.targetInstance, 'content-length'])
+
+function composeHeaders (job: HomeJob, instance: string, remainingMs: number): string[] {
+  const headers: string[] = []
+  for (let index = 0; index + 1 < job.headers.length; index += 2) {
+    const name = job.headers[index] ?? ''
+    if (!SET_HERE.has(name.toLowerCase())) headers.push(name, job.headers[index + 1] ?? '')
+  }
+  headers.push(HEADERS.remainingMs, String(Math.max(1, Math.floor(remainingMs))))
+  headers.push(HEADERS.targetInstance, instance)
+  const hasBody = job.body.length > 0 || (job.method !== 'GET' && job.method !== 'HEAD')
+  if (hasBody) headers.push('Content-Length', String(job.body.length))
+  headers.push('Connection', 'keep-alive')
+  return headers
+}
+
+/** Reason why an answer cannot be this request's whole answer; undefined if it can. */
+function findFault (job: HomeJob, incoming: IncomingMessage): ServingLoss | undefined {
+  if (incoming.headers[HEADERS.attemptId] !== job.attemptId) return 'answer-mismatched'
+  if (incoming.headers['content-encoding'] !== undefined) return 'answer-mismatched'
+  const isSuccess = (incoming.statusCode ?? 0) >= 200 && (incoming.statusCode ?? 0) < 300
+  if (isSuccess && incoming.headers[HEADERS.signature] === undefined) return 'answer-unsigned'
+  return undefined
+}
+
+/** Creates the caller of the backend server at the address in the settings. */
+export function createBackendCaller ({ settings, counters }: NodeContext): BackendCaller {
+  const agent = new GuardedAgent(MAX_CONNECTIONS, IDLE_LIMIT_MS)
+
+  function call (
+    job: HomeJob, instance: string, remainingMs: number, onResult: (result: BackendResult) => void
+  ): BackendCall {
+    let isConnected = false
+    let isDone = false
+    let connectTimer: NodeJS.Timeout | undefined
+
+    function end (result: BackendResult): void {
+      if (isDone) return
+      isDone = true
+      clearTimeout(connectTimer)
+      if (result.kind === 'lost') counters.count('serving_losses', result.reason)
+      onResult(result)
+    }
+
+    const outgoing = request({
+      agent,
+      host: settings.backend.host,
+      port: settings.backend.port,
+      method: job.method,
+      path: job.target,
+      headers: composeHeaders(job, instance, remainingMs)
+    })
+    outgoing.on('socket', (socket) => {
+      if (!socket.connecting) {
+        isConnected = true
+        return
+      }
+      connectTimer = setTimeout(() => {
+        end({ kind: 'unreachable', detail: 'connection timed out' })
+        outgoing.destroy()
+      }, CONNECT_TIMEOUT_MS)
+      socket.once('connect', () => {
+        isConnected = true
+        clearTimeout(connectTimer)
+      })
+    })
+    outgoing.on('error', (error) => {
+      end(isConnected
+        ? { kind: 'lost', reason: 'connection-lost', detail: error.message }
+        : { kind: 'unreachable', detail: error.message })
+    })
+    outgoing.on('response', (incoming) => {
+      const fault = findFault(job, incoming)
+      if (fault !== undefined) {
+        end({ kind: 'lost', reason: fault, detail: `status ${incoming.statusCode ?? 0}` })
+        outgoing.destroy()
+        return
+      }
+      const chunks: Buffer[] = []
+      incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
+      incoming.on('error', (error) => { end({ kind: 'lost', reason: 'answer-truncated', detail: error.message }) })
+      incoming.on('end', () => {
+        if (!incoming.complete) {
+          end({ kind: 'lost', reason: 'answer-truncated', detail: 'connection ended early' })
+          return
+        }
+        end({
+          kind: 'answered',
+          status: incoming.statusCode ?? 0,
+          headers: selectHeaders(incoming.rawHeaders, incoming.headers.connection,
+            (name) => name !== 'content-length' && !isMeshHeader(name)),
+          body: Buffer.concat(chunks),
+          notRun: incoming.headers[HEADERS.notRun] !== undefined || incoming.statusCode === 421
+        })
+      })
+    })
+    outgoing.end(job.body)
+    return {
+      abort: () => {
+        isDone = true
+        clearTimeout(connectTimer)
+        outgoing.destroy()
+      }
+    }
+  }
+
+  return { call, close: () => { agent.destroy() } }
+}
--- /dev/null
+++ b/packages/node/src/home/createHome.ts
@@ -0,0 +1,231 @@
+import type { ServingRefusal } from '@snipenotch/contracts'
+import {
+  createHomeGate, createVersionCut, type GateLimits, type InstanceState, type ReportedLoad
+} from '@snipenotch/decisions'
+import type { NodeContext } from '../NodeContext.js'
+import type { MeshView } from '../rows/createMeshView.js'
+import type { BackendCaller, BackendResult } from './createBackendCaller.js'
+import { FIRST_FAILURE_STATUS, type HomeJob, type HomeOutcome } from './HomeJob.js'
+
+/** The gate in front of the backend server: all requests to it pass here. */
+export interface Home {
+  /** Runs a job; `onOutcome` is called once, unless the job is cancelled. */
+  readonly run: (job: HomeJob, onOutcome: (outcome: HomeOutcome) => void) => void
+  /** Looks at the queue again because the limits may have changed. */
+  readonly update: () => void
+  readonly getLoad: () => ReportedLoad
+  readonly countRunning: () => number
+  /** Refuses all new requests from now on. */
+  readonly stop: () => void
+  readonly isVersionCut: () => boolean
+}
+
+/** Part of the time between the acknowledgement of a leave and its bound in which waiting requests may still start. */
+const DRAIN_START_SHARE = 0.6
+/** Weight of a new answer in the share of failures. */
+const FAILURE_WEIGHT = 0.08
+/** Identifiers remembered so that a request that must run at most once is never sent twice. */
+const MAX_ATTEMPTS_KEPT = 5000
+
+export interface HomeOptions {
+  readonly context: NodeContext
+  readonly view: MeshView
+  readonly instance: InstanceState
+  readonly backend: BackendCaller
+  /** Called when the backend server refuses connections or a version is cut. */
+  readonly onChange: () => void
+}
+
+function toOutcome (result: BackendResult): HomeOutcome {
+  switch (result.kind) {
+    case 'answered': return result
+    case 'lost': return { kind: 'lost', reason: result.reason }
+    case 'unreachable': return { kind: 'refused', reason: 'instance-down', waitMs: 0 }
+  }
+}
+
+/** Creates the gate of a node. */
+export function createHome ({ context, view, instance, backend, onChange }: HomeOptions): Home {
+  const { settings, clock, log, counters } = context
+  const gate = createHomeGate<HomeJob>()
+  const cut = createVersionCut()
+  const outcomes = new Map<HomeJob, (outcome: HomeOutcome) => void>()
+  const attempts = new Set<string>()
+  let isStopping = false
+  let failureShare = 0
+  let judgedRun = ''
+  let timer: NodeJS.Timeout | undefined
+
+  /** Evidence belongs to one run of the backend server. */
+  function forgetEarlierRun (): void {
+    const run = instance.getRun()
+    const name = `${run?.instance ?? ''}/${run?.startedAt ?? 0}`
+    if (name === judgedRun) return
+    judgedRun = name
+    gate.resetTimes()
+    cut.reset()
+    failureShare = 0
+  }
+
+  function findClosed (): ServingRefusal | undefined {
+    const run = instance.getRun()
+    if (isStopping) return 'stopping'
+    if (instance.getLeavingSince() !== undefined) return 'instance-draining'
+    if (run === undefined) return 'instance-unknown'
+    if (instance.isDown()) return 'instance-down'
+    if (!instance.isServing()) return 'instance-unknown'
+    if (view.isEvacuated(settings.dataCentre)) return 'evacuated'
+    if (!view.isVersionAllowed(settings.service, run.version)) return 'version-not-allowed'
+    return cut.isCut() ? 'version-cut' : undefined
+  }
+
+  function computeLimits (): GateLimits {
+    forgetEarlierRun()
+    const now = clock.now()
+    const isCold = instance.getColdUntil() > now
+    const coldPerSecond = view.getService(settings.service)?.coldPerSecond
+    const leavingSince = instance.getLeavingSince()
+    const closed = findClosed()
+    const isLeavingSlowly = leavingSince !== undefined && now < leavingSince + settings.drainMs * DRAIN_START_SHARE
+    const mayFinishQueue = closed === 'stopping' || closed === 'evacuated' || isLeavingSlowly
+    return {
+      slots: instance.getRun()?.slots ?? 1,
+      coldPerSecond: isCold && coldPerSecond !== undefined && coldPerSecond > 0 ? Math.floor(coldPerSecond) : undefined,
+      closed,
+      mayStart: closed === undefined || mayFinishQueue
+    }
+  }
+
+  function getLoad (): ReportedLoad {
+    return { ...gate.getLoad(computeLimits()), failureShare }
+  }
+
+  function end (job: HomeJob, outcome: HomeOutcome, backendMs?: number): void {
+    const onOutcome = outcomes.get(job)
+    outcomes.delete(job)
+    delete job.cancel
+    if (outcome.kind === 'refused') counters.count('serving_refusals', outcome.reason)
+    if (outcome.kind !== 'answered' || outcome.status >= FIRST_FAILURE_STATUS) {
+      const run = instance.getRun()
+      log('tryEnded', {
+        request: job.attemptId,
+        route: job.route,
+        outcome: outcome.kind,
+        reason: outcome.kind === 'answered' ? outcome.status : outcome.reason,
+        totalMs: Math.round(clock.now() - job.arrivedAt),
+        backendMs: backendMs === undefined ? undefined : Math.round(backendMs),
+        running: gate.countRunning(),
+        waiting: gate.countWaiting(),
+        instance: run?.instance,
+        sequence: run?.sequence,
+        configuration: view.getConfiguration()?.version
+      })
+    }
+    onOutcome?.({ ...outcome, load: getLoad() })
+  }
+
+  function judge (job: HomeJob, failed: boolean, durationMs: number): void {
+    failureShare += FAILURE_WEIGHT * ((failed ? 1 : 0) - failureShare)
+    const version = instance.getRun()?.version
+    const rollout = view.getRelease(settings.service)?.rollout
+    if (rollout?.state !== 'running' || rollout.to !== version) return
+    const isCold = instance.getColdUntil() > clock.now()
+    const answer = { route: job.route, failed, durationMs: isCold ? 0 : durationMs, targetLatencyMs: job.targetLatencyMs }
+    if (!cut.record(answer)) return
+    log('versionCutOff', { service: settings.service, version, route: job.route })
+    onChange()
+  }
+
+  function send (job: HomeJob): void {
+    const startedAt = clock.now()
+    const run = instance.getRun()
+    counters.record('queue', startedAt - job.arrivedAt)
+    const call = backend.call(job, run?.instance ?? '', job.endAt - startedAt, (result) => {
+      const durationMs = clock.now() - startedAt
+      const isRun = result.kind === 'answered' && !result.notRun
+      gate.finish(job, isRun ? durationMs : undefined)
+      if (isRun) counters.record('backend', durationMs)
+      if (result.kind === 'unreachable') {
+        log('instanceUnreachable', { detail: result.detail, instance: run?.instance, sequence: run?.sequence })
+        instance.markDown(clock.now())
+        onChange()
+      } else {
+        judge(job, result.kind === 'lost' || result.notRun || result.status >= FIRST_FAILURE_STATUS, durationMs)
+      }
+      end(job, toOutcome(result), durationMs)
+      update()
+    })
+    job.cancel = () => {
+      // Work that must run at most once is left to end: its effect would be unknown otherwise.
+      outcomes.delete(job)
+      if (!job.idempotent) return
+      call.abort()
+      gate.finish(job, undefined)
+      update()
+    }
+  }
+
+  function schedule (limits: GateLimits): void {
+    clearTimeout(timer)
+    const delay = gate.computeDelay(limits, clock.now())
+    timer = delay === undefined ? undefined : setTimeout(update, delay)
+  }
+
+  function update (): void {
+    const limits = computeLimits()
+    const now = clock.now()
+    for (const job of gate.takeExpired(now)) end(job, { kind: 'refused', reason: 'expired', waitMs: 0 })
+    if (!limits.mayStart) {
+      for (const job of gate.takeAll()) end(job, { kind: 'refused', reason: limits.closed ?? 'busy', waitMs: 0 })
+    }
+    for (const job of gate.takeReady(limits, now)) send(job)
+    schedule(limits)
+  }
+
+  /** False if the request must run at most once and has been here before. */
+  function admitOnce (job: HomeJob): boolean {
+    if (job.idempotent) return true
+    if (attempts.has(job.attemptId)) return false
+    attempts.add(job.attemptId)
+    if (attempts.size > MAX_ATTEMPTS_KEPT) attempts.delete(attempts.values().next().value ?? '')
+    return true
+  }
+
+  function run (job: HomeJob, onOutcome: (outcome: HomeOutcome) => void): void {
+    outcomes.set(job, onOutcome)
+    if (job.service !== settings.service) {
+      end(job, { kind: 'refused', reason: 'wrong-service', waitMs: 0 })
+      return
+    }
+    const limits = computeLimits()
+    const verdict = gate.submit(job, limits, clock.now())
+    if (verdict.kind === 'refuse') {
+      end(job, { kind: 'refused', reason: verdict.reason, waitMs: verdict.waitMs })
+      return
+    }
+    if (!admitOnce(job)) {
+      if (verdict.kind === 'start') gate.finish(job, undefined)
+      else gate.cancel(job)
+      end(job, { kind: 'lost', reason: 'duplicate-attempt' })
+      return
+    }
+    if (verdict.kind === 'start') {
+      send(job)
+      return
+    }
+    job.cancel = () => {
+      gate.cancel(job)
+      outcomes.delete(job)
+    }
+    schedule(limits)
+  }
+
+  return {
+    run,
+    update,
+    getLoad,
+    countRunning: () => gate.countRunning() + gate.countWaiting(),
+    stop: () => { isStopping = true },
+    isVersionCut: () => cut.isCut()
+  }
+}
--- /dev/null
+++ b/packages/node/src/operations/createReportServer.ts
@@ -0,0 +1,80 @@
+import type { InstanceState } from '@snipenotch/decisions'
+import { decodeLeave, decodeReport, parseReportCall } from '@snipenotch/platform'
+import { createServer, type IncomingMessage, type Server } from 'node:http'
+import type { NodeContext } from '../NodeContext.js'
+import { formatAddress } from '../peers/parseAddress.js'
+
+export interface ReportServerOptions {
+  readonly context: NodeContext
+  readonly instance: InstanceState
+  /** Called after a report or a leave that told something new. */
+  readonly onChange: () => void
+}
+
+/** Largest report that is read, in bytes. */
+const MAX_REPORT_BYTES = 16_384
+
+function readBody (incoming: IncomingMessage, onBody: (text: string) => void): void {
+  const chunks: Buffer[] = []
+  let size = 0
+  incoming.on('data', (chunk: Buffer) => {
+    size += chunk.length
+    if (size <= MAX_REPORT_BYTES) chunks.push(chunk)
+  })
+  incoming.on('end', () => { onBody(Buffer.concat(chunks).toString('utf8')) })
+}
+
+/** Creates the server for the status reports of the backend server beside the node. */
+export function createReportServer ({ context, instance, onChange }: ReportServerOptions): Server {
+  const { settings, clock, log } = context
+
+  function describe (): string {
+    const run = instance.getRun()
+    return `${run?.instance ?? ''} ${run?.startedAt ?? 0} ${run?.version ?? ''} ${run?.state ?? ''} ${instance.isDown()}`
+  }
+
+  function notifyChange (before: string): void {
+    if (describe() !== before) {
+      log('instanceChanged', { ...instance.getRun(), coldMs: Math.max(0, Math.round(instance.getColdUntil() - clock.now())) })
+    }
+    onChange()
+  }
+
+  /** Status of the answer; reports of other writers are not acknowledged. */
+  function takeReport (name: string, text: string): number {
+    const before = describe()
+    const report = decodeReport(name, text)
+    if (report.isErr()) {
+      log('reportUnreadable', { detail: report.error })
+      return 400
+    }
+    const { service, address, sequence } = report.value
+    if (service !== settings.service || address !== formatAddress(settings.backend)) {
+      log('reportUnreadable', { detail: 'from another service or address', found: { service, address, instance: name } })
+      return 400
+    }
+    if (instance.applyReport(report.value, clock.now())) notifyChange(before)
+    else log('reportOutdated', { instance: name, sequence, known: instance.getRun()?.sequence })
+    return 200
+  }
+
+  function takeLeave (name: string, text: string): number {
+    const before = describe()
+    const startedAt = decodeLeave(text)
+    if (startedAt.isErr()) {
+      log('reportUnreadable', { detail: startedAt.error })
+      return 400
+    }
+    if (instance.applyLeave(name, startedAt.value, clock.now())) notifyChange(before)
+    else log('reportOutdated', { instance: name, known: instance.getRun()?.sequence })
+    return 200
+  }
+
+  return createServer((incoming, response) => {
+    const call = parseReportCall(incoming.url ?? '')
+    readBody(incoming, (text) => {
+      const status = call === undefined ? 404 : call.kind === 'report' ? takeReport(call.instance, text) : takeLeave(call.instance, text)
+      response.writeHead(status, { 'content-type': 'application/json', 'content-length': 2 }).end('{}')
+    })
+  })
+}
--- /dev/null
+++ b/packages/node/src/operations/createRolloutKeeper.ts
@@ -0,0 +1,171 @@
+import type { MeshRollout, Release } from '@snipenotch/contracts'
+import { decideRolloutStep, type Replica } from '@snipenotch/decisions'
+import { encodeRolloutStatus, type StoreClient } from '@snipenotch/platform'
+import type { NodeContext } from '../NodeContext.js'
+import type { HostHealth } from '../peers/createHostHealth.js'
+import type { MeshView, OrderedRollout } from '../rows/createMeshView.js'
+import { formatReleaseKey, MESH_TABLE } from '../rows/TABLES.js'
+
+/** Moves rollouts forward by conditional writes of the release rows; any node may take any step. */
+export interface RolloutKeeper {
+  readonly start: () => void
+  readonly stop: () => void
+}
+
+/** Time between two looks at the rollouts, in milliseconds. */
+const PERIOD_MS = 200
+/** Time by which each node waits longer than the one ranked before it, so that usually only one writes. */
+const RANK_DELAY_MS = 600
+/** Nodes beyond this rank wait no longer. */
+const MAX_RANK = 5
+
+export interface RolloutKeeperOptions {
+  readonly context: NodeContext
+  readonly view: MeshView
+  readonly replica: Replica
+  readonly store: StoreClient
+  readonly health: HostHealth
+  /** The store's clock now, in milliseconds. */
+  readonly getStoreTime: () => number | undefined
+  readonly onRows: (rows: ReturnType<Replica['merge']>) => void
+}
+
+interface PlannedRelease { readonly release: Release, readonly reason: string }
+
+/** Creates the keeper of a node. */
+export function createRolloutKeeper (options: RolloutKeeperOptions): RolloutKeeper {
+  const { context, view, replica, store, health, getStoreTime, onRows } = options
+  const { settings, clock, log, counters } = context
+  /** Since when a step has been due, by service and what it would do. */
+  const dueSince = new Map<string, { readonly step: string, readonly at: number }>()
+  let timer: NodeJS.Timeout | undefined
+  let isWriting = false
+
+  function computeRank (): number {
+    const live = view.listHosts().map(({ host }) => host).filter((host) => !health.isDown(host)).sort()
+    const rank = live.indexOf(settings.host)
+    return rank === -1 ? MAX_RANK : Math.min(MAX_RANK, rank)
+  }
+
+  /** The first version that a service is seen with is its stable one. */
+  function planFirst (service: string): PlannedRelease | undefined {
+    const own = view.getHost(settings.host)
+    if (service !== settings.service || own === undefined || !own.serving) return undefined
+    return { release: { service, stable: own.version, denied: [], rollout: null }, reason: 'first version seen' }
+  }
+
+  function planBegin (release: Release, { order, version }: OrderedRollout, storeNow: number): PlannedRelease | undefined {
+    if (release.rollout !== null && release.rollout.order >= version) return undefined
+    if (release.stable === order.to) {
+      const rollout = createRollout(order.to, version, order.durationMs, storeNow, 'completed', 1, 'already stable')
+      return { release: { ...release, rollout }, reason: 'already stable' }
+    }
+    const rollout = createRollout(order.to, version, order.durationMs, storeNow, 'running', 0, 'ordered')
+    return { release: { ...release, denied: release.denied.filter((name) => name !== order.to), rollout }, reason: 'ordered' }
+  }
+
+  function createRollout (
+    to: string, order: number, durationMs: number, storeNow: number, state: MeshRollout['state'], share: number, reason: string
+  ): MeshRollout {
+    return {
+      order, to, state, share, durationMs, reason, startedAt: storeNow, steppedAt: storeNow, controller: settings.host
+    }
+  }
+
+  function planStep (release: Release, rollout: MeshRollout, storeNow: number): PlannedRelease | undefined {
+    const ofVersion = view.listServing(release.service).filter(({ version }) => version === rollout.to)
+    const step = decideRolloutStep({
+      rollout,
+      storeNow,
+      newHosts: ofVersion.filter(({ host }) => !health.isDown(host)).length,
+      cutHosts: ofVersion.filter(({ versionCut }) => versionCut).length
+    })
+    const next = { ...rollout, steppedAt: storeNow, controller: settings.host }
+    switch (step.kind) {
+      case 'hold': return undefined
+      case 'share':
+        return { release: { ...release, rollout: { ...next, share: step.share, reason: step.reason } }, reason: step.reason }
+      case 'complete':
+        return {
+          release: { ...release, stable: rollout.to, rollout: { ...next, state: 'completed', reason: step.reason } },
+          reason: step.reason
+        }
+      case 'roll-back':
+        return {
+          release: {
+            ...release,
+            denied: [...release.denied, rollout.to],
+            rollout: { ...next, state: 'rolled-back', share: 0, reason: step.reason }
+          },
+          reason: step.reason
+        }
+    }
+  }
+
+  function plan (service: string, storeNow: number): PlannedRelease | undefined {
+    const release = view.getRelease(service)
+    if (release === undefined) return planFirst(service)
+    const ordered = view.listOrders().find(({ order }) => order.service === service)
+    const begin = ordered === undefined ? undefined : planBegin(release, ordered, storeNow)
+    if (begin !== undefined) return begin
+    return release.rollout?.state === 'running' ? planStep(release, release.rollout, storeNow) : undefined
+  }
+
+  async function write (service: string, { release, reason }: PlannedRelease): Promise<void> {
+    const key = formatReleaseKey(service)
+    const known = replica.get(MESH_TABLE, key)
+    const value = JSON.stringify(release)
+    const { rollout } = release
+    const status = rollout === null ? [] : [encodeRolloutStatus(service, rollout.to, rollout.state)]
+    const answer = await store.write(
+      [{ table: MESH_TABLE, key, version: known?.value === undefined ? 0 : known.version }],
+      [{ table: MESH_TABLE, key, value }, ...status]
+    )
+    if (answer.isErr()) {
+      counters.count('store_calls', 'unavailable')
+      log('rolloutStepFailed', { service, reason, detail: answer.error })
+    } else if (answer.value.kind === 'conflict') {
+      counters.count('store_calls', 'conflict')
+      log('rolloutStepFailed', { service, reason, detail: 'another node was first' })
+      onRows(replica.merge(answer.value.rows.filter((row) => row.key === key).map((row) => ({ ...row, table: MESH_TABLE }))))
+    } else {
+      counters.count('store_calls', 'ok')
+      counters.count('rollouts', rollout?.state ?? 'first')
+      log('rolloutStepped', { service, reason, rollout, version: answer.value.version })
+      onRows(replica.merge([{ table: MESH_TABLE, key, value, version: answer.value.version }]))
+    }
+  }
+
+  function isDue (service: string, planned: PlannedRelease): boolean {
+    const { rollout } = planned.release
+    const step = `${rollout?.order ?? 0} ${rollout?.state ?? ''} ${rollout?.share ?? 0}`
+    const known = dueSince.get(service)
+    if (known?.step !== step) {
+      dueSince.set(service, { step, at: clock.now() })
+      return computeRank() === 0
+    }
+    return clock.now() - known.at >= computeRank() * RANK_DELAY_MS
+  }
+
+  async function tick (): Promise<void> {
+    const storeNow = getStoreTime()
+    if (storeNow === undefined || isWriting) return
+    isWriting = true
+    const services = new Set([settings.service, ...view.listOrders().map(({ order }) => order.service)])
+    for (const service of services) {
+      const planned = plan(service, storeNow)
+      if (planned === undefined) dueSince.delete(service)
+      else if (isDue(service, planned)) await write(service, planned)
+    }
+    isWriting = false
+  }
+
+  return {
+    start: () => {
+      timer = setInterval(() => {
+        tick().catch((error: unknown) => { log('internalError', { error: String(error) }) })
+      }, PERIOD_MS)
+    },
+    stop: () => { clearInterval(timer) }
+  }
+}
--- /dev/null
+++ b/packages/node/src/rows/createMeshView.ts
@@ -0,0 +1,145 @@
+import {
+  hostRecordSchema, releaseSchema, type HostRecord, type MeshConfiguration, type MeshService, type Release, type RolloutOrder
+} from '@snipenotch/contracts'
+import { isVersionAllowed, type ReplicaRow } from '@snipenotch/decisions'
+import { decodeConfiguration, decodeRolloutOrder, OPERATOR_TABLE, parseOperatorKey } from '@snipenotch/platform'
+import type { z } from 'zod'
+import type { NodeContext } from '../NodeContext.js'
+import { createRouteFinder, type RouteFinder } from './createRouteFinder.js'
+import { parseMeshKey } from './TABLES.js'
+
+/** An order together with the version of its row, which tells repeated orders apart. */
+export interface OrderedRollout { readonly order: RolloutOrder, readonly version: number }
+
+/** What a node believes about the mesh, derived from the replicated rows. */
+export interface MeshView {
+  /** Takes changed rows in. */
+  readonly apply: (rows: readonly ReplicaRow[]) => void
+  readonly getConfiguration: () => MeshConfiguration | undefined
+  readonly getService: (name: string) => MeshService | undefined
+  readonly findRoute: RouteFinder['find']
+  readonly isEvacuated: (dataCentre: string) => boolean
+  readonly getHost: (host: string) => HostRecord | undefined
+  readonly listHosts: () => readonly HostRecord[]
+  /** Hosts that serve a service, with any version and in any data centre. */
+  readonly listServing: (service: string) => readonly HostRecord[]
+  readonly getRelease: (service: string) => Release | undefined
+  readonly listOrders: () => readonly OrderedRollout[]
+  readonly isVersionAllowed: (service: string, version: string) => boolean
+}
+
+const NO_HOSTS: readonly HostRecord[] = []
+
+function setOrDelete<Value> (map: Map<string, Value>, key: string, value: Value | undefined): void {
+  if (value === undefined) map.delete(key)
+  else map.set(key, value)
+}
+
+/** Creates the view of a node that knows nothing yet. `onChange` is called after each batch of changes. */
+export function createMeshView ({ log }: NodeContext, onChange: () => void): MeshView {
+  let configuration: MeshConfiguration | undefined
+  let services = new Map<string, MeshService>()
+  let routes: RouteFinder = { find: () => undefined }
+  const evacuated = new Set<string>()
+  const orders = new Map<string, OrderedRollout>()
+  const hosts = new Map<string, HostRecord>()
+  const releases = new Map<string, Release>()
+  let serving = new Map<string, HostRecord[]>()
+  let servedVersions = new Map<string, Set<string>>()
+
+  function applyConfiguration (row: ReplicaRow): void {
+    if (row.value === undefined) return
+    const decoded = decodeConfiguration(row.value)
+    if (decoded.isErr()) {
+      log('configurationRejected', { version: row.version, faults: [decoded.error] })
+      return
+    }
+    if (configuration !== undefined && decoded.value.version <= configuration.version) return
+    configuration = decoded.value
+    routes = createRouteFinder(configuration)
+    services = new Map(configuration.services.map((service) => [service.name, service]))
+    log('configurationApplied', { version: configuration.version, row: row.version, routes: configuration.routes.length })
+  }
+
+  function applyOrder (service: string, row: ReplicaRow): void {
+    if (row.value === undefined) {
+      orders.delete(service)
+      return
+    }
+    const decoded = decodeRolloutOrder(row.value)
+    if (decoded.isErr()) log('rowUnreadable', { table: row.table, key: row.key, detail: decoded.error })
+    else orders.set(decoded.value.service, { order: decoded.value, version: row.version })
+  }
+
+  function applyEvacuation (dataCentre: string, row: ReplicaRow): void {
+    if (row.value === undefined) evacuated.delete(dataCentre)
+    else evacuated.add(dataCentre)
+    log('evacuationsChanged', { dataCentres: [...evacuated], row: row.version })
+  }
+
+  function applyOperatorRow (row: ReplicaRow): void {
+    const subject = parseOperatorKey(row.key)
+    switch (subject.kind) {
+      case 'configuration': applyConfiguration(row); break
+      case 'rollout': applyOrder(subject.service, row); break
+      case 'evacuation': applyEvacuation(subject.dataCentre, row); break
+      case 'unknown': log('rowUnreadable', { table: row.table, key: row.key, detail: 'unknown key' })
+    }
+  }
+
+  function parseRow<Schema extends z.ZodType> (schema: Schema, row: ReplicaRow): z.output<Schema> | undefined {
+    if (row.value === undefined) return undefined
+    try {
+      return schema.parse(JSON.parse(row.value))
+    } catch (error) {
+      log('rowUnreadable', { table: row.table, key: row.key, detail: String(error) })
+      return undefined
+    }
+  }
+
+  function applyMeshRow (row: ReplicaRow): void {
+    const { kind, name } = parseMeshKey(row.key)
+    if (kind === 'host') setOrDelete(hosts, name, parseRow(hostRecordSchema, row))
+    if (kind !== 'release') return
+    const release = parseRow(releaseSchema, row)
+    setOrDelete(releases, name, release)
+    log('releaseChanged', { service: name, release, row: row.version })
+  }
+
+  function indexHosts (): void {
+    serving = new Map()
+    servedVersions = new Map()
+    for (const record of hosts.values()) {
+      if (!record.serving) continue
+      const list = serving.get(record.service) ?? []
+      list.push(record)
+      serving.set(record.service, list)
+      const versions = servedVersions.get(record.service) ?? new Set<string>()
+      versions.add(record.version)
+      servedVersions.set(record.service, versions)
+    }
+  }
+
+  return {
+    apply: (rows) => {
+      if (rows.length === 0) return
+      for (const row of rows) {
+        if (row.table === OPERATOR_TABLE) applyOperatorRow(row)
+        else applyMeshRow(row)
+      }
+      indexHosts()
+      onChange()
+    },
+    getConfiguration: () => configuration,
+    getService: (name) => services.get(name),
+    findRoute: (host, path) => routes.find(host, path),
+    isEvacuated: (dataCentre) => evacuated.has(dataCentre),
+    getHost: (host) => hosts.get(host),
+    listHosts: () => [...hosts.values()],
+    listServing: (service) => serving.get(service) ?? NO_HOSTS,
+    getRelease: (service) => releases.get(service),
+    listOrders: () => [...orders.values()],
+    isVersionAllowed: (service, version) =>
+      isVersionAllowed(releases.get(service), version, servedVersions.get(service) ?? new Set())
+  }
+}
--- /dev/null
+++ b/packages/node/src/rows/createPeerRows.ts
@@ -0,0 +1,98 @@
+import type { Replica, ReplicaRow } from '@snipenotch/decisions'
+import { Agent } from 'node:http'
+import type { NodeContext } from '../NodeContext.js'
+import { decodeRows, encodeRowsPath } from '../peers/createPeerServer.js'
+import { formatAddress } from '../peers/parseAddress.js'
+import type { RowVersions } from '../peers/peerHeaders.js'
+import { requestPeer } from '../peers/requestPeer.js'
+import type { MeshView } from './createMeshView.js'
+import { FOLLOWED_TABLES } from './TABLES.js'
+
+/** Takes rows from peers when the store does not bring them. */
+export interface PeerRows {
+  /** Notes the versions that a peer has; if they are ahead for some time, its rows are fetched. */
+  readonly observe: (host: string, versions: RowVersions) => void
+  readonly getVersions: () => RowVersions
+  readonly start: () => void
+  readonly close: () => void
+}
+
+/** Time for which a peer may be ahead before its rows are fetched, in milliseconds: the store's feed is faster. */
+const AHEAD_LIMIT_MS = 250
+/** Time between two looks, in milliseconds. */
+const PERIOD_MS = 250
+/** Time between two questions to a peer while the store does not answer, in milliseconds. */
+const OUTAGE_PERIOD_MS = 500
+const PEER_TIMEOUT_MS = 400
+
+export interface PeerRowsOptions {
+  readonly context: NodeContext
+  readonly view: MeshView
+  readonly replica: Replica
+  readonly isStoreConnected: () => boolean
+  readonly onRows: (rows: readonly ReplicaRow[]) => void
+}
+
+/** Creates the exchange of rows with peers. */
+export function createPeerRows ({ context, view, replica, isStoreConnected, onRows }: PeerRowsOptions): PeerRows {
+  const { settings, clock, log, draw } = context
+  const agent = new Agent({ keepAlive: true, maxSockets: 2 })
+  let ahead: { readonly host: string, readonly since: number } | undefined
+  let isFetching = false
+  let askedAt = 0
+  let timer: NodeJS.Timeout | undefined
+
+  const getVersions = (): RowVersions => FOLLOWED_TABLES.map((table) => replica.getVersion(table))
+
+  async function fetch (address: string, reason: string): Promise<void> {
+    isFetching = true
+    const body = await requestPeer(agent, address, encodeRowsPath(getVersions()), PEER_TIMEOUT_MS)
+    const rows = body === undefined ? undefined : decodeRows(body)
+    const changed = replica.merge(rows ?? [])
+    if (changed.length > 0) log('rowsFromPeer', { peer: address, rows: changed.length, reason, versions: getVersions() })
+    onRows(changed)
+    isFetching = false
+  }
+
+  function listAddresses (): string[] {
+    const peers = view.listHosts().filter(({ host }) => host !== settings.host).map(({ peerAddress }) => peerAddress)
+    return peers.length > 0 ? peers : settings.seeds.map(formatAddress)
+  }
+
+  function chooseAddress (): { address: string, reason: string } | undefined {
+    const now = clock.now()
+    if (ahead !== undefined && now - ahead.since > AHEAD_LIMIT_MS) {
+      const address = view.getHost(ahead.host)?.peerAddress
+      ahead = undefined
+      if (address !== undefined) return { address, reason: 'peer is ahead' }
+    }
+    if (isStoreConnected() || now - askedAt < OUTAGE_PERIOD_MS) return undefined
+    askedAt = now
+    const addresses = listAddresses()
+    const address = addresses[Math.floor(draw() * addresses.length)]
+    return address === undefined ? undefined : { address, reason: 'store does not answer' }
+  }
+
+  function tick (): void {
+    if (isFetching) return
+    const chosen = chooseAddress()
+    if (chosen === undefined) return
+    fetch(chosen.address, chosen.reason).catch((error: unknown) => { log('internalError', { error: String(error) }) })
+  }
+
+  return {
+    observe: (host, versions) => {
+      const own = getVersions()
+      const isAhead = versions.some((version, index) => version > (own[index] ?? 0))
+      if (!isAhead) {
+        if (ahead?.host === host) ahead = undefined
+      } else ahead ??= { host, since: clock.now() }
+    },
+    getVersions,
+    start: () => { timer = setInterval(tick, PERIOD_MS) },
+    close: () => {
+      clearInterval(timer)
+      agent.destroy()
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/rows/createRowFollower.ts
@@ -0,0 +1,98 @@
+import type { Replica, ReplicaRow } from '@snipenotch/decisions'
+import type { StoreClient, StoreError, StoreRows } from '@snipenotch/platform'
+import type { Result } from 'ts-results-es'
+import type { NodeContext } from '../NodeContext.js'
+
+/** Longest wait for a change, in milliseconds: a connection that went silent is noticed after it. */
+const FEED_WAIT_MS = 4000
+/** Pause after each batch of changes, in milliseconds, in which further ones gather into one call. */
+const BATCH_PAUSE_MS = 60
+/** First and longest pause after a failed call, in milliseconds. */
+const FIRST_BACKOFF_MS = 100
+const MAX_BACKOFF_MS = 1000
+
+/** Keeps the replica of one table in step with the store. */
+export interface RowFollower {
+  readonly start: () => void
+  readonly stop: () => void
+  /** True while the store answers this node. */
+  readonly isConnected: () => boolean
+  /** The store's steady clock now, in milliseconds; undefined before its first answer. */
+  readonly getStoreTime: () => number | undefined
+}
+
+export interface RowFollowerOptions {
+  readonly context: NodeContext
+  readonly store: StoreClient
+  readonly replica: Replica
+  readonly table: string
+  readonly onRows: (rows: readonly ReplicaRow[]) => void
+}
+
+/** Creates a follower that has not read anything yet. */
+export function createRowFollower ({ context, store, replica, table, onRows }: RowFollowerOptions): RowFollower {
+  const { clock, log, counters, draw } = context
+  let cursor: number | undefined
+  let isStopped = false
+  let isConnected = false
+  let storeOffset: number | undefined
+  let backoff = FIRST_BACKOFF_MS
+
+  const wait = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
+
+  function recordFailure (error: StoreError): void {
+    counters.count('store_calls', 'unavailable')
+    if (isConnected) log('storeUnavailable', { table, error })
+    isConnected = false
+  }
+
+  function recordSuccess (answer: StoreRows): void {
+    counters.count('store_calls', 'ok')
+    if (!isConnected) log('storeAvailable', { table, version: answer.version })
+    isConnected = true
+    backoff = FIRST_BACKOFF_MS
+    storeOffset = answer.storeTime - clock.now()
+  }
+
+  async function readWhole (): Promise<Result<StoreRows, StoreError>> {
+    const answer = await store.readTable(table)
+    if (answer.isErr()) return answer
+    recordSuccess(answer.value)
+    log('tableRead', { table, version: answer.value.version, rows: answer.value.rows.length })
+    onRows(replica.mergeTable(table, answer.value.rows, answer.value.version))
+    cursor = answer.value.version
+    return answer
+  }
+
+  async function readChanges (after: number): Promise<Result<StoreRows, StoreError>> {
+    const answer = await store.awaitChanges(table, after, FEED_WAIT_MS)
+    if (answer.isErr()) {
+      if (answer.error.kind === 'history-lost') cursor = undefined
+      return answer
+    }
+    recordSuccess(answer.value)
+    onRows(replica.merge(answer.value.rows))
+    cursor = Math.max(after, answer.value.version)
+    if (answer.value.rows.length > 0) await wait(BATCH_PAUSE_MS)
+    return answer
+  }
+
+  async function run (): Promise<void> {
+    while (!isStopped) {
+      const answer = cursor === undefined ? await readWhole() : await readChanges(cursor)
+      if (answer.isOk() || answer.error.kind === 'history-lost') continue
+      recordFailure(answer.error)
+      await wait(backoff * (0.5 + draw()))
+      backoff = Math.min(MAX_BACKOFF_MS, backoff * 2)
+    }
+  }
+
+  return {
+    start: () => {
+      run().catch((error: unknown) => { log('internalError', { error: String(error) }) })
+    },
+    stop: () => { isStopped = true },
+    isConnected: () => isConnected,
+    getStoreTime: () => storeOffset === undefined ? undefined : clock.now() + storeOffset
+  }
+}
