--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -52,13 +52,13 @@
   const replica = createReplica()
   const instance = createInstanceState()
   const backend = createBackendCaller(context)
-  const recorder = createHostRecorder(context, store, replica)
   const health = createHostHealth(context, { getHost: (host) => view.getHost(host) })
   const view = createMeshView(context, () => {
     entry.updateLimits()
     home.update()
   })
   const onRows = (rows: readonly ReplicaRow[]): void => { view.apply(rows) }
+  const recorder = createHostRecorder({ context, store, replica, onRows })
   const followers = FOLLOWED_TABLES.map((table) => createRowFollower({ context, store, replica, table, onRows }))
   const peerRows = createPeerRows({
     context, view, replica, onRows, isStoreConnected: () => followers.every((follower) => follower.isConnected())
--- a/packages/node/src/rows/createHostRecorder.ts
+++ b/packages/node/src/rows/createHostRecorder.ts
@@ -1,5 +1,5 @@
 import type { HostRecord } from '@snipenotch/contracts'
-import type { Replica } from '@snipenotch/decisions'
+import type { Replica, ReplicaRow } from '@snipenotch/decisions'
 import type { StoreClient } from '@snipenotch/platform'
 import type { NodeContext } from '../NodeContext.js'
 import { formatHostKey, MESH_TABLE } from './TABLES.js'
@@ -18,13 +18,19 @@
   readonly flush: (limitMs: number) => Promise<void>
 }
 
+export interface HostRecorderOptions {
+  readonly context: NodeContext
+  readonly store: StoreClient
+  readonly replica: Replica
+  readonly onRows: (rows: readonly ReplicaRow[]) => void
+}
+
 /**
  * Creates a recorder. Writes are conditional on the version of the row that was last seen, so that a write performed
  * late cannot replace a newer record.
  */
-export function createHostRecorder (
-  { settings, clock, log, counters, draw }: NodeContext, store: StoreClient, replica: Replica
-): HostRecorder {
+export function createHostRecorder ({ context, store, replica, onRows }: HostRecorderOptions): HostRecorder {
+  const { settings, clock, log, counters, draw } = context
   const key = formatHostKey(settings.host)
   let wanted: string | undefined
   let hasWish = false
@@ -53,13 +59,13 @@
     if (answer.value.kind === 'done') {
       counters.count('store_calls', 'ok')
       isAbsent = false
-      replica.merge([{ table: MESH_TABLE, key, value, version: answer.value.version }])
+      onRows(replica.merge([{ table: MESH_TABLE, key, value, version: answer.value.version }]))
       log('recordWritten', { version: answer.value.version, record: value })
       return true
     }
     counters.count('store_calls', 'conflict')
     const current = answer.value.rows.filter((row) => row.key === key)
-    replica.merge(current.map((row) => ({ ...row, table: MESH_TABLE })))
+    onRows(replica.merge(current.map((row) => ({ ...row, table: MESH_TABLE }))))
     isAbsent = current.every((row) => row.value === undefined)
     return false
   }
