--- a/packages/decisions/src/serving/createHomeGate.ts
+++ b/packages/decisions/src/serving/createHomeGate.ts
@@ -67,7 +67,9 @@
 
 /** Share of the expected time that must be left for a request to start: half of all requests take less than average. */
 const MIN_TIME_LEFT_SHARE = 0.7
-/** Part of the time until the deadline that a wait may be expected to take; the rest covers the spread of work times. */
+/**
+ * Part of the time until the deadline that a wait may be expected to take; the rest covers the spread of work times.
+ */
 const WAIT_SHARE_OF_TIME_LEFT = 0.8
 /** Shortest pause between two looks at the queue, in milliseconds. */
 const MIN_DELAY_MS = 2
--- a/packages/decisions/src/serving/createPlacement.ts
+++ b/packages/decisions/src/serving/createPlacement.ts
@@ -71,7 +71,9 @@
     let found = hosts.get(host)
     if (found === undefined) {
       const zero = 0 as Milliseconds
-      found = { inFlight: 0, othersLoad: 0, reportedAt: zero, slots: 0, serviceMs: 0, failureShare: 0, avoidUntil: zero }
+      found = {
+        inFlight: 0, othersLoad: 0, reportedAt: zero, slots: 0, serviceMs: 0, failureShare: 0, avoidUntil: zero
+      }
       hosts.set(host, found)
     }
     return found
@@ -84,7 +86,8 @@
     const judgement = Math.max(0, 1 - age / JUDGEMENT_LIFETIME_MS)
     const assumed = request.targetLatencyMs * ASSUMED_SHARE_OF_TARGET
     const serviceMs = state.serviceMs > 0 ? assumed + (state.serviceMs - assumed) * judgement : assumed
-    const slots = Math.max(1, freshness > 0 && state.slots > 0 ? Math.min(candidate.slots, state.slots) : candidate.slots)
+    const isSlotsKnown = freshness > 0 && state.slots > 0
+    const slots = Math.max(1, isSlotsKnown ? Math.min(candidate.slots, state.slots) : candidate.slots)
     const load = state.inFlight + state.othersLoad * freshness
     const waitMs = Math.max(0, load + 1 - slots) / slots * serviceMs
     const use = Math.min(1, load / slots)
--- a/packages/decisions/src/serving/createServiceTimes.ts
+++ b/packages/decisions/src/serving/createServiceTimes.ts
@@ -18,12 +18,12 @@
 export function createServiceTimes (): ServiceTimes {
   const routes = new Map<string, number>()
   let average: number | undefined
-  const mix = (old: number | undefined, sample: number): number =>
+  const computeMean = (old: number | undefined, sample: number): number =>
     old === undefined ? sample : old + SAMPLE_WEIGHT * (sample - old)
   return {
     record: (route, durationMs) => {
-      routes.set(route, mix(routes.get(route), durationMs))
-      average = mix(average, durationMs)
+      routes.set(route, computeMean(routes.get(route), durationMs))
+      average = computeMean(average, durationMs)
     },
     get: (route, targetLatencyMs) => routes.get(route) ?? targetLatencyMs * ASSUMED_SHARE_OF_TARGET,
     getAverage: () => average,
--- a/packages/decisions/src/serving/decideRelease.ts
+++ b/packages/decisions/src/serving/decideRelease.ts
@@ -21,7 +21,9 @@
  * True if a version may run requests. If no host serves a version that may, the others take over, except a version that
  * is being tried or was rolled back: a service whose stable version has vanished is served rather than refused.
  */
-export function isVersionAllowed (release: Release | undefined, version: string, servedVersions: ReadonlySet<string>): boolean {
+export function isVersionAllowed (
+  release: Release | undefined, version: string, servedVersions: ReadonlySet<string>
+): boolean {
   if (release === undefined || getVersionShare(release, version) > 0) return true
   const isTried = release.rollout?.state === 'running' && release.rollout.to === version
   return !servedVersions.has(release.stable) && !isTried && !release.denied.includes(version)
--- /dev/null
+++ b/packages/decisions/tests/serving/createHomeGate.test.ts
@@ -0,0 +1,121 @@
+import { type Milliseconds, toMilliseconds } from '@snipenotch/contracts'
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { createHomeGate, type GateJob, type GateLimits } from '../../src/serving/createHomeGate.js'
+import { RATE_WINDOW_MS } from '../../src/serving/createRateWindow.js'
+
+const OPEN: GateLimits = { slots: 3, coldPerSecond: undefined, closed: undefined, mayStart: true }
+
+interface NamedJob extends GateJob { readonly name: string }
+
+const job = (name: string, now: number, given: Partial<GateJob> = {}): NamedJob => ({
+  name,
+  route: 'r',
+  priority: 1,
+  targetLatencyMs: 200,
+  targetAt: toMilliseconds(now + 200),
+  endAt: toMilliseconds(now + 1000),
+  ...given
+})
+
+describe('createHomeGate', () => {
+  it('never runs more than the slots, and starts or ends every request (guards against a server that hangs when full)', () => {
+    const arrivals = fc.array(fc.record({ at: fc.integer({ min: 0, max: 2000 }), work: fc.integer({ min: 1, max: 400 }) }),
+      { maxLength: 120 })
+    fc.assert(fc.property(arrivals, (found) => {
+      const gate = createHomeGate<NamedJob>()
+      const ends: Array<{ at: number, job: NamedJob, work: number }> = []
+      const sorted = [...found].sort((left, right) => left.at - right.at)
+      let ended = 0
+      let next = 0
+      const begin = (started: NamedJob, now: number): void => {
+        const work = sorted[Number(started.name)]?.work ?? 1
+        ends.push({ at: now + work, job: started, work })
+      }
+      for (let now = 0; now <= 4000; now++) {
+        const time = toMilliseconds(now)
+        for (const over of ends.filter(({ at }) => at === now)) {
+          gate.finish(over.job, over.work)
+          ended += 1
+        }
+        for (let index = ends.length - 1; index >= 0; index--) if ((ends[index]?.at ?? 0) <= now) ends.splice(index, 1)
+        ended += gate.takeExpired(time).length
+        for (const ready of gate.takeReady(OPEN, time)) begin(ready, now)
+        while (next < sorted.length && sorted[next]?.at === now) {
+          const arriving = job(String(next), now)
+          const verdict = gate.submit(arriving, OPEN, time)
+          if (verdict.kind === 'start') begin(arriving, now)
+          if (verdict.kind === 'refuse') ended += 1
+          next += 1
+        }
+        expect(ends.length).to.be.at.most(OPEN.slots)
+        expect(gate.countRunning()).to.equal(ends.length)
+      }
+      expect(ended).to.equal(sorted.length)
+    }), { numRuns: 20 })
+  })
+
+  it('keeps the rate of a cold server in every second (guards against a cold server that is overrun when it returns)', () => {
+    const gate = createHomeGate<NamedJob>()
+    const cold: GateLimits = { ...OPEN, slots: 100, coldPerSecond: 10 }
+    const sends: number[] = []
+    for (let now = 0; now < 5000; now++) {
+      const time = toMilliseconds(now)
+      gate.takeExpired(time)
+      for (const ready of gate.takeReady(cold, time)) {
+        sends.push(now)
+        gate.finish(ready, 20)
+      }
+      if (now % 10 !== 0) continue
+      const arriving = job(String(now), now)
+      if (gate.submit(arriving, cold, time).kind !== 'start') continue
+      sends.push(now)
+      gate.finish(arriving, 20)
+    }
+    const most = Math.max(...sends.map((from) => sends.filter((at) => at >= from && at < from + 1000).length))
+    expect(most).to.equal(10)
+    expect(sends.length).to.be.at.least(Math.floor(5000 / RATE_WINDOW_MS) * 10)
+  })
+
+  function fillSlots (gate: ReturnType<typeof createHomeGate<NamedJob>>): NamedJob[] {
+    const running = ['x', 'y', 'z'].map((name) => job(name, 0))
+    for (const started of running) expect(gate.submit(started, OPEN, toMilliseconds(0)).kind).to.equal('start')
+    return running
+  }
+
+  it('starts requests that can still meet their target first, then by rank (guards against a burst that makes all late)', () => {
+    const gate = createHomeGate<NamedJob>()
+    const running = fillSlots(gate)
+    const now = toMilliseconds(100)
+    const late = job('late', 100, { targetAt: toMilliseconds(110), priority: 0 })
+    const low = job('low', 100, { priority: 2 })
+    const high = job('high', 100, { priority: 1 })
+    for (const waiting of [late, low, high]) expect(gate.submit(waiting, OPEN, now).kind).to.equal('wait')
+    for (const over of running) gate.finish(over, 50)
+    expect(gate.takeReady(OPEN, now).map(({ name }) => name)).to.deep.equal(['high', 'low', 'late'])
+  })
+
+  it('refuses at once what it cannot serve before the deadline, and names the wait (guards against requests held to their end)', () => {
+    const gate = createHomeGate<NamedJob>()
+    fillSlots(gate)
+    const verdicts = Array.from({ length: 60 }, (_, index) => gate.submit(job(String(index), 0), OPEN, toMilliseconds(0)))
+    const refused = verdicts.filter((verdict) => verdict.kind === 'refuse')
+    expect(refused.length).to.be.greaterThan(0)
+    for (const verdict of refused) expect(verdict).to.include({ reason: 'busy' }).and.have.property('waitMs').greaterThan(0)
+  })
+
+  it('expires a waiting request while it can still be told that it has not run', () => {
+    const gate = createHomeGate<NamedJob>()
+    fillSlots(gate)
+    gate.submit(job('waiting', 0, { endAt: toMilliseconds(300) }), OPEN, toMilliseconds(0))
+    const delay = gate.computeDelay(OPEN, toMilliseconds(0)) ?? 0
+    expect(delay).to.be.greaterThan(0).and.lessThan(300)
+    expect(gate.takeExpired((delay + 1) as Milliseconds).map(({ name }) => name)).to.deep.equal(['waiting'])
+  })
+
+  it('refuses while closed, with the reason', () => {
+    const gate = createHomeGate<NamedJob>()
+    expect(gate.submit(job('a', 0), { ...OPEN, closed: 'evacuated' }, toMilliseconds(0)))
+      .to.deep.equal({ kind: 'refuse', reason: 'evacuated', waitMs: 0 })
+  })
+})
--- /dev/null
+++ b/packages/decisions/tests/serving/createPlacement.test.ts
@@ -0,0 +1,73 @@
+import { toMilliseconds } from '@snipenotch/contracts'
+import { expect } from 'chai'
+import { createPlacement, type Placement, type PlacementCandidate } from '../../src/serving/createPlacement.js'
+
+const REQUEST = { targetLatencyMs: 200 }
+const candidate = (host: string, distanceMs = 0): PlacementCandidate => ({ host, slots: 8, distanceMs })
+const IDLE = { load: 0, slots: 8, serviceMs: 60, failureShare: 0 }
+
+/** Repeatable numbers in [0, 1). */
+function createDraw (): () => number {
+  let state = 7
+  return () => {
+    state = (state * 1103515245 + 12345) % 2147483648
+    return state / 2147483648
+  }
+}
+
+function countChoices (placement: Placement, candidates: readonly PlacementCandidate[], now: number): Record<string, number> {
+  const counts: Record<string, number> = {}
+  for (let index = 0; index < 1000; index++) {
+    const host = placement.choose(candidates, REQUEST, toMilliseconds(now))?.host ?? ''
+    counts[host] = (counts[host] ?? 0) + 1
+  }
+  return counts
+}
+
+function report (placement: Placement, host: string, load: Parameters<Placement['recordEnd']>[1], now: number): void {
+  placement.recordSend(host)
+  placement.recordEnd(host, load, toMilliseconds(now))
+}
+
+describe('createPlacement', () => {
+  it('keeps requests off a slow server while others have room (guards against a slow server that makes a share of all late)', () => {
+    const placement = createPlacement(createDraw())
+    report(placement, 'fast', IDLE, 100)
+    report(placement, 'slow', { ...IDLE, serviceMs: 400 }, 100)
+    expect(countChoices(placement, [candidate('fast'), candidate('slow')], 110).slow ?? 0).to.be.lessThan(20)
+  })
+
+  it('keeps requests off a server that fails part of them (guards against a server that answers fast because it fails)', () => {
+    const placement = createPlacement(createDraw())
+    report(placement, 'good', IDLE, 100)
+    report(placement, 'grey', { ...IDLE, serviceMs: 20, failureShare: 0.5 }, 100)
+    expect(countChoices(placement, [candidate('good'), candidate('grey')], 110).grey ?? 0).to.be.lessThan(20)
+  })
+
+  it('spills to another data centre when the near server is full, and not before', () => {
+    const placement = createPlacement(createDraw())
+    const candidates = [candidate('near'), candidate('far', 20)]
+    report(placement, 'near', IDLE, 100)
+    report(placement, 'far', IDLE, 100)
+    expect(countChoices(placement, candidates, 110).far ?? 0).to.be.lessThan(20)
+    report(placement, 'near', { ...IDLE, load: 16 }, 120)
+    expect(countChoices(placement, candidates, 130).near ?? 0).to.be.lessThan(20)
+  })
+
+  it('tries a slow server again after some seconds, and a new one at once', () => {
+    const placement = createPlacement(createDraw())
+    const candidates = [candidate('a'), candidate('slow'), candidate('new')]
+    report(placement, 'a', IDLE, 100)
+    report(placement, 'slow', { ...IDLE, serviceMs: 400 }, 100)
+    expect(countChoices(placement, candidates, 110).new).to.be.greaterThan(100)
+    report(placement, 'a', IDLE, 5000)
+    expect(countChoices(placement, candidates, 5010).slow).to.be.greaterThan(100)
+  })
+
+  it('leaves out a host that refused, unless there is no other', () => {
+    const placement = createPlacement(createDraw())
+    placement.avoid('a', 500, toMilliseconds(100))
+    expect(countChoices(placement, [candidate('a'), candidate('b')], 200)).to.have.all.keys('b')
+    expect(countChoices(placement, [candidate('a')], 200)).to.have.all.keys('a')
+  })
+})
--- /dev/null
+++ b/packages/decisions/tests/serving/rollouts.test.ts
@@ -0,0 +1,109 @@
+import type { MeshRollout, Release } from '@snipenotch/contracts'
+import { expect } from 'chai'
+import { createVersionCut } from '../../src/serving/createVersionCut.js'
+import { drawReleaseVersion, getVersionShare, isVersionAllowed } from '../../src/serving/decideRelease.js'
+import { decideRolloutStep } from '../../src/serving/decideRolloutStep.js'
+
+const rollout = (given: Partial<MeshRollout> = {}): MeshRollout => ({
+  order: 1, to: 'v2', state: 'running', share: 0, startedAt: 0, durationMs: 15_000, steppedAt: 0, controller: 'a', reason: '', ...given
+})
+const release = (given: Partial<Release> = {}): Release =>
+  ({ service: 's', stable: 'v1', denied: [], rollout: rollout({ share: 0.1 }), ...given })
+
+/** Shares of a rollout that is looked at every 200 ms, with the time of each step. */
+function replaySteps (durationMs: number, cutFrom = Infinity): Array<[number, string, number]> {
+  const steps: Array<[number, string, number]> = []
+  let current = rollout({ durationMs })
+  for (let storeNow = 0; storeNow <= durationMs * 1.2 && current.state === 'running'; storeNow += 200) {
+    const step = decideRolloutStep({ rollout: current, storeNow, newHosts: 4, cutHosts: storeNow >= cutFrom ? 1 : 0 })
+    if (step.kind === 'hold') continue
+    const share = step.kind === 'share' ? step.share : current.share
+    steps.push([storeNow, step.kind, share])
+    const state = step.kind === 'share' ? 'running' : step.kind === 'complete' ? 'completed' : 'rolled-back'
+    current = { ...current, share, state, steppedAt: storeNow }
+  }
+  return steps
+}
+
+describe('decideRolloutStep', () => {
+  for (const durationMs of [12_000, 15_000, 30_000]) {
+    it(`completes a good version within ${durationMs} ms, and not before it had all requests for a time`, () => {
+      const steps = replaySteps(durationMs)
+      const full = steps.find(([, , share]) => share === 1)
+      const end = steps.at(-1)
+      expect(end?.[1]).to.equal('complete')
+      expect(end?.[0]).to.be.lessThan(durationMs)
+      expect((end?.[0] ?? 0) - (full?.[0] ?? 0)).to.be.at.least(1500)
+      expect(steps).to.matchSnapshot()
+    })
+  }
+
+  it('rolls a version back at the first host that cut it', () => {
+    expect(replaySteps(15_000, 3000).at(-1)).to.deep.equal([3000, 'roll-back', 0.05])
+  })
+
+  it('gives up a version that no host serves before its time is over', () => {
+    const view = { rollout: rollout(), newHosts: 0, cutHosts: 0 }
+    expect(decideRolloutStep({ ...view, storeNow: 10_000 }).kind).to.equal('hold')
+    expect(decideRolloutStep({ ...view, storeNow: 14_500 }).kind).to.equal('roll-back')
+  })
+})
+
+describe('createVersionCut', () => {
+  const answer = (failed: boolean, route = 'r', durationMs = 60) => ({ route, failed, durationMs, targetLatencyMs: 200 })
+
+  it('cuts a version that fails half of its requests before four hosts have seen fifty (guards against long exposure)', () => {
+    const cut = createVersionCut()
+    let bad = 0
+    for (let index = 0; !cut.isCut() && index < 100; index++) {
+      if (index % 2 === 0) bad += 1
+      cut.record(answer(index % 2 === 0))
+    }
+    expect(bad * 4).to.be.lessThan(50)
+  })
+
+  it('finds a fault on one route among many good answers, and slowness', () => {
+    const oneRoute = createVersionCut()
+    for (let index = 0; index < 20; index++) {
+      oneRoute.record(answer(false, 'good'))
+      oneRoute.record(answer(index % 2 === 0, 'bad'))
+    }
+    expect(oneRoute.isCut()).to.equal(true)
+    const slow = createVersionCut()
+    for (let index = 0; index < 10; index++) slow.record(answer(false, 'r', 480))
+    expect(slow.isCut()).to.equal(true)
+  })
+
+  it('keeps a version whose failures are few', () => {
+    const cut = createVersionCut()
+    for (let index = 0; index < 2000; index++) cut.record(answer(index % 20 === 0))
+    expect(cut.isCut()).to.equal(false)
+  })
+})
+
+describe('getVersionShare', () => {
+  const cases: Array<[string, Release | undefined, string, number]> = [
+    ['any version without a release', undefined, 'v9', 1],
+    ['the new version of a rollout', release(), 'v2', 0.1],
+    ['the old version of a rollout', release(), 'v1', 0.9],
+    ['a version outside the rollout', release(), 'v0', 0],
+    ['a version that was rolled back', release({ denied: ['v2'], rollout: rollout({ state: 'rolled-back' }) }), 'v2', 0],
+    ['the stable version after a roll-back', release({ denied: ['v2'], rollout: rollout({ state: 'rolled-back' }) }), 'v1', 1],
+    ['the old version after completion', release({ stable: 'v2', rollout: rollout({ state: 'completed' }) }), 'v1', 0]
+  ]
+  for (const [title, given, version, share] of cases) {
+    it(`gives ${title} ${share}`, () => expect(getVersionShare(given, version)).to.be.closeTo(share, 1e-9))
+  }
+
+  it('draws the new version with its share', () => {
+    expect([drawReleaseVersion(release(), () => 0.05), drawReleaseVersion(release(), () => 0.5)]).to.deep.equal(['v2', 'v1'])
+  })
+
+  it('lets another version serve when the stable one has vanished, but never one that is tried or was rolled back', () => {
+    const vanished = new Set(['v2', 'v3'])
+    expect(isVersionAllowed(release({ rollout: null }), 'v3', vanished)).to.equal(true)
+    expect(isVersionAllowed(release({ rollout: null }), 'v3', new Set(['v1']))).to.equal(false)
+    expect(isVersionAllowed(release({ rollout: rollout({ share: 0 }) }), 'v2', vanished)).to.equal(false)
+    expect(isVersionAllowed(release({ rollout: null, denied: ['v3'] }), 'v3', vanished)).to.equal(false)
+  })
+})
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -57,18 +57,28 @@
     entry.updateLimits()
     home.update()
   })
-  const onRows = (rows: readonly ReplicaRow[]): void => { view.apply(rows) }
-  const recorder = createHostRecorder({ context, store, replica, onRows })
-  const followers = FOLLOWED_TABLES.map((table) => createRowFollower({ context, store, replica, table, onRows }))
+  const applyRows = (rows: readonly ReplicaRow[]): void => { view.apply(rows) }
+  const recorder = createHostRecorder({ context, store, replica, onRows: applyRows })
+  const followers = FOLLOWED_TABLES.map((table) =>
+    createRowFollower({ context, store, replica, table, onRows: applyRows }))
   const peerRows = createPeerRows({
-    context, view, replica, onRows, isStoreConnected: () => followers.every((follower) => follower.isConnected())
+    context,
+    view,
+    replica,
+    onRows: applyRows,
+    isStoreConnected: () => followers.every((follower) => follower.isConnected())
   })
   const home = createHome({ context, view, instance, backend, onChange: updateRecord })
   const homeServer = createHomeServer(context, home, () => peerRows.getVersions())
   const client = createHomeClient(context, health, peerRows)
   const budgets = createResendBudgets(context, () => view.listHosts().length)
   const start = createExchange({
-    context, home, client, budgets, finder: createCandidateFinder(context, view, health), placement: createPlacement(draw)
+    context,
+    home,
+    client,
+    budgets,
+    finder: createCandidateFinder(context, view, health),
+    placement: createPlacement(draw)
   })
   const entry = createEntryServer({ context, view, start, budgets })
   const reports = createReportServer({
@@ -80,7 +90,7 @@
     }
   })
   const keeper = createRolloutKeeper({
-    context, view, replica, store, health, onRows, getStoreTime: () => followers[0]?.getStoreTime()
+    context, view, replica, store, health, onRows: applyRows, getStoreTime: () => followers[0]?.getStoreTime()
   })
   const peers = createPeerServer(replica)
   const readiness = createServer((_, response) => {
--- a/packages/node/src/entry/createCandidateFinder.ts
+++ b/packages/node/src/entry/createCandidateFinder.ts
@@ -12,7 +12,9 @@
 /** Finds the hosts that may run a request. */
 export interface CandidateFinder {
   /** `version` is the version drawn for the request; hosts in `tried` are left out. */
-  readonly find: (service: string, version: string | undefined, bytes: number, tried: ReadonlySet<string>) => Candidate[]
+  readonly find: (
+    service: string, version: string | undefined, bytes: number, tried: ReadonlySet<string>
+  ) => Candidate[]
   /** Version that takes the next request of a service; undefined if any may. */
   readonly drawVersion: (service: string) => string | undefined
 }
@@ -21,11 +23,15 @@
 const OTHER_DATA_CENTRE_MS = 4
 /** Round trip to another host of the data centre, in milliseconds. */
 const OTHER_HOST_MS = 1
-/** Weight of bytes that leave the data centre, in milliseconds for each kilobyte: they are dear, and links are narrow. */
+/**
+ * Weight of bytes that leave the data centre, in milliseconds for each kilobyte: they are dear, and links are narrow.
+ */
 const OTHER_DATA_CENTRE_MS_PER_KB = 2
 
 /** Creates the finder of a node. */
-export function createCandidateFinder ({ settings, draw }: NodeContext, view: MeshView, health: HostHealth): CandidateFinder {
+export function createCandidateFinder (
+  { settings, draw }: NodeContext, view: MeshView, health: HostHealth
+): CandidateFinder {
   function computeDistance (record: HostRecord, bytes: number): number {
     if (record.host === settings.host) return 0
     if (record.dataCentre === settings.dataCentre) return OTHER_HOST_MS
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -78,7 +78,9 @@
     send(arrival, status, [...echo, 'Content-Type', 'text/plain', ...retryAfter], Buffer.from(`${reason}\n`))
   }
 
-  function refuse (arrival: Arrival, route: MeshRoute | undefined, reason: string, waitMs: number, tries: number): void {
+  function refuse (
+    arrival: Arrival, route: MeshRoute | undefined, reason: string, waitMs: number, tries: number
+  ): void {
     counters.count('serving_requests', 'refused')
     log('requestRefused', {
       request: arrival.attemptId,
@@ -107,7 +109,9 @@
     sendOwn(arrival, status, reason)
   }
 
-  function answer (arrival: Arrival, route: MeshRoute, outcome: Extract<HomeOutcome, { kind: 'answered' }>, result: ExchangeResult): void {
+  function sendAnswer (
+    arrival: Arrival, route: MeshRoute, outcome: Extract<HomeOutcome, { kind: 'answered' }>, result: ExchangeResult
+  ): void {
     counters.count('serving_requests', 'answered')
     const durationMs = clock.now() - arrival.arrivedAt
     counters.record('request', durationMs)
@@ -130,7 +134,7 @@
       case 'lost': fail(arrival, route, 502, outcome.reason, result); break
       case 'answered':
         if (outcome.notRun) refuse(arrival, route, 'shed-by-instance', 0, result.tries)
-        else answer(arrival, route, outcome, result)
+        else sendAnswer(arrival, route, outcome, result)
     }
   }
 
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -79,7 +79,7 @@
     let waitMs = Infinity
     let lastRefusal: ServingRefusal = 'no-host'
 
-    function finish (outcome: HomeOutcome, host: string | undefined): void {
+    function end (outcome: HomeOutcome, host: string | undefined): void {
       current = undefined
       onResult({ outcome, host, tries })
     }
@@ -116,10 +116,13 @@
     }
 
     function refuse (): void {
-      finish({ kind: 'refused', reason: lastRefusal, waitMs: Number.isFinite(waitMs) ? waitMs : 0 }, undefined)
+      end({ kind: 'refused', reason: lastRefusal, waitMs: Number.isFinite(waitMs) ? waitMs : 0 }, undefined)
     }
 
-    /** The request reached a backend server: another one may take it within budget, if it may run again or did not run. */
+    /**
+     * The request reached a backend server: another one may take it within budget, if it may run again or did not
+     * run.
+     */
     function isResent (candidate: Candidate, outcome: HomeOutcome): boolean {
       if (outcome.kind === 'refused') return false
       const isNotRun = outcome.kind === 'answered' && outcome.notRun
@@ -147,7 +150,7 @@
       }
       tries += 1
       if (isResent(candidate, outcome)) place()
-      else finish(outcome, candidate.host)
+      else end(outcome, candidate.host)
     }
 
     function place (): void {
@@ -165,9 +168,9 @@
       placement.recordSend(candidate.host)
       const job = createJob()
       current = job
-      const onOutcome = (outcome: HomeOutcome): void => { handleOutcome(candidate, outcome) }
-      if (candidate.host === settings.host) home.run(job, onOutcome)
-      else client.send(job, candidate.record, onOutcome)
+      const handle = (outcome: HomeOutcome): void => { handleOutcome(candidate, outcome) }
+      if (candidate.host === settings.host) home.run(job, handle)
+      else client.send(job, candidate.record, handle)
       releaseOnCancel(job, candidate)
     }
 
--- a/packages/node/src/entry/createHomeClient.ts
+++ b/packages/node/src/entry/createHomeClient.ts
@@ -32,7 +32,9 @@
 }
 
 /** Creates the client of all other hosts. */
-export function createHomeClient ({ clock, counters }: NodeContext, health: HostHealth, peerRows: PeerRows): HomeClient {
+export function createHomeClient (
+  { clock, counters }: NodeContext, health: HostHealth, peerRows: PeerRows
+): HomeClient {
   const agent = new GuardedAgent(MAX_CONNECTIONS_PER_HOST)
   const open = new Set<Exchange>()
 
--- a/packages/node/src/home/createBackendCaller.ts
+++ b/packages/node/src/home/createBackendCaller.ts
@@ -26,7 +26,9 @@
   readonly close: () => void
 }
 
-/** Time to connect to a process of the same host, in milliseconds: its queue of connections may be full for a moment. */
+/**
+ * Time to connect to a process of the same host, in milliseconds: its queue of connections may be full for a moment.
+ */
 const CONNECT_TIMEOUT_MS = 1000
 /** Idle connections are closed before the backend server does so; the shortest limit seen there is several seconds. */
 const IDLE_LIMIT_MS = 4000
@@ -62,7 +64,7 @@
 export function createBackendCaller ({ settings, counters }: NodeContext): BackendCaller {
   const agent = new GuardedAgent(MAX_CONNECTIONS, IDLE_LIMIT_MS)
 
-  function call (
+  function send (
     job: HomeJob, instance: string, remainingMs: number, onResult: (result: BackendResult) => void
   ): BackendCall {
     let isConnected = false
@@ -139,5 +141,5 @@
     }
   }
 
-  return { call, close: () => { agent.destroy() } }
+  return { call: send, close: () => { agent.destroy() } }
 }
--- a/packages/node/src/home/createHome.ts
+++ b/packages/node/src/home/createHome.ts
@@ -57,7 +57,7 @@
   let timer: NodeJS.Timeout | undefined
 
   /** Evidence belongs to one run of the backend server. */
-  function forgetEarlierRun (): void {
+  function resetForNewRun (): void {
     const run = instance.getRun()
     const name = `${run?.instance ?? ''}/${run?.startedAt ?? 0}`
     if (name === judgedRun) return
@@ -80,7 +80,7 @@
   }
 
   function computeLimits (): GateLimits {
-    forgetEarlierRun()
+    resetForNewRun()
     const now = clock.now()
     const isCold = instance.getColdUntil() > now
     const coldPerSecond = view.getService(settings.service)?.coldPerSecond
@@ -124,14 +124,15 @@
     onOutcome?.({ ...outcome, load: getLoad() })
   }
 
-  function judge (job: HomeJob, failed: boolean, durationMs: number): void {
+  function recordAnswer (job: HomeJob, failed: boolean, durationMs: number): void {
     failureShare += FAILURE_WEIGHT * ((failed ? 1 : 0) - failureShare)
     const version = instance.getRun()?.version
     const rollout = view.getRelease(settings.service)?.rollout
     if (rollout?.state !== 'running' || rollout.to !== version) return
     const isCold = instance.getColdUntil() > clock.now()
-    const answer = { route: job.route, failed, durationMs: isCold ? 0 : durationMs, targetLatencyMs: job.targetLatencyMs }
-    if (!cut.record(answer)) return
+    const { route, targetLatencyMs } = job
+    // A cold backend server is slow whatever its version.
+    if (!cut.record({ route, failed, durationMs: isCold ? 0 : durationMs, targetLatencyMs })) return
     log('versionCutOff', { service: settings.service, version, route: job.route })
     onChange()
   }
@@ -150,7 +151,7 @@
         instance.markDown(clock.now())
         onChange()
       } else {
-        judge(job, result.kind === 'lost' || result.notRun || result.status >= FIRST_FAILURE_STATUS, durationMs)
+        recordAnswer(job, result.kind === 'lost' || result.notRun || result.status >= FIRST_FAILURE_STATUS, durationMs)
       }
       end(job, toOutcome(result), durationMs)
       update()
--- a/packages/node/src/home/createHomeServer.ts
+++ b/packages/node/src/home/createHomeServer.ts
@@ -58,7 +58,8 @@
     home.run(job, (outcome) => { sendOutcome(response, outcome) })
   }
 
-  const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0, headersTimeout: 0 }, (incoming, response) => {
+  const options = { keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0, headersTimeout: 0 }
+  const server = createServer(options, (incoming, response) => {
     const chunks: Buffer[] = []
     incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
     incoming.on('end', () => { handleRequest(incoming, response, Buffer.concat(chunks)) })
--- a/packages/node/src/operations/createRolloutKeeper.ts
+++ b/packages/node/src/operations/createRolloutKeeper.ts
@@ -54,7 +54,9 @@
     return { release: { service, stable: own.version, denied: [], rollout: null }, reason: 'first version seen' }
   }
 
-  function planBegin (release: Release, { order, version }: OrderedRollout, storeNow: number): PlannedRelease | undefined {
+  function planBegin (
+    release: Release, { order, version }: OrderedRollout, storeNow: number
+  ): PlannedRelease | undefined {
     if (release.rollout !== null && release.rollout.order >= version) return undefined
     if (release.stable === order.to) {
       const rollout = createRollout(order.to, version, order.durationMs, storeNow, 'completed', 1, 'already stable')
@@ -84,7 +86,10 @@
     switch (step.kind) {
       case 'hold': return undefined
       case 'share':
-        return { release: { ...release, rollout: { ...next, share: step.share, reason: step.reason } }, reason: step.reason }
+        return {
+          release: { ...release, rollout: { ...next, share: step.share, reason: step.reason } },
+          reason: step.reason
+        }
       case 'complete':
         return {
           release: { ...release, stable: rollout.to, rollout: { ...next, state: 'completed', reason: step.reason } },
@@ -127,7 +132,8 @@
     } else if (answer.value.kind === 'conflict') {
       counters.count('store_calls', 'conflict')
       log('rolloutStepFailed', { service, reason, detail: 'another node was first' })
-      onRows(replica.merge(answer.value.rows.filter((row) => row.key === key).map((row) => ({ ...row, table: MESH_TABLE }))))
+      const current = answer.value.rows.filter((row) => row.key === key)
+      onRows(replica.merge(current.map((row) => ({ ...row, table: MESH_TABLE }))))
     } else {
       counters.count('store_calls', 'ok')
       counters.count('rollouts', rollout?.state ?? 'first')
@@ -147,7 +153,7 @@
     return clock.now() - known.at >= computeRank() * RANK_DELAY_MS
   }
 
-  async function tick (): Promise<void> {
+  async function checkAll (): Promise<void> {
     const storeNow = getStoreTime()
     if (storeNow === undefined || isWriting) return
     isWriting = true
@@ -163,7 +169,7 @@
   return {
     start: () => {
       timer = setInterval(() => {
-        tick().catch((error: unknown) => { log('internalError', { error: String(error) }) })
+        checkAll().catch((error: unknown) => { log('internalError', { error: String(error) }) })
       }, PERIOD_MS)
     },
     stop: () => { clearInterval(timer) }
--- a/packages/node/src/peers/createHostHealth.ts
+++ b/packages/node/src/peers/createHostHealth.ts
@@ -22,10 +22,10 @@
 export function createHostHealth ({ clock, log }: NodeContext, view: Pick<MeshView, 'getHost'>): HostHealth {
   const downSince = new Map<string, number>()
   const agent = new Agent({ keepAlive: false })
-  let isClosed = false
+  const closing = new AbortController()
 
   async function probe (host: string): Promise<void> {
-    for (let pause = FIRST_PROBE_MS; !isClosed; pause = Math.min(MAX_PROBE_MS, pause * 2)) {
+    for (let pause = FIRST_PROBE_MS; !closing.signal.aborted; pause = Math.min(MAX_PROBE_MS, pause * 2)) {
       await new Promise((resolve) => { setTimeout(resolve, pause) })
       const record = view.getHost(host)
       if (record === undefined) break
@@ -44,7 +44,7 @@
     },
     isDown: (host) => downSince.has(host),
     close: () => {
-      isClosed = true
+      closing.abort()
       agent.destroy()
     }
   }
--- a/packages/node/src/peers/createPeerServer.ts
+++ b/packages/node/src/peers/createPeerServer.ts
@@ -21,7 +21,7 @@
   if (typeof value !== 'object' || value === null) return false
   const row = value as Partial<ReplicaRow>
   return typeof row.table === 'string' && typeof row.key === 'string' && typeof row.version === 'number' &&
-    (row.value === undefined || row.value === null || typeof row.value === 'string')
+    (row.value === undefined || typeof row.value === 'string')
 }
 
 /** Rows of a peer's answer; undefined if it cannot be read. */
@@ -29,7 +29,7 @@
   try {
     const rows: unknown = unpack(body)
     if (!Array.isArray(rows) || !rows.every(isRow)) return undefined
-    return rows.map((row) => ({ ...row, value: row.value ?? undefined }))
+    return rows
   } catch {
     // The caller logs a peer whose answer cannot be read.
     return undefined
@@ -49,7 +49,8 @@
       return
     }
     const after = (url.searchParams.get('after') ?? '').split(',').map(Number)
-    const rows = FOLLOWED_TABLES.flatMap((table, index) => replica.listSince(table, after[index] ?? 0)).slice(0, MAX_ROWS)
+    const rows = FOLLOWED_TABLES.flatMap((table, index) => replica.listSince(table, after[index] ?? 0))
+      .slice(0, MAX_ROWS)
     const body = pack(rows)
     response.writeHead(200, { 'content-length': body.length }).end(body)
   })
--- a/packages/node/src/peers/peerHeaders.ts
+++ b/packages/node/src/peers/peerHeaders.ts
@@ -95,7 +95,9 @@
 }
 
 /** Status and headers of an outcome that is not an answer of the backend server. */
-export function encodeNoAnswer (outcome: Exclude<HomeOutcome, { kind: 'answered' }>): { status: number, headers: string[] } {
+export function encodeNoAnswer (
+  outcome: Exclude<HomeOutcome, { kind: 'answered' }>
+): { status: number, headers: string[] } {
   return outcome.kind === 'refused'
     ? { status: 503, headers: [PEER_HEADERS.refused, `${outcome.reason},${Math.round(outcome.waitMs)}`] }
     : { status: 502, headers: [PEER_HEADERS.lost, outcome.reason] }
--- a/packages/node/src/peers/requestPeer.ts
+++ b/packages/node/src/peers/requestPeer.ts
@@ -2,7 +2,9 @@
 import { parseAddress } from './parseAddress.js'
 
 /** Asks a peer for `path`; undefined if it does not answer with success within `timeoutMs`. */
-export function requestPeer (agent: Agent, address: string, path: string, timeoutMs: number): Promise<Buffer | undefined> {
+export function requestPeer (
+  agent: Agent, address: string, path: string, timeoutMs: number
+): Promise<Buffer | undefined> {
   return new Promise((resolve) => {
     const { host, port } = parseAddress(address)
     const outgoing = request({ agent, host, port, path }, (incoming) => {
--- a/packages/node/src/rows/createHostRecorder.ts
+++ b/packages/node/src/rows/createHostRecorder.ts
@@ -39,7 +39,7 @@
   let isAbsent = false
   let backoff = FIRST_BACKOFF_MS
 
-  const wait = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
+  const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
   const isSettled = (): boolean => !hasWish || replica.get(MESH_TABLE, key)?.value === wanted
 
   /** True if the store holds what was wanted at the call. */
@@ -77,7 +77,7 @@
         backoff = FIRST_BACKOFF_MS
         continue
       }
-      await wait(backoff * (0.5 + draw()))
+      await awaitPause(backoff * (0.5 + draw()))
       backoff = Math.min(MAX_BACKOFF_MS, backoff * 2)
     }
     isWriting = false
@@ -91,7 +91,7 @@
     },
     flush: async (limitMs) => {
       const endsAt = clock.now() + limitMs
-      while (!isSettled() && clock.now() < endsAt) await wait(FLUSH_POLL_MS)
+      while (!isSettled() && clock.now() < endsAt) await awaitPause(FLUSH_POLL_MS)
     }
   }
 }
--- a/packages/node/src/rows/createMeshView.ts
+++ b/packages/node/src/rows/createMeshView.ts
@@ -1,5 +1,6 @@
 import {
-  hostRecordSchema, releaseSchema, type HostRecord, type MeshConfiguration, type MeshService, type Release, type RolloutOrder
+  hostRecordSchema, releaseSchema, type HostRecord, type MeshConfiguration, type MeshService, type Release,
+  type RolloutOrder
 } from '@snipenotch/contracts'
 import { isVersionAllowed, type ReplicaRow } from '@snipenotch/decisions'
 import { decodeConfiguration, decodeRolloutOrder, OPERATOR_TABLE, parseOperatorKey } from '@snipenotch/platform'
@@ -106,7 +107,7 @@
     log('releaseChanged', { service: name, release, row: row.version })
   }
 
-  function indexHosts (): void {
+  function buildHostIndex (): void {
     serving = new Map()
     servedVersions = new Map()
     for (const record of hosts.values()) {
@@ -127,7 +128,7 @@
         if (row.table === OPERATOR_TABLE) applyOperatorRow(row)
         else applyMeshRow(row)
       }
-      indexHosts()
+      buildHostIndex()
       onChange()
     },
     getConfiguration: () => configuration,
--- a/packages/node/src/rows/createPeerRows.ts
+++ b/packages/node/src/rows/createPeerRows.ts
@@ -73,7 +73,7 @@
     return address === undefined ? undefined : { address, reason: 'store does not answer' }
   }
 
-  function tick (): void {
+  function checkPeers (): void {
     if (isFetching) return
     const chosen = chooseAddress()
     if (chosen === undefined) return
@@ -89,7 +89,7 @@
       } else ahead ??= { host, since: clock.now() }
     },
     getVersions,
-    start: () => { timer = setInterval(tick, PERIOD_MS) },
+    start: () => { timer = setInterval(checkPeers, PERIOD_MS) },
     close: () => {
       clearInterval(timer)
       agent.destroy()
--- a/packages/node/src/rows/createRowFollower.ts
+++ b/packages/node/src/rows/createRowFollower.ts
@@ -33,12 +33,12 @@
 export function createRowFollower ({ context, store, replica, table, onRows }: RowFollowerOptions): RowFollower {
   const { clock, log, counters, draw } = context
   let cursor: number | undefined
-  let isStopped = false
+  const stopping = new AbortController()
   let isConnected = false
   let storeOffset: number | undefined
   let backoff = FIRST_BACKOFF_MS
 
-  const wait = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
+  const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
 
   function recordFailure (error: StoreError): void {
     counters.count('store_calls', 'unavailable')
@@ -73,16 +73,16 @@
     recordSuccess(answer.value)
     onRows(replica.merge(answer.value.rows))
     cursor = Math.max(after, answer.value.version)
-    if (answer.value.rows.length > 0) await wait(BATCH_PAUSE_MS)
+    if (answer.value.rows.length > 0) await awaitPause(BATCH_PAUSE_MS)
     return answer
   }
 
   async function run (): Promise<void> {
-    while (!isStopped) {
+    while (!stopping.signal.aborted) {
       const answer = cursor === undefined ? await readWhole() : await readChanges(cursor)
       if (answer.isOk() || answer.error.kind === 'history-lost') continue
       recordFailure(answer.error)
-      await wait(backoff * (0.5 + draw()))
+      await awaitPause(backoff * (0.5 + draw()))
       backoff = Math.min(MAX_BACKOFF_MS, backoff * 2)
     }
   }
@@ -91,7 +91,7 @@
     start: () => {
       run().catch((error: unknown) => { log('internalError', { error: String(error) }) })
     },
-    stop: () => { isStopped = true },
+    stop: () => { stopping.abort() },
     isConnected: () => isConnected,
     getStoreTime: () => storeOffset === undefined ? undefined : clock.now() + storeOffset
   }
