fix(node): do not take a reset answer without length as complete

Ruled out: the hop between nodes, which always has a length; Node's own error event, which does not come in this case. Change: such an answer counts as whole only if its connection still has a peer when it ends.

--- a/packages/node/src/home/createBackendCaller.ts
+++ b/packages/node/src/home/createBackendCaller.ts
@@ -2,6 +2,7 @@
 import { GuardedAgent, selectHeaders } from '@snipenotch/daemon'
 import { HEADERS } from '@snipenotch/platform'
 import { request, type IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
 import type { NodeContext } from '../NodeContext.js'
 import { isMeshHeader } from '../peers/peerHeaders.js'
 import type { HomeJob } from './HomeJob.js'
@@ -60,6 +61,20 @@
   return undefined
 }
 
+/**
+ * Tells a connection that its peer closed from one that was reset: libuv reports both as an end when bytes came just
+ * before, but only the former still has a peer. The peer's address must not have been read earlier, as Node keeps it.
+ */
+function isStillConnected (socket: Socket): boolean {
+  return socket.remoteAddress !== undefined
+}
+
+/** The answer's own framing tells where it ends, not the end of its connection. */
+function isFramed ({ headers, statusCode }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined ||
+    statusCode === 204 || statusCode === 304
+}
+
 /** Creates the caller of the backend server at the address in the settings. */
 export function createBackendCaller ({ settings, counters }: NodeContext): BackendCaller {
   const agent = new GuardedAgent(MAX_CONNECTIONS, IDLE_LIMIT_MS)
@@ -114,10 +129,12 @@
         return
       }
       const chunks: Buffer[] = []
+      let isEndedCleanly = false
+      incoming.socket.prependOnceListener('end', () => { isEndedCleanly = isStillConnected(incoming.socket) })
       incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
       incoming.on('error', (error) => { end({ kind: 'lost', reason: 'answer-truncated', detail: error.message }) })
       incoming.on('end', () => {
-        if (!incoming.complete) {
+        if (!incoming.complete || !(isFramed(incoming) || isEndedCleanly)) {
           end({ kind: 'lost', reason: 'answer-truncated', detail: 'connection ended early' })
           return
         }
--- /dev/null
+++ b/packages/node/tests/createTestContext.ts
@@ -0,0 +1,42 @@
+import { createSystemClock, type NodeSettings } from '@snipenotch/contracts'
+import { createCounters, type EventLog } from '@snipenotch/daemon'
+import type { NodeContext } from '../src/NodeContext.js'
+
+const address = (port: number): NodeSettings['backend'] => ({ host: '127.0.0.1', port })
+
+/** Settings of a test node; ports are for tests that listen on them. */
+export function createTestSettings (given: Partial<NodeSettings> = {}): NodeSettings {
+  return {
+    host: 'krakow-1',
+    dataCentre: 'krakow',
+    service: 'clocks',
+    backend: address(1),
+    callers: address(1),
+    requests: address(1),
+    readiness: address(1),
+    reports: address(1),
+    peers: address(1),
+    metrics: address(1),
+    seeds: [],
+    store: address(1),
+    reportIntervalMs: 1500,
+    drainMs: 2000,
+    gracePeriodMs: 6000,
+    retryRatio: 0.2,
+    retrySlack: 60,
+    retryWindowMs: 10_000,
+    memoryMb: 350,
+    ...given
+  }
+}
+
+export interface TestContext extends NodeContext {
+  /** Events logged so far, with their fields. */
+  readonly events: Array<{ readonly name: string, readonly fields: Readonly<Record<string, unknown>> }>
+}
+
+export function createTestContext (given: Partial<NodeSettings> = {}): TestContext {
+  const events: TestContext['events'] = []
+  const log: EventLog = (name, fields = {}) => { events.push({ name, fields }) }
+  return { settings: createTestSettings(given), clock: createSystemClock(), counters: createCounters(), draw: () => 0.5, log, events }
+}
--- /dev/null
+++ b/packages/node/tests/home/createBackendCaller.test.ts
@@ -0,0 +1,133 @@
+import { toMilliseconds } from '@snipenotch/contracts'
+import { expect } from 'chai'
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { type BackendCaller, type BackendResult, createBackendCaller } from '../../src/home/createBackendCaller.js'
+import type { HomeJob } from '../../src/home/HomeJob.js'
+import { createTestContext } from '../createTestContext.js'
+
+const job = (attemptId: string, given: Partial<HomeJob> = {}): HomeJob => ({
+  attemptId,
+  service: 'clocks',
+  route: 'r',
+  priority: 1,
+  idempotent: true,
+  method: 'GET',
+  target: '/clocks/1',
+  headers: ['Host', 'a.example', 'Snipenotch-Attempt-Id', attemptId],
+  body: Buffer.alloc(0),
+  arrivedAt: toMilliseconds(0),
+  targetAt: toMilliseconds(0),
+  endAt: toMilliseconds(0),
+  targetLatencyMs: 200,
+  ...given
+})
+
+const head = (attemptId: string, more: string): string =>
+  `HTTP/1.1 200 OK\r\nSnipenotch-Attempt-Id: ${attemptId}\r\nSnipenotch-Response-Signature: s\r\n${more}\r\n`
+
+describe('createBackendCaller', () => {
+  let server: Server
+  let caller: BackendCaller
+  let connections: number
+  let handle: (socket: Socket, text: string) => void
+
+  beforeEach(async () => {
+    connections = 0
+    server = createServer((socket) => {
+      connections += 1
+      socket.on('error', () => undefined)
+      socket.on('data', (data) => { handle(socket, data.toString()) })
+    })
+    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+    const { port } = server.address() as AddressInfo
+    caller = createBackendCaller(createTestContext({ backend: { host: '127.0.0.1', port } }))
+  })
+  afterEach(() => {
+    caller.close()
+    server.close()
+  })
+
+  const call = (given: HomeJob): Promise<BackendResult> =>
+    new Promise((resolve) => { caller.call(given, 'i-1', 500, resolve) })
+
+  it('sends the instance and the remaining time, and returns the answer whole', async () => {
+    let seen = ''
+    handle = (socket, text) => {
+      seen = text
+      socket.write(head('a', 'Content-Length: 2\r\nX-Own: 1\r\n') + 'ok')
+    }
+    const result = await call(job('a'))
+    expect(seen.toLowerCase()).to.include('snipenotch-target-instance: i-1').and.include('snipenotch-deadline-remaining: 500')
+    expect(result).to.include({ kind: 'answered', status: 200, notRun: false })
+    expect(result.kind === 'answered' && result.body.toString()).to.equal('ok')
+  })
+
+  it('takes an answer without length as whole when its connection ends cleanly', async () => {
+    handle = (socket) => { socket.end(head('a', '') + 'whole') }
+    const result = await call(job('a'))
+    expect(result.kind === 'answered' && result.body.toString()).to.equal('whole')
+  })
+
+  const cuts: Array<[string, (socket: Socket) => void]> = [
+    ['an answer without length whose connection is reset', (socket) => {
+      socket.write(head('a', '') + 'part', () => { setTimeout(() => { socket.resetAndDestroy() }, 20) })
+    }],
+    ['an answer without length that is reset with its last bytes', (socket) => {
+      socket.write(head('a', '') + 'part', () => { socket.resetAndDestroy() })
+    }],
+    ['an answer shorter than its length', (socket) => { socket.end(head('a', 'Content-Length: 9\r\n') + 'part') }],
+    ['an answer that breaks off between chunks', (socket) => {
+      socket.end(head('a', 'Transfer-Encoding: chunked\r\n') + '4\r\npart\r\n')
+    }]
+  ]
+  for (const [title, cut] of cuts) {
+    it(`reports ${title} as lost (guards against a part that looks complete)`, async () => {
+      handle = cut
+      expect(await call(job('a'))).to.include({ kind: 'lost' })
+    })
+  }
+
+  const faulty: Array<[string, string, string]> = [
+    ['the answer of another request', head('b', 'Content-Length: 2\r\n') + 'ok', 'answer-mismatched'],
+    ['an encoded answer', head('a', 'Content-Encoding: gzip\r\nContent-Length: 2\r\n') + 'ok', 'answer-mismatched'],
+    ['a success without signature', 'HTTP/1.1 200 OK\r\nSnipenotch-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n', 'answer-unsigned'],
+    ['bytes that are no answer', 'garbage\r\n\r\n', 'connection-lost']
+  ]
+  for (const [title, text, reason] of faulty) {
+    it(`rejects ${title}`, async () => {
+      handle = (socket) => { socket.write(text) }
+      expect(await call(job('a'))).to.include({ kind: 'lost', reason })
+    })
+  }
+
+  it('drops a connection on which bytes arrive behind an answer (guards against a late answer taken for the next)', async () => {
+    handle = (socket, text) => {
+      const id = /attempt-id: (\w+)/i.exec(text)?.[1] ?? ''
+      socket.write(head(id, 'Content-Length: 2\r\n') + 'ok')
+      if (id === 'a') setTimeout(() => { socket.write(head('a', 'Content-Length: 2\r\n') + 'no') }, 10)
+    }
+    await call(job('a'))
+    await new Promise((resolve) => { setTimeout(resolve, 40) })
+    expect(await call(job('b'))).to.include({ kind: 'answered' })
+    expect(connections).to.equal(2)
+  })
+
+  it('does not send another request on a connection whose long body is not read yet (guards against smuggled bytes)', async () => {
+    const received: string[] = []
+    handle = (socket, text) => {
+      received.push(text)
+      const id = /attempt-id: (\w+)/i.exec(text)?.[1]
+      if (id === 'a') socket.pause()
+      if (id !== undefined) socket.write(head(id, 'Content-Length: 2\r\n') + 'ok')
+    }
+    const body = Buffer.alloc(4_000_000, 'x')
+    await call(job('a', { method: 'POST', body }))
+    await call(job('b'))
+    expect(connections).to.equal(2)
+  })
+
+  it('reports a refused connection as not run', async () => {
+    await new Promise((resolve) => { server.close(resolve) })
+    expect(await call(job('a'))).to.include({ kind: 'unreachable' })
+  })
+})
