--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -31,8 +31,8 @@
 
 /** Time for which callers may still open connections after the stop signal, in milliseconds: two missed questions. */
 const LINGER_MS = 2300
-/** Part of the grace period after which open requests are no longer awaited. */
-const STOP_LIMIT_SHARE = 0.9
+/** Part of the grace period after which open requests are no longer awaited; the rest covers the end of the process. */
+const STOP_LIMIT_SHARE = 0.8
 /** Time between two looks at whether all requests have ended, in milliseconds. */
 const STOP_POLL_MS = 25
 /** Time for removing the record of a host whose backend server has left, in milliseconds. */
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -20,6 +20,8 @@
   'version-cut': 500,
   evacuated: 500
 }
+/** Wait named to a caller whose service has no host that takes requests, in milliseconds: part of a report interval. */
+const NO_HOST_WAIT_MS = 400
 /** Time that must be left for another try, as a share of the route's target latency. */
 const MIN_RESEND_SHARE = 0.3
 
@@ -116,7 +118,7 @@
     }
 
     function refuse (): void {
-      end({ kind: 'refused', reason: lastRefusal, waitMs: Number.isFinite(waitMs) ? waitMs : 0 }, undefined)
+      end({ kind: 'refused', reason: lastRefusal, waitMs: Number.isFinite(waitMs) ? waitMs : NO_HOST_WAIT_MS }, undefined)
     }
 
     /**
