fix(node): refuse at once without a host; no listener left on kept connections; shorter blind times

Cause: a test over two nodes showed that a request without any host was refused before its timer existed; the exception left the caller waiting to its end. A restarted node waited for the next status report. A stopping node refused its backend server's work for all of its last seconds. Ruled out: the queue of the home node as the holder of those requests (its expiry test passes). Change: the timer is set after the start; only answers without length are watched; signs of life each 80 ms, silence after 320 ms, and a host that speaks on other connections is not taken out; one health probe resumes the backend server on record; work goes on for 1.7 s after the stop signal; a cold server gets 1.25 of its stated rate, within the bound of 1.5.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -77,6 +77,7 @@
   evacuationsChanged: { number: 818, level: 'warn', text: 'evacuated data centres changed' },
   releaseChanged: { number: 819, level: 'info', text: 'release of a service changed' },
   versionCutOff: { number: 820, level: 'warn', text: 'version under rollout fails here; it gets no more requests' },
+  instanceResumed: { number: 822, level: 'info', text: 'backend server probed after the start of this process' },
   linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
 
--- a/packages/contracts/src/mesh/meshConfigurationSchema.ts
+++ b/packages/contracts/src/mesh/meshConfigurationSchema.ts
@@ -28,6 +28,8 @@
 /** What holds for every backend server of one service. */
 export const meshServiceSchema = z.object({
   name: z.string(),
+  /** Path at which a backend server tells whether it is healthy. */
+  healthPath: z.string(),
   /** Connections that a backend server accepts from all callers together. */
   maxConnections: z.number().positive(),
   /** Requests a second that a cold backend server bears. */
--- a/packages/decisions/src/serving/createInstanceState.ts
+++ b/packages/decisions/src/serving/createInstanceState.ts
@@ -18,8 +18,11 @@
   readonly applyLeave: (instance: string, startedAt: number, now: Milliseconds) => boolean
   /** Notes that the backend server refuses connections: nothing may be sent until a report arrives. */
   readonly markDown: (now: Milliseconds) => void
-  /** Continues from what an earlier process of this node published; it takes no requests until a report arrives. */
-  readonly restore: (run: InstanceRun) => void
+  /**
+   * Continues with the run that an earlier process of this node published, after a health probe has confirmed it. False
+   * if a report has arrived meanwhile.
+   */
+  readonly resume: (run: InstanceRun, coldMs: number, now: Milliseconds) => boolean
   readonly getRun: () => InstanceRun | undefined
   /** The backend server may take requests, as far as its own reports tell. */
   readonly isServing: () => boolean
@@ -66,7 +69,13 @@
       return true
     },
     markDown: () => { isFresh = false },
-    restore: (earlier) => { run ??= earlier },
+    resume: (earlier, coldMs, now) => {
+      if (run !== undefined) return false
+      run = earlier
+      isFresh = true
+      coldUntil = addMilliseconds(now, coldMs)
+      return true
+    },
     getRun: () => run,
     isServing: () => isFresh && run?.state === 'serving',
     isDown: () => run !== undefined && !isFresh,
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -10,6 +10,7 @@
 import { createBackendCaller } from './home/createBackendCaller.js'
 import { createHome } from './home/createHome.js'
 import { createHomeServer } from './home/createHomeServer.js'
+import { probeInstance } from './home/probeInstance.js'
 import type { NodeContext } from './NodeContext.js'
 import { createReportServer } from './operations/createReportServer.js'
 import { createRolloutKeeper } from './operations/createRolloutKeeper.js'
@@ -31,6 +32,8 @@
 
 /** Time for which callers may still open connections after the stop signal, in milliseconds: two missed questions. */
 const LINGER_MS = 2300
+/** Time for which the backend server still gets requests after the stop signal, in milliseconds; they end in the rest. */
+const HOME_LINGER_MS = 1700
 /** Part of the grace period after which open requests are no longer awaited; the rest covers the end of the process. */
 const STOP_LIMIT_SHARE = 0.8
 /** Time between two looks at whether all requests have ended, in milliseconds. */
@@ -56,6 +59,7 @@
   const view = createMeshView(context, () => {
     entry.updateLimits()
     home.update()
+    resumeInstance().catch((error: unknown) => { log('internalError', { error: String(error) }) })
   })
   const applyRows = (rows: readonly ReplicaRow[]): void => { view.apply(rows) }
   const recorder = createHostRecorder({ context, store, replica, onRows: applyRows })
@@ -101,6 +105,22 @@
     response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(counters.format())
   })
   let isStopping = false
+  let isProbed = false
+
+  /** A restarted node need not wait for a report if the backend server on record still answers. */
+  async function resumeInstance (): Promise<void> {
+    const record = view.getHost(settings.host)
+    const path = view.getService(settings.service)?.healthPath
+    if (isProbed || record === undefined || path === undefined || instance.getRun() !== undefined) return
+    isProbed = true
+    if (!record.serving || record.service !== settings.service) return
+    const probed = await probeInstance(settings.backend, path)
+    log('instanceResumed', { ...probed, expected: record.instance })
+    if (probed?.instance !== record.instance) return
+    const { startedAt, sequence, version, slots } = record
+    const run = { instance: record.instance, startedAt, sequence, version, slots, state: 'serving' } as const
+    if (instance.resume(run, probed.coldMs, clock.now())) home.update()
+  }
 
   /** Publishes what other nodes need to know of the backend server, if it has changed. */
   function updateRecord (): void {
@@ -149,12 +169,13 @@
       isStopping = true
       const stoppedAt = clock.now()
       log('daemonStopping', { open: entry.countOpen(), running: home.countRunning() })
-      home.stop()
-      home.update()
       entry.stop()
       keeper.stop()
       if (instance.getLeavingSince() !== undefined) recorder.set(undefined)
       const limitAt = stoppedAt + settings.gracePeriodMs * STOP_LIMIT_SHARE
+      await awaitEnd(() => false, Math.min(limitAt, stoppedAt + HOME_LINGER_MS))
+      home.stop()
+      home.update()
       await awaitEnd(() => false, Math.min(limitAt, stoppedAt + LINGER_MS))
       entry.server.close()
       entry.server.closeIdleConnections()
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -152,6 +152,8 @@
     const service = picker.pick(route)
     budgets.recordFirst(service)
     let isDone = false
+    // A request without any host is refused before `start` returns.
+    let timer: NodeJS.Timeout | undefined
     const exchange = start({
       route,
       service,
@@ -168,7 +170,8 @@
       clearTimeout(timer)
       handleResult(arrival, route, result)
     })
-    const timer = setTimeout(() => {
+    if (isDone) return
+    timer = setTimeout(() => {
       if (isDone) return
       isDone = true
       exchange.cancel()
--- a/packages/node/src/entry/createHomeClient.ts
+++ b/packages/node/src/entry/createHomeClient.ts
@@ -20,7 +20,7 @@
 const CONNECT_TIMEOUT_MS = 400
 /** Silence on a request after which its host counts as lost, in milliseconds: several missed signs of life. */
 const SILENCE_LIMIT_MS = PROGRESS_INTERVAL_MS * 4
-const SILENCE_CHECK_MS = 100
+const SILENCE_CHECK_MS = 40
 /** Connections to one host: the waiting and running requests of one sender, with room for a burst. */
 const MAX_CONNECTIONS_PER_HOST = 96
 
@@ -37,6 +37,7 @@
 ): HomeClient {
   const agent = new GuardedAgent(MAX_CONNECTIONS_PER_HOST)
   const open = new Set<Exchange>()
+  const lastHeardAt = new Map<string, number>()
 
   function toAnswer (job: HomeJob, incoming: IncomingMessage, body: Buffer): HomeOutcome {
     const { load } = decodePeerState(incoming.headers)
@@ -67,7 +68,9 @@
       host: record.host,
       heardAt: clock.now(),
       onSilence: () => {
-        health.markDown(record.host, 'silent while a request was open')
+        // A host that speaks on other connections has lost only this one.
+        const heardAt = lastHeardAt.get(record.host) ?? 0
+        if (heardAt < clock.now() - SILENCE_LIMIT_MS) health.markDown(record.host, 'silent while a request was open')
         // The answer to a request that must run at most once may still come.
         if (!job.idempotent) return
         end({ kind: 'lost', reason: 'host-silent' })
@@ -114,13 +117,17 @@
         clearTimeout(connectTimer)
       })
     })
-    outgoing.on('information', () => { exchange.heardAt = clock.now() })
+    function recordHeard (): void {
+      exchange.heardAt = clock.now()
+      lastHeardAt.set(record.host, exchange.heardAt)
+    }
+    outgoing.on('information', recordHeard)
     outgoing.on('error', (error) => { fail(error.message) })
     outgoing.on('response', (incoming) => {
       const chunks: Buffer[] = []
-      exchange.heardAt = clock.now()
+      recordHeard()
       incoming.on('data', (chunk: Buffer) => {
-        exchange.heardAt = clock.now()
+        recordHeard()
         chunks.push(chunk)
       })
       incoming.on('error', () => { end({ kind: 'lost', reason: 'answer-truncated' }) })
--- a/packages/node/src/home/createBackendCaller.ts
+++ b/packages/node/src/home/createBackendCaller.ts
@@ -129,12 +129,13 @@
         return
       }
       const chunks: Buffer[] = []
-      let isEndedCleanly = false
-      incoming.socket.prependOnceListener('end', () => { isEndedCleanly = isStillConnected(incoming.socket) })
+      const { socket } = incoming
+      let isWhole = isFramed(incoming)
+      if (!isWhole) socket.prependOnceListener('end', () => { isWhole = isStillConnected(socket) })
       incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
       incoming.on('error', (error) => { end({ kind: 'lost', reason: 'answer-truncated', detail: error.message }) })
       incoming.on('end', () => {
-        if (!incoming.complete || !(isFramed(incoming) || isEndedCleanly)) {
+        if (!incoming.complete || !isWhole) {
           end({ kind: 'lost', reason: 'answer-truncated', detail: 'connection ended early' })
           return
         }
--- a/packages/node/src/home/createHome.ts
+++ b/packages/node/src/home/createHome.ts
@@ -22,6 +22,8 @@
 
 /** Part of the time between the acknowledgement of a leave and its bound in which waiting requests may still start. */
 const DRAIN_START_SHARE = 0.6
+/** Part of the stated rate that a cold backend server gets; it bears half as much again for a second. */
+const COLD_RATE_SHARE = 1.25
 /** Weight of a new answer in the share of failures. */
 const FAILURE_WEIGHT = 0.08
 /** Identifiers remembered so that a request that must run at most once is never sent twice. */
@@ -90,7 +92,9 @@
     const mayFinishQueue = closed === 'stopping' || closed === 'evacuated' || isLeavingSlowly
     return {
       slots: instance.getRun()?.slots ?? 1,
-      coldPerSecond: isCold && coldPerSecond !== undefined && coldPerSecond > 0 ? Math.floor(coldPerSecond) : undefined,
+      coldPerSecond: isCold && coldPerSecond !== undefined && coldPerSecond > 0
+        ? Math.floor(coldPerSecond * COLD_RATE_SHARE)
+        : undefined,
       closed,
       mayStart: closed === undefined || mayFinishQueue
     }
--- a/packages/node/src/home/createHomeServer.ts
+++ b/packages/node/src/home/createHomeServer.ts
@@ -7,7 +7,7 @@
 import type { HomeJob, HomeOutcome } from './HomeJob.js'
 
 /** Time between two signs of life on a request that is still waiting or running, in milliseconds. */
-export const PROGRESS_INTERVAL_MS = 150
+export const PROGRESS_INTERVAL_MS = 80
 
 /** Takes requests of other nodes for the backend server beside this one. */
 export interface HomeServer {
@@ -74,7 +74,7 @@
       open.set(response, now)
       response.writeProcessing()
     }
-  }, PROGRESS_INTERVAL_MS / 3)
+  }, PROGRESS_INTERVAL_MS / 2)
 
   return {
     server,
--- /dev/null
+++ b/packages/node/tests/createNode.test.ts
@@ -0,0 +1,136 @@
+import { expect } from 'chai'
+import { Agent } from 'node:http'
+import { answerSigned, awaitCondition, composeConfiguration, send, startTestMesh, type TestHost, type TestMesh } from './startTestMesh.js'
+
+describe('createNode', () => {
+  let mesh: TestMesh
+  let entry: TestHost
+  let home: TestHost
+
+  async function awaitServed (path = '/parts/1'): Promise<void> {
+    await awaitCondition(`${path} is served`, async () => (await send(entry.settings.callers.port, path)).status === 200)
+  }
+
+  beforeEach(async () => {
+    mesh = await startTestMesh()
+    entry = await mesh.startHost('krakow-1', 'clocks')
+    home = await mesh.startHost('krakow-2', 'parts')
+    await mesh.putOperatorRow('config', composeConfiguration(1, ['clocks', 'parts']))
+    await entry.report()
+    await home.report()
+    await awaitServed()
+    home.backend.seen.length = 0
+  })
+  afterEach(() => mesh.close())
+
+  it('carries a request to the backend server of another host and returns its answer unchanged', async () => {
+    home.backend.handle = (incoming, response) => { answerSigned(incoming, response, 'made here', 201) }
+    const headers = { 'snipenotch-caller-service': 'forged', 'x-own': 'kept' }
+    const answer = await send(entry.settings.callers.port, '/parts/1?a=b', headers, { method: 'POST', body: 'payload' })
+    expect(answer).to.include({ status: 201, body: 'made here' })
+    expect(answer.headers).to.include({ 'snipenotch-response-signature': 'signed', 'snipenotch-attempt-id': 'id-1' })
+    const seen = home.backend.seen[0]
+    expect(seen).to.include({ method: 'POST', url: '/parts/1?a=b', body: 'payload' })
+    expect(seen?.headers).to.include({
+      'snipenotch-caller-service': 'clocks', 'snipenotch-target-instance': 'i-krakow-2', 'x-own': 'kept', host: 'a.example'
+    })
+    expect(Number(seen?.headers['snipenotch-deadline-remaining'])).to.be.within(1000, 1500)
+    expect(Object.keys(seen?.headers ?? {}).filter((name) => name.startsWith('sn-'))).to.be.empty
+  })
+
+  it('answers 404 without a route and 200 to the readiness question', async () => {
+    expect((await send(entry.settings.callers.port, '/other/1')).status).to.equal(404)
+    expect((await send(entry.settings.readiness.port, '/readiness')).status).to.equal(200)
+  })
+
+  it('sends nothing to a server that reports that it leaves (guards against work for a server that ends)', async () => {
+    expect(await home.report({ state: 'draining' })).to.equal(200)
+    const answer = await send(entry.settings.callers.port, '/parts/1')
+    expect(answer.status).to.equal(503)
+    expect(Number(answer.headers['retry-after'])).to.be.greaterThan(0)
+    expect(home.backend.seen).to.be.empty
+  })
+
+  it('keeps to a leave with the store down (guards against a rule that needs the store)', async () => {
+    mesh.store.fault = 'refuse'
+    await home.report({ state: 'draining' })
+    expect((await send(entry.settings.callers.port, '/parts/1')).status).to.equal(503)
+    expect(home.backend.seen).to.be.empty
+  })
+
+  it('does not acknowledge a report from another address or service (guards against a forged server)', async () => {
+    const forged = JSON.stringify({
+      address: '127.0.0.1:9', information: { service: 'parts', version: 'v1', zone: 'krakow', slots: 4 }, status: { state: 'ready', sequence: 9 }
+    })
+    const path = '/rpc?call=instances.heartbeat&of=i-forged'
+    expect((await send(home.settings.reports.port, path, {}, { method: 'POST', body: forged })).status).to.equal(400)
+    expect((await send(entry.settings.callers.port, '/parts/1')).body).to.equal('krakow-2')
+  })
+
+  it('sends nothing to an evacuated data centre until it is taken back', async () => {
+    await mesh.putOperatorRow('evacuate/krakow', {})
+    await awaitCondition('it is refused', async () => (await send(entry.settings.callers.port, '/parts/1')).status === 503)
+    home.backend.seen.length = 0
+    await send(entry.settings.callers.port, '/parts/1')
+    expect(home.backend.seen).to.be.empty
+    await mesh.putOperatorRow('evacuate/krakow', undefined)
+    await awaitServed()
+  })
+
+  it('sends a failed lookup to a second server and a failed order to none (guards against an order that runs twice)', async () => {
+    const second = await mesh.startHost('krakow-3', 'parts')
+    await second.report()
+    await mesh.putOperatorRow('config', composeConfiguration(2, ['clocks', 'parts'], { kind: 'unsafe' }))
+    await awaitCondition('the version is in force', () => [entry, home, second].every(({ context }) =>
+      context.events.some(({ name, fields }) => name === 'configurationApplied' && fields.version === 2)))
+    await awaitCondition('both hosts are known', () => [home, second].every(({ context }) =>
+      context.events.some(({ name }) => name === 'recordWritten')))
+    for (const { backend } of [home, second]) {
+      backend.seen.length = 0
+      backend.handle = (incoming) => { incoming.socket.destroy() }
+    }
+    const order = await send(entry.settings.callers.port, '/parts/1', {}, { method: 'POST', body: 'order' })
+    expect(order.status).to.equal(502)
+    expect(home.backend.seen.length + second.backend.seen.length).to.equal(1)
+  })
+
+  it('answers 504 at the route\'s timeout while the backend server still works (guards against a caller that is held)', async () => {
+    home.backend.handle = () => undefined
+    await mesh.putOperatorRow('config', composeConfiguration(2, ['clocks', 'parts'], { 'timeout-ms': 200 }))
+    await awaitCondition('the version is in force', async () => (await send(entry.settings.callers.port, '/parts/1')).status === 504)
+  })
+
+  it('ends the work of a lookup whose caller has left (guards against work for nobody)', async () => {
+    let ended = false
+    home.backend.handle = (incoming) => { incoming.socket.on('close', () => { ended = true }) }
+    const agent = new Agent()
+    const answer = send(entry.settings.callers.port, '/parts/1', {}, { agent }).catch((error: unknown) => error)
+    await awaitCondition('the request runs', () => home.backend.seen.length === 1)
+    agent.destroy()
+    expect(await answer).to.be.instanceOf(Error)
+    await awaitCondition('the connection to the backend server is closed', () => ended)
+  })
+
+  it('refuses at once when no host takes requests (guards against a caller that is held for nothing)', async () => {
+    await home.report({ state: 'draining' })
+    await awaitCondition('the host is known to leave', () =>
+      home.context.events.filter(({ name }) => name === 'recordWritten').length === 2)
+    for (let index = 0; index < 3; index++) {
+      expect((await send(entry.settings.callers.port, '/parts/1')).status).to.equal(503)
+    }
+    expect(entry.context.events.filter(({ name }) => name === 'internalError')).to.be.empty
+  })
+
+  it('serves from peers\' rows when the store refuses it (guards against a partial outage that hides a version)', async () => {
+    mesh.store.fault = 'refuse'
+    expect((await send(entry.settings.callers.port, '/parts/1')).status).to.equal(200)
+  })
+
+  it('rejects a body above the limit and malformed requests between nodes', async () => {
+    const large = 'x'.repeat(100_001)
+    expect((await send(entry.settings.callers.port, '/parts/1', {}, { method: 'POST', body: large })).status).to.equal(413)
+    expect((await send(home.settings.requests.port, '/parts/1', { 'sn-job': 'parts,%,1' })).status).to.equal(400)
+    expect((await send(home.settings.requests.port, '/parts/1')).status).to.equal(400)
+    expect(home.backend.seen).to.be.empty
+  })
+})
--- /dev/null
+++ b/packages/node/tests/startTestMesh.ts
@@ -0,0 +1,198 @@
+import type { NodeSettings } from '@snipenotch/contracts'
+import { createStoreClient, type StoreClient } from '@snipenotch/platform'
+import { Agent, createServer, request, type IncomingHttpHeaders, type IncomingMessage, type ServerResponse } from 'node:http'
+import { type AddressInfo, createServer as createTcpServer } from 'node:net'
+import { type StoreStandIn, startStoreStandIn } from '../../../platform/tests/createStoreStandIn.js'
+import { createNode, type MeshNode } from '../src/createNode.js'
+import { createTestContext, type TestContext } from './createTestContext.js'
+
+/** A backend server of a test: it answers with its name unless `handle` is replaced. */
+export interface TestBackend {
+  readonly port: number
+  readonly seen: Array<{ readonly method: string, readonly url: string, readonly headers: IncomingHttpHeaders, readonly body: string }>
+  handle: (incoming: IncomingMessage, response: ServerResponse) => void
+  readonly close: () => void
+}
+
+export interface TestHost {
+  readonly settings: NodeSettings
+  readonly context: TestContext
+  readonly node: MeshNode
+  readonly backend: TestBackend
+  /** Sends a status report of the backend server; returns the status of the answer. */
+  readonly report: (given?: ReportOptions) => Promise<number>
+}
+
+export interface ReportOptions {
+  readonly state?: 'ready' | 'draining'
+  readonly coldMs?: number
+  readonly version?: string
+  readonly instance?: string
+}
+
+export interface TestAnswer { readonly status: number, readonly headers: IncomingHttpHeaders, readonly body: string }
+
+export interface TestMesh {
+  readonly store: StoreStandIn
+  readonly client: StoreClient
+  readonly startHost: (host: string, service: string, dataCentre?: string) => Promise<TestHost>
+  readonly putOperatorRow: (key: string, value: object | undefined) => Promise<void>
+  readonly close: () => Promise<void>
+}
+
+async function findFreePort (): Promise<number> {
+  const server = createTcpServer()
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as AddressInfo
+  await new Promise((resolve) => { server.close(resolve) })
+  return port
+}
+
+/** Answers a request as a backend server does, with the id echoed and a signature. */
+export function answerSigned (incoming: IncomingMessage, response: ServerResponse, body: string, status = 200): void {
+  response.writeHead(status, {
+    'Snipenotch-Attempt-Id': incoming.headers['snipenotch-attempt-id'] ?? '',
+    'Snipenotch-Response-Signature': 'signed',
+    'Content-Length': Buffer.byteLength(body)
+  }).end(body)
+}
+
+async function startBackend (name: string): Promise<TestBackend> {
+  const seen: TestBackend['seen'] = []
+  const server = createServer((incoming, response) => {
+    const chunks: Buffer[] = []
+    incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
+    incoming.on('end', () => {
+      const { method = '', url = '', headers } = incoming
+      if (url === '/health') {
+        response.writeHead(200, { 'Snipenotch-Instance-Id': `i-${name}`, 'Content-Length': 0 }).end()
+        return
+      }
+      seen.push({ method, url, headers, body: Buffer.concat(chunks).toString() })
+      backend.handle(incoming, response)
+    })
+  })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const backend: TestBackend = {
+    port: (server.address() as AddressInfo).port,
+    seen,
+    handle: (incoming, response) => { answerSigned(incoming, response, name) },
+    close: () => {
+      server.closeAllConnections()
+      server.close()
+    }
+  }
+  return backend
+}
+
+/** Sends a request and returns its answer; fails if the connection ends without one. */
+export function send (
+  port: number, path: string, headers: Record<string, string> = {}, options: { method?: string, body?: string, agent?: Agent } = {}
+): Promise<TestAnswer> {
+  return new Promise((resolve, reject) => {
+    const { method = 'GET', body = '', agent } = options
+    const outgoing = request({
+      host: '127.0.0.1', port, path, method, ...(agent === undefined ? { agent: false } : { agent }),
+      headers: { host: 'a.example', 'snipenotch-attempt-id': 'id-1', 'snipenotch-deadline-remaining': '1500', ...headers }
+    }, (incoming) => {
+      const chunks: Buffer[] = []
+      incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
+      incoming.on('error', reject)
+      incoming.on('end', () => {
+        resolve({ status: incoming.statusCode ?? 0, headers: incoming.headers, body: Buffer.concat(chunks).toString() })
+      })
+    })
+    outgoing.on('error', reject)
+    outgoing.end(body)
+  })
+}
+
+/** Waits until `check` is true; fails after a generous limit. */
+export async function awaitCondition (title: string, check: () => boolean | Promise<boolean>): Promise<void> {
+  const endsAt = Date.now() + 15_000
+  while (!(await check())) {
+    if (Date.now() > endsAt) throw new Error(`timed out waiting until ${title}`)
+    await new Promise((resolve) => { setTimeout(resolve, 20) })
+  }
+}
+
+/** A configuration with one route for each service, below its name. */
+export function composeConfiguration (version: number, services: readonly string[], route: object = {}): object {
+  const routes = services.map((service) => ({
+    'resource-kind': 'routes',
+    metadata: { name: `r-${service}` },
+    specification: {
+      host: 'a.example', prefix: `/${service}/`, kind: 'safe', 'timeout-ms': 1500, 'target-latency-ms': 200, priority: 1,
+      'max-attempts': 2, service, ...route
+    }
+  }))
+  const kinds = services.map((service) => ({
+    'resource-kind': 'services',
+    metadata: { name: service },
+    specification: { 'health-check-path': '/health', 'max-connections': 100, 'cold-per-s': 20 }
+  }))
+  const limits = {
+    'resource-kind': 'limits',
+    metadata: {},
+    specification: { 'max-header-bytes': 16384, 'max-body-bytes': 100_000, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15000 }
+  }
+  return { version, resources: [...routes, ...kinds, limits] }
+}
+
+/** Starts a store; hosts join with `startHost`. */
+export async function startTestMesh (): Promise<TestMesh> {
+  const store = await startStoreStandIn()
+  const client = createStoreClient(store.address)
+  const hosts: TestHost[] = []
+  const versions = new Map<string, number>()
+
+  async function startHost (host: string, service: string, dataCentre = 'krakow'): Promise<TestHost> {
+    const backend = await startBackend(host)
+    const ports = await Promise.all(Array.from({ length: 6 }, findFreePort))
+    const [callers, requests, readiness, reports, peers, metrics] = ports.map((port) => ({ host: '127.0.0.1', port }))
+    if (callers === undefined || requests === undefined || readiness === undefined) throw new Error('no free ports')
+    if (reports === undefined || peers === undefined || metrics === undefined) throw new Error('no free ports')
+    const context = createTestContext({
+      host, service, dataCentre, callers, requests, readiness, reports, peers, metrics, store: store.address,
+      backend: { host: '127.0.0.1', port: backend.port },
+      gracePeriodMs: 100
+    })
+    const node = createNode(context)
+    await node.start()
+    let sequence = 0
+    const report = async ({ state = 'ready', coldMs = 0, version = 'v1', instance = `i-${host}` }: ReportOptions = {}): Promise<number> => {
+      sequence += 1
+      const body = JSON.stringify({
+        address: `127.0.0.1:${backend.port}`,
+        born: 1000,
+        information: { service, version, zone: dataCentre, slots: 4 },
+        status: { state, sequence, 'cold-remaining-ms': coldMs }
+      })
+      return (await send(reports.port, `/rpc?call=instances.heartbeat&of=${instance}`, {}, { method: 'POST', body })).status
+    }
+    const started = { settings: context.settings, context, node, backend, report }
+    hosts.push(started)
+    return started
+  }
+
+  return {
+    store,
+    client,
+    startHost,
+    putOperatorRow: async (key, value) => {
+      const condition = { table: 'op', key, version: versions.get(key) ?? 0 }
+      const written = value === undefined
+        ? await client.write([condition], [], [{ table: 'op', key }])
+        : await client.write([condition], [{ table: 'op', key, value: JSON.stringify(value) }])
+      const outcome = written.unwrap()
+      if (outcome.kind !== 'done') throw new Error(`row ${key}: ${JSON.stringify(outcome)}`)
+      versions.set(key, value === undefined ? 0 : outcome.version)
+    },
+    close: async () => {
+      client.close()
+      for (const { backend } of hosts) backend.close()
+      await Promise.all(hosts.map(({ node }) => node.stop()))
+      await store.close()
+    }
+  }
+}
