feat(decisions): queue no longer than a request can still meet its target

Ruled out: the order of the queue alone (late requests already gave way). Change: a request that can meet its target waits only while twice its average time is left before the target; one that cannot waits within its deadline as before. loadPatterns.test.ts replays seven loads against round robin with a queue without bound.

--- a/packages/decisions/src/serving/createHomeGate.ts
+++ b/packages/decisions/src/serving/createHomeGate.ts
@@ -67,6 +67,8 @@
 
 /** Share of the expected time that must be left for a request to start: half of all requests take less than average. */
 const MIN_TIME_LEFT_SHARE = 0.7
+/** Time at the backend server that a wait must leave before the target, as a share of the average: work times spread. */
+const TARGET_TIME_SHARE = 2
 /**
  * Part of the time until the deadline that a wait may be expected to take; the rest covers the spread of work times.
  */
@@ -92,6 +94,16 @@
     return left.targetAt < right.targetAt
   }
 
+  /**
+   * A request waits as long as it can then still meet its target: a longer queue would make all of them late and serve
+   * no more. One that cannot meet it even at once waits within its deadline.
+   */
+  function computeLongestWait (job: Job, now: Milliseconds): number {
+    const serviceMs = getServiceMs(job)
+    if (isAttainable(job, now)) return job.targetAt - now - serviceMs * TARGET_TIME_SHARE
+    return (job.endAt - now - serviceMs * MIN_TIME_LEFT_SHARE) * WAIT_SHARE_OF_TIME_LEFT
+  }
+
   function hasRoom (limits: GateLimits, now: Milliseconds): boolean {
     if (running >= limits.slots) return false
     return limits.coldPerSecond === undefined || sends.count(now) < limits.coldPerSecond
@@ -121,8 +133,7 @@
         return { kind: 'start' }
       }
       const waitMs = computeWait(job, limits, now)
-      const spare = job.endAt - now - getServiceMs(job) * MIN_TIME_LEFT_SHARE
-      if (waitMs > spare * WAIT_SHARE_OF_TIME_LEFT) return { kind: 'refuse', reason: 'busy', waitMs }
+      if (waitMs > computeLongestWait(job, now)) return { kind: 'refuse', reason: 'busy', waitMs }
       waiting.push(job)
       return { kind: 'wait' }
     },
--- /dev/null
+++ b/packages/decisions/tests/serving/loadPatterns.test.ts
@@ -0,0 +1,40 @@
+import { expect } from 'chai'
+import { replayDecisions, replayNaive, type ReplayLoad, type ReplayServer } from './replayLoad.js'
+
+const server = (host: string, given: Partial<ReplayServer> = {}): ReplayServer => ({ host, slots: 9, slowness: () => 1, ...given })
+const four = (given: (index: number) => Partial<ReplayServer> = () => ({})): ReplayServer[] =>
+  Array.from({ length: 4 }, (_, index) => server(`h${index}`, given(index)))
+
+/** Four servers of nine slots and 60 ms bear 600 a second. */
+const CALM: ReplayLoad = {
+  servers: four(), rate: () => 0.3, durationMs: 6000, workMs: 60, targetMs: 200, deadlineMs: 1200, seed: 11
+}
+
+const patterns: Array<[string, ReplayLoad]> = [
+  ['calm', CALM],
+  ['burst of twice what the servers bear', { ...CALM, rate: (now) => now > 2000 && now < 4000 ? 1.2 : 0.3 }],
+  ['one server five times slower', { ...CALM, servers: four((index) => index === 0 ? { slowness: () => 5 } : {}) }],
+  ['one server that turns twelve times slower', {
+    ...CALM, rate: () => 0.4, servers: four((index) => index === 0 ? { slowness: (now) => now > 2000 ? 12 : 1 } : {})
+  }],
+  ['all servers cold for three seconds', {
+    ...CALM, servers: four(() => ({ slowness: (now) => now < 3000 ? 2 : 1, coldPerSecond: (now) => now < 3000 ? 32 : undefined }))
+  }],
+  ['half of the servers gone', { ...CALM, rate: () => 0.45, servers: [server('h0'), server('h1')] }],
+  ['servers of different speed, nearly full', {
+    ...CALM, rate: () => 0.5, servers: four((index) => ({ slowness: () => [0.6, 1, 1.4, 0.8][index] ?? 1 }))
+  }]
+]
+
+describe('load patterns', () => {
+  for (const [title, load] of patterns) {
+    it(`serves at least as many in time as the naive rule, and leaves none waiting to the end: ${title}`, () => {
+      const decided = replayDecisions(load)
+      const naive = replayNaive(load)
+      expect(decided.inTarget).to.be.at.least(naive.inTarget)
+      expect(decided.lost).to.be.at.most(decided.asked * 0.01)
+      expect(decided.inTarget + decided.late + decided.refused + decided.lost).to.equal(decided.asked)
+      expect({ decided, naive }).toMatchSnapshot()
+    })
+  }
+})
--- /dev/null
+++ b/packages/decisions/tests/serving/replayLoad.ts
@@ -0,0 +1,174 @@
+import { type Milliseconds, toMilliseconds } from '@snipenotch/contracts'
+import { createHomeGate, type GateJob, type GateLimits, type HomeGate } from '../../src/serving/createHomeGate.js'
+import { createPlacement } from '../../src/serving/createPlacement.js'
+
+/** A backend server of a replay. */
+export interface ReplayServer {
+  readonly host: string
+  readonly slots: number
+  /** Factor on the work of a request at a moment. */
+  readonly slowness: (now: number) => number
+  /** Sends a second while cold; undefined while warm. */
+  readonly coldPerSecond?: (now: number) => number | undefined
+}
+
+export interface ReplayLoad {
+  readonly servers: readonly ReplayServer[]
+  /** Requests in each millisecond, on average. */
+  readonly rate: (now: number) => number
+  readonly durationMs: number
+  readonly workMs: number
+  readonly targetMs: number
+  readonly deadlineMs: number
+  readonly seed: number
+}
+
+export interface ReplayResult {
+  readonly asked: number
+  readonly inTarget: number
+  readonly late: number
+  readonly refused: number
+  /** Ended without an answer after waiting. */
+  readonly lost: number
+}
+
+interface Job extends GateJob { readonly askedAt: number, readonly work: number }
+
+/** Numbers in [0, 1) that repeat with the seed. */
+export function createDraw (seed: number): () => number {
+  let state = seed
+  return () => {
+    state = (state * 1103515245 + 12345) % 2147483648
+    return state / 2147483648
+  }
+}
+
+function* drawArrivals (load: ReplayLoad, draw: () => number): Generator<{ readonly at: number, readonly work: number }> {
+  let due = 0
+  for (let at = 0; at < load.durationMs; at++) {
+    due += load.rate(at)
+    for (; due >= 1; due -= 1) yield { at, work: load.workMs * (0.5 + draw()) }
+  }
+}
+
+class Tally {
+  asked = 0
+  inTarget = 0
+  late = 0
+  refused = 0
+  lost = 0
+
+  recordAnswer (job: Job, now: number): void {
+    if (now <= job.targetAt) this.inTarget += 1
+    else if (now <= job.endAt) this.late += 1
+    else this.lost += 1
+  }
+}
+
+function createJob (load: ReplayLoad, at: number, work: number): Job {
+  return {
+    route: 'r',
+    priority: 1,
+    targetLatencyMs: load.targetMs,
+    targetAt: toMilliseconds(at + load.targetMs),
+    endAt: toMilliseconds(at + load.deadlineMs),
+    askedAt: at,
+    work
+  }
+}
+
+/** Replays a load with the gate of each server and placement by expected time; a refused request tries every server. */
+export function replayDecisions (load: ReplayLoad): ReplayResult {
+  const draw = createDraw(load.seed)
+  const placement = createPlacement(draw)
+  const tally = new Tally()
+  const states = load.servers.map((server) => ({
+    server, gate: createHomeGate<Job>(), running: [] as Array<{ readonly job: Job, readonly started: number, readonly endsAt: number }>
+  }))
+  const getLimits = (server: ReplayServer, now: number): GateLimits =>
+    ({ slots: server.slots, coldPerSecond: server.coldPerSecond?.(now), closed: undefined, mayStart: true })
+  const report = (gate: HomeGate<Job>, server: ReplayServer, now: number) =>
+    ({ ...gate.getLoad(getLimits(server, now)), failureShare: 0 })
+
+  function begin (state: (typeof states)[number], job: Job, now: number): void {
+    state.running.push({ job, started: now, endsAt: now + job.work * state.server.slowness(now) })
+  }
+
+  function step (now: number): void {
+    const time = toMilliseconds(now)
+    for (const state of states) {
+      const { gate, server } = state
+      for (const { job, started } of state.running.filter(({ endsAt }) => endsAt <= now)) {
+        gate.finish(job, now - started)
+        placement.recordEnd(server.host, report(gate, server, now), time)
+        tally.recordAnswer(job, now)
+      }
+      state.running = state.running.filter(({ endsAt }) => endsAt > now)
+      for (const _ of gate.takeExpired(time)) {
+        placement.recordEnd(server.host, report(gate, server, now), time)
+        tally.refused += 1
+      }
+      for (const job of gate.takeReady(getLimits(server, now), time)) begin(state, job, now)
+    }
+  }
+
+  function place (job: Job, now: Milliseconds): void {
+    let open = states
+    while (open.length > 0) {
+      const candidates = open.map(({ server }) => ({ host: server.host, slots: server.slots, distanceMs: 0 }))
+      const chosen = placement.choose(candidates, job, now)
+      const state = open.find(({ server }) => server.host === chosen?.host)
+      if (state === undefined) break
+      placement.recordSend(state.server.host)
+      const verdict = state.gate.submit(job, getLimits(state.server, now), now)
+      if (verdict.kind === 'start') begin(state, job, now)
+      if (verdict.kind !== 'refuse') return
+      placement.recordEnd(state.server.host, report(state.gate, state.server, now), now)
+      open = open.filter((other) => other !== state)
+    }
+    tally.refused += 1
+  }
+
+  const arrivals = [...drawArrivals(load, draw)]
+  let next = 0
+  for (let now = 0; now < load.durationMs + load.deadlineMs * 2; now++) {
+    step(now)
+    for (let arrival = arrivals[next]; arrival?.at === now; arrival = arrivals[next]) {
+      next += 1
+      tally.asked += 1
+      place(createJob(load, now, arrival.work), toMilliseconds(now))
+    }
+  }
+  return { ...tally }
+}
+
+/** Replays a load with round robin over the servers and a queue without bound in front of each. */
+export function replayNaive (load: ReplayLoad): ReplayResult {
+  const draw = createDraw(load.seed)
+  const tally = new Tally()
+  const queues = load.servers.map((server) => ({ server, waiting: [] as Job[], running: [] as Array<{ job: Job, endsAt: number }>, sends: [] as number[] }))
+  const arrivals = [...drawArrivals(load, draw)]
+  let next = 0
+  for (let now = 0; now < load.durationMs + load.deadlineMs * 20; now++) {
+    for (const queue of queues) {
+      for (const { job } of queue.running.filter(({ endsAt }) => endsAt <= now)) tally.recordAnswer(job, now)
+      queue.running = queue.running.filter(({ endsAt }) => endsAt > now)
+    }
+    for (let arrival = arrivals[next]; arrival?.at === now; arrival = arrivals[next]) {
+      queues[next % queues.length]?.waiting.push(createJob(load, now, arrival.work))
+      next += 1
+      tally.asked += 1
+    }
+    for (const queue of queues) {
+      queue.sends = queue.sends.filter((at) => at > now - 1000)
+      const limit = queue.server.coldPerSecond?.(now) ?? Infinity
+      while (queue.running.length < queue.server.slots && queue.waiting.length > 0 && queue.sends.length < limit) {
+        const job = queue.waiting.shift()
+        if (job === undefined) break
+        queue.sends.push(now)
+        queue.running.push({ job, endsAt: now + job.work * queue.server.slowness(now) })
+      }
+    }
+  }
+  return { ...tally }
+}
