fix(node): a cancelled request is no lost host; wait for a silent host unless another try is allowed

Change: a cancelled request says nothing of its host; a silent host's request is given up only if another try is allowed and paid for; slow means 1.5 of the target; rank goes before attainable targets, since a refused call wastes its caller's run.

--- a/packages/decisions/src/serving/createHomeGate.ts
+++ b/packages/decisions/src/serving/createHomeGate.ts
@@ -86,11 +86,11 @@
   const getServiceMs = (job: Job): number => times.get(job.route, job.targetLatencyMs)
   const isAttainable = (job: Job, now: Milliseconds): boolean => now + getServiceMs(job) <= job.targetAt
 
-  /** Requests that can still meet their target come first, then by rank, then by the earlier target. */
+  /** The higher rank comes first, then what can still meet its target, then the earlier target. */
   function isBefore (left: Job, right: Job, now: Milliseconds): boolean {
+    if (left.priority !== right.priority) return left.priority < right.priority
     const isLeftAttainable = isAttainable(left, now)
     if (isLeftAttainable !== isAttainable(right, now)) return isLeftAttainable
-    if (left.priority !== right.priority) return left.priority < right.priority
     return left.targetAt < right.targetAt
   }
 
--- a/packages/decisions/src/serving/createVersionCut.ts
+++ b/packages/decisions/src/serving/createVersionCut.ts
@@ -21,13 +21,16 @@
 /** Share of bad answers from which a version is bad. */
 const BAD_SHARE = 0.3
 
+/** Time from which an answer counts as slow, as a share of the target: a busy mesh exceeds the target itself at times. */
+const SLOW_SHARE_OF_TARGET = 1.5
+
 /** Creates the evidence of one run. Each route is judged by itself, since a version may be bad on one alone. */
 export function createVersionCut (): VersionCut {
   const answers = new Map<string, boolean[]>()
   let isCut = false
   return {
     record: ({ route, failed, durationMs, targetLatencyMs }) => {
-      const isBad = failed || durationMs > targetLatencyMs
+      const isBad = failed || durationMs > targetLatencyMs * SLOW_SHARE_OF_TARGET
       const window = answers.get(route) ?? []
       window.push(isBad)
       if (window.length > WINDOW) window.shift()
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -86,8 +86,10 @@
       onResult({ outcome, host, tries })
     }
 
-    function createJob (): HomeJob {
+    function createJob (candidate: Candidate): HomeJob {
       return {
+        // A silent host has not ended its try, so it counts here.
+        mayMove: () => takeResend(candidate, 'lost', tries + 1),
         attemptId: request.attemptId,
         service,
         route: route.name,
@@ -121,28 +123,31 @@
       end({ kind: 'refused', reason: lastRefusal, waitMs: Number.isFinite(waitMs) ? waitMs : NO_HOST_WAIT_MS }, undefined)
     }
 
-    /**
-     * The request reached a backend server: another one may take it within budget, if it may run again or did not
-     * run.
-     */
-    function isResent (candidate: Candidate, outcome: HomeOutcome): boolean {
-      if (outcome.kind === 'refused') return false
-      const isNotRun = outcome.kind === 'answered' && outcome.notRun
-      const isFailure = outcome.kind === 'lost' || outcome.status >= FIRST_FAILURE_STATUS || isNotRun
-      if (!isFailure || (!isNotRun && !route.idempotent)) return false
-      if (tries >= route.maxAttempts || placements >= MAX_PLACEMENTS) return false
+    /** Takes one more try, after `made` of them, from the budget if there is time, a host and a right to it. */
+    function takeResend (candidate: Candidate, reason: 'not-run' | 'failed' | 'lost', made: number): boolean {
+      if (reason !== 'not-run' && !route.idempotent) return false
+      if (made >= route.maxAttempts || placements >= MAX_PLACEMENTS) return false
       if (endAt - clock.now() < route.targetLatencyMs * MIN_RESEND_SHARE) return false
       if (finder.find(service, version, 0, tried).length === 0) return false
-      const reason = isNotRun ? 'not-run' : outcome.kind === 'lost' ? 'lost' : 'failed'
       if (!budgets.take(service)) {
         counters.count('serving_resends', 'budget-spent')
         return false
       }
       counters.count('serving_resends', reason)
-      log('requestResent', { request: request.attemptId, route: route.name, reason, backendHost: candidate.host, tries })
+      log('requestResent', {
+        request: request.attemptId, route: route.name, reason, backendHost: candidate.host, tries: made
+      })
       return true
     }
 
+    /** The request reached a backend server: another one may take it, if it may run again or did not run. */
+    function isResent (candidate: Candidate, outcome: HomeOutcome): boolean {
+      if (outcome.kind === 'refused') return false
+      if (outcome.kind === 'lost') return outcome.reason === 'host-silent' || takeResend(candidate, 'lost', tries)
+      if (outcome.notRun) return takeResend(candidate, 'not-run', tries)
+      return outcome.status >= FIRST_FAILURE_STATUS && takeResend(candidate, 'failed', tries)
+    }
+
     function handleOutcome (candidate: Candidate, outcome: HomeOutcome): void {
       placement.recordEnd(candidate.host, outcome.load, clock.now())
       if (isCancelled) return
@@ -168,7 +173,7 @@
       tried.add(candidate.host)
       isSent = true
       placement.recordSend(candidate.host)
-      const job = createJob()
+      const job = createJob(candidate)
       current = job
       const handle = (outcome: HomeOutcome): void => { handleOutcome(candidate, outcome) }
       if (candidate.host === settings.host) home.run(job, handle)
--- a/packages/node/src/entry/createHomeClient.ts
+++ b/packages/node/src/entry/createHomeClient.ts
@@ -19,7 +19,7 @@
 /** Time to connect to another host, in milliseconds: over a hundred times the way between data centres. */
 const CONNECT_TIMEOUT_MS = 400
 /** Silence on a request after which its host counts as lost, in milliseconds: several missed signs of life. */
-const SILENCE_LIMIT_MS = PROGRESS_INTERVAL_MS * 4
+const SILENCE_LIMIT_MS = PROGRESS_INTERVAL_MS * 5
 const SILENCE_CHECK_MS = 40
 /** Connections to one host: the waiting and running requests of one sender, with room for a burst. */
 const MAX_CONNECTIONS_PER_HOST = 96
@@ -71,8 +71,8 @@
         // A host that speaks on other connections has lost only this one.
         const heardAt = lastHeardAt.get(record.host) ?? 0
         if (heardAt < clock.now() - SILENCE_LIMIT_MS) health.markDown(record.host, 'silent while a request was open')
-        // The answer to a request that must run at most once may still come.
-        if (!job.idempotent) return
+        // The answer may still come; it is given up only for another try that is allowed.
+        if (job.mayMove?.() !== true) return
         end({ kind: 'lost', reason: 'host-silent' })
         outgoing.destroy()
       }
@@ -89,6 +89,8 @@
       onOutcome(outcome)
     }
     function fail (detail: string): void {
+      // A cancelled request ends with an error too, which tells nothing about its host.
+      if (isDone) return
       if (isConnected) {
         end({ kind: 'lost', reason: 'connection-lost' })
         return
--- a/packages/node/src/home/HomeJob.ts
+++ b/packages/node/src/home/HomeJob.ts
@@ -13,6 +13,8 @@
   readonly headers: readonly string[]
   readonly body: Buffer
   readonly arrivedAt: Milliseconds
+  /** Takes the right to send the request elsewhere, though its outcome here is unknown; false if it must wait. */
+  readonly mayMove?: () => boolean
   /** Set by whoever runs the job; ends the job because its caller has left. */
   cancel?: () => void
 }
--- a/packages/node/src/home/createHome.ts
+++ b/packages/node/src/home/createHome.ts
@@ -114,6 +114,7 @@
       log('tryEnded', {
         request: job.attemptId,
         route: job.route,
+        rank: job.priority,
         outcome: outcome.kind,
         reason: outcome.kind === 'answered' ? outcome.status : outcome.reason,
         totalMs: Math.round(clock.now() - job.arrivedAt),
