feat(node): calls of running requests go first; busy hosts are not asked one after the other

Calls between services were refused at the target bound (229 at one service), which wastes the run that makes them. Ruled out: source addresses as a mark of such calls (both come from the host's own address); their rank (1, as that of callers).

--- a/packages/decisions/src/serving/createHomeGate.ts
+++ b/packages/decisions/src/serving/createHomeGate.ts
@@ -7,6 +7,8 @@
   readonly route: string
   /** Rank of the route; 0 is the highest. */
   readonly priority: number
+  /** A backend server makes the request on behalf of one that it runs. */
+  readonly isInternal: boolean
   /** An answer after this point is worth little. */
   readonly targetAt: Milliseconds
   /** An answer after this point is worth nothing. */
@@ -86,8 +88,9 @@
   const getServiceMs = (job: Job): number => times.get(job.route, job.targetLatencyMs)
   const isAttainable = (job: Job, now: Milliseconds): boolean => now + getServiceMs(job) <= job.targetAt
 
-  /** The higher rank comes first, then what can still meet its target, then the earlier target. */
+  /** Calls of running requests come first, then the higher rank, then what can still meet its target, then the earlier target. */
   function isBefore (left: Job, right: Job, now: Milliseconds): boolean {
+    if (left.isInternal !== right.isInternal) return left.isInternal
     if (left.priority !== right.priority) return left.priority < right.priority
     const isLeftAttainable = isAttainable(left, now)
     if (isLeftAttainable !== isAttainable(right, now)) return isLeftAttainable
@@ -96,11 +99,11 @@
 
   /**
    * A request waits as long as it can then still meet its target: a longer queue would make all of them late and serve
-   * no more. One that cannot meet it even at once waits within its deadline.
+   * no more. One that cannot meet it even at once, and a call of a running request, waits within its deadline.
    */
   function computeLongestWait (job: Job, now: Milliseconds): number {
     const serviceMs = getServiceMs(job)
-    if (isAttainable(job, now)) return job.targetAt - now - serviceMs * TARGET_TIME_SHARE
+    if (!job.isInternal && isAttainable(job, now)) return job.targetAt - now - serviceMs * TARGET_TIME_SHARE
     return (job.endAt - now - serviceMs * MIN_TIME_LEFT_SHARE) * WAIT_SHARE_OF_TIME_LEFT
   }
 
--- a/packages/decisions/tests/serving/createHomeGate.test.ts
+++ b/packages/decisions/tests/serving/createHomeGate.test.ts
@@ -12,6 +12,7 @@
   name,
   route: 'r',
   priority: 1,
+  isInternal: false,
   targetLatencyMs: 200,
   targetAt: toMilliseconds(now + 200),
   endAt: toMilliseconds(now + 1000),
@@ -95,6 +96,19 @@
     expect(gate.takeReady(OPEN, now).map(({ name }) => name)).to.deep.equal(['high', 'late', 'low'])
   })
 
+  it('lets calls of running requests wait to their deadline and go first (guards against runs wasted by a refused call)', () => {
+    const gate = createHomeGate<NamedJob>()
+    const running = fillSlots(gate)
+    const now = toMilliseconds(0)
+    const outer = { targetAt: toMilliseconds(400), targetLatencyMs: 100 }
+    const inner = { isInternal: true, targetAt: toMilliseconds(20), endAt: toMilliseconds(400), targetLatencyMs: 50, priority: 2 }
+    expect(gate.submit(job('outer', 0, outer), OPEN, now).kind).to.equal('wait')
+    expect(gate.submit(job('inner', 0, inner), OPEN, now).kind).to.equal('wait')
+    expect(gate.submit(job('short', 0, { ...inner, isInternal: false }), OPEN, now).kind).to.equal('refuse')
+    gate.finish(running[0]!, 50)
+    expect(gate.takeReady(OPEN, now).map(({ name }) => name)).to.deep.equal(['inner'])
+  })
+
   it('refuses at once what it cannot serve before the deadline, and names the wait (guards against requests held to their end)', () => {
     const gate = createHomeGate<NamedJob>()
     fillSlots(gate)
--- a/packages/decisions/tests/serving/replayLoad.ts
+++ b/packages/decisions/tests/serving/replayLoad.ts
@@ -69,6 +69,7 @@
   return {
     route: 'r',
     priority: 1,
+    isInternal: false,
     targetLatencyMs: load.targetMs,
     targetAt: toMilliseconds(at + load.targetMs),
     endAt: toMilliseconds(at + load.deadlineMs),
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -9,6 +9,8 @@
 
 /** Tries of one request at nodes that refuse it before it reaches a backend server. */
 const MAX_PLACEMENTS = 6
+/** Busy hosts after which the rest of them, chosen later because they seemed busier, are not asked. */
+const MAX_BUSY_REFUSALS = 2
 /** Time for which a host that refused gets nothing from here, by reason, in milliseconds. */
 const AVOID_MS: Partial<Record<ServingRefusal, number>> = {
   stopping: 1000,
@@ -80,6 +82,7 @@
     /** Shortest wait that a host named. */
     let waitMs = Infinity
     let lastRefusal: ServingRefusal = 'no-host'
+    let busyRefusals = 0
 
     function end (outcome: HomeOutcome, host: string | undefined): void {
       current = undefined
@@ -92,6 +95,8 @@
         mayMove: () => takeResend(candidate, 'lost', tries + 1),
         attemptId: request.attemptId,
         service,
+        callerService: settings.service,
+        isInternal: false,
         route: route.name,
         priority: route.priority,
         idempotent: route.idempotent,
@@ -110,9 +115,10 @@
     function handleRefusal (candidate: Candidate, reason: ServingRefusal, wait: number): void {
       lastRefusal = reason
       if (reason === 'busy' || reason === 'expired') waitMs = Math.min(waitMs, wait)
+      if (reason === 'busy') busyRefusals += 1
       const avoidMs = AVOID_MS[reason]
       if (avoidMs !== undefined) placement.avoid(candidate.host, avoidMs, clock.now())
-      if (reason === 'expired') {
+      if (reason === 'expired' || busyRefusals >= MAX_BUSY_REFUSALS) {
         refuse()
         return
       }
--- a/packages/node/src/home/HomeJob.ts
+++ b/packages/node/src/home/HomeJob.ts
@@ -3,9 +3,13 @@
 
 /** A request for the backend server of one host, on its way there. */
 export interface HomeJob extends GateJob {
+  /** Learned by the node of the backend server. */
+  isInternal: boolean
   /** Identifies the caller's try. */
   readonly attemptId: string
   readonly service: string
+  /** Service beside which the request began. */
+  readonly callerService: string
   readonly idempotent: boolean
   readonly method: string
   readonly target: string
--- a/packages/node/src/home/createHome.ts
+++ b/packages/node/src/home/createHome.ts
@@ -1,6 +1,6 @@
 import type { ServingRefusal } from '@snipenotch/contracts'
 import {
-  createHomeGate, createVersionCut, type GateLimits, type InstanceState, type ReportedLoad
+  createHomeGate, createRouteCallers, createVersionCut, type GateLimits, type InstanceState, type ReportedLoad
 } from '@snipenotch/decisions'
 import type { NodeContext } from '../NodeContext.js'
 import type { MeshView } from '../rows/createMeshView.js'
@@ -51,6 +51,7 @@
   const { settings, clock, log, counters } = context
   const gate = createHomeGate<HomeJob>()
   const cut = createVersionCut()
+  const callers = createRouteCallers()
   const outcomes = new Map<HomeJob, (outcome: HomeOutcome) => void>()
   const attempts = new Set<string>()
   let isStopping = false
@@ -198,6 +199,8 @@
   }
 
   function run (job: HomeJob, onOutcome: (outcome: HomeOutcome) => void): void {
+    callers.record(job.route, job.callerService)
+    job.isInternal = callers.isInternal(job.route)
     outcomes.set(job, onOutcome)
     if (job.service !== settings.service) {
       end(job, { kind: 'refused', reason: 'wrong-service', waitMs: 0 })
--- a/packages/node/src/home/createHomeServer.ts
+++ b/packages/node/src/home/createHomeServer.ts
@@ -44,6 +44,8 @@
     const job: HomeJob = {
       ...described,
       attemptId,
+      callerService: String(incoming.headers[HEADERS.callerService] ?? ''),
+      isInternal: false,
       method: incoming.method ?? 'GET',
       target: incoming.url ?? '/',
       headers: selectHeaders(incoming.rawHeaders, incoming.headers.connection, (name) => !isMeshHeader(name)),
--- a/packages/node/tests/home/createBackendCaller.test.ts
+++ b/packages/node/tests/home/createBackendCaller.test.ts
@@ -8,6 +8,8 @@
 const job = (attemptId: string, given: Partial<HomeJob> = {}): HomeJob => ({
   attemptId,
   service: 'clocks',
+  callerService: 'parts',
+  isInternal: false,
   route: 'r',
   priority: 1,
   idempotent: true,
