fix(node): drop what its sender has left while this process was behind; sample hosts where there are many

Change: behind by more than 30 ms, a request is handled two turns later, if its connection is still open, and its age counts; signs of life each 150 ms; of more than six hosts two near ones and one of all are compared; one busy host in five is asked, two to four.

--- a/packages/decisions/src/serving/createPlacement.ts
+++ b/packages/decisions/src/serving/createPlacement.ts
@@ -63,6 +63,13 @@
 /** Spread of the random part of a cost, so that nodes with the same view do not all choose the same host. */
 const NOISE_SHARE = 0.1
 
+/** Candidates up to which all are compared. */
+const MAX_COMPARED = 6
+/** Near candidates drawn where there are more. */
+const NEAR_SAMPLES = 2
+/** Difference in distance within which hosts count as near, in milliseconds: hosts of one data centre. */
+const NEAR_MS = 1.5
+
 /** Creates a placement that knows no load yet. `draw` returns a random number in [0, 1). */
 export function createPlacement (draw: () => number): Placement {
   const hosts = new Map<string, HostLoad>()
@@ -95,6 +102,18 @@
     return waitMs + serviceMs * (1 + FULL_SLOWDOWN * use * use) + failureMs + candidate.distanceMs
   }
 
+  /**
+   * Some hosts near by and one of all: with many hosts each node hears of a host so seldom that the one that seems best
+   * is the same for all of them, and would get all their requests.
+   */
+  function drawSample (candidates: readonly PlacementCandidate[]): PlacementCandidate[] {
+    const nearest = Math.min(...candidates.map(({ distanceMs }) => distanceMs))
+    const near = candidates.filter(({ distanceMs }) => distanceMs <= nearest + NEAR_MS)
+    const drawOf = (list: readonly PlacementCandidate[]): PlacementCandidate[] =>
+      list.slice(Math.floor(draw() * list.length)).slice(0, 1)
+    return [...Array.from({ length: NEAR_SAMPLES }, () => drawOf(near)).flat(), ...drawOf(candidates)]
+  }
+
   return {
     choose: (candidates, request, now) => {
       const open = candidates.filter(({ host }) => getHost(host).avoidUntil <= now)
@@ -102,7 +121,7 @@
       if (draw() < EXPLORE_SHARE) return from[Math.floor(draw() * from.length)]
       let best: PlacementCandidate | undefined
       let bestCost = Infinity
-      for (const candidate of from) {
+      for (const candidate of from.length > MAX_COMPARED ? drawSample(from) : from) {
         const cost = computeCost(candidate, request, now) * (1 + NOISE_SHARE * draw())
         if (cost < bestCost) {
           best = candidate
--- a/packages/decisions/tests/serving/createPlacement.test.ts
+++ b/packages/decisions/tests/serving/createPlacement.test.ts
@@ -66,6 +66,15 @@
     expect(countChoices(placement, candidates, 5010).slow).to.be.greaterThan(100)
   })
 
+  it('spreads the requests of nodes with one stale view over many hosts (guards against all of them choosing the same)', () => {
+    const placement = createPlacement(createDraw())
+    const candidates = Array.from({ length: 30 }, (_, index) => candidate(`h${index}`, index < 10 ? 1 : 5))
+    report(placement, 'h3', { ...IDLE, serviceMs: 20 }, 100)
+    const counts = countChoices(placement, candidates, 110)
+    expect(Math.max(...Object.values(counts))).to.be.lessThan(250)
+    expect(Object.keys(counts).length).to.be.at.least(10)
+  })
+
   it('leaves out a host that refused, unless there is no other', () => {
     const placement = createPlacement(createDraw())
     placement.avoid('a', 500, toMilliseconds(100))
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -12,6 +12,7 @@
 import { createHomeServer } from './home/createHomeServer.js'
 import { probeInstance } from './home/probeInstance.js'
 import type { NodeContext } from './NodeContext.js'
+import { createLoopWatch } from './operations/createLoopWatch.js'
 import { createReportServer } from './operations/createReportServer.js'
 import { createRolloutKeeper } from './operations/createRolloutKeeper.js'
 import { createHostHealth } from './peers/createHostHealth.js'
@@ -82,7 +83,8 @@
     isStoreConnected: () => followers.every((follower) => follower.isConnected())
   })
   const home = createHome({ context, view, instance, backend, onChange: updateRecord })
-  const homeServer = createHomeServer(context, home, () => peerRows.getVersions())
+  const loop = createLoopWatch(clock)
+  const homeServer = createHomeServer(context, home, loop, () => peerRows.getVersions())
   const client = createHomeClient(context, health, peerRows)
   const budgets = createResendBudgets(context, () => view.listHosts().length)
   const start = createExchange({
@@ -93,7 +95,7 @@
     finder: createCandidateFinder(context, view, health),
     placement: createPlacement(draw)
   })
-  const entry = createEntryServer({ context, view, start, budgets })
+  const entry = createEntryServer({ context, view, start, budgets, loop })
   const reports = createReportServer({
     context,
     instance,
@@ -189,6 +191,9 @@
       entry.server.close()
       entry.server.closeIdleConnections()
       await awaitEnd(() => entry.countOpen() === 0 && home.countRunning() === 0, limitAt)
+      for (const part of [...followers, { stop: peerRows.close }, { stop: client.close }, { stop: health.close }]) part.stop()
+      loop.close()
+      homeServer.close()
       await recorder.flush(Math.min(RECORD_FLUSH_MS, Math.max(0, limitAt - clock.now())))
       log('daemonStopped', { open: entry.countOpen(), running: home.countRunning(), tookMs: Math.round(clock.now() - stoppedAt) })
     }
--- a/packages/node/src/entry/createCandidateFinder.ts
+++ b/packages/node/src/entry/createCandidateFinder.ts
@@ -15,6 +15,8 @@
   readonly find: (
     service: string, version: string | undefined, bytes: number, tried: ReadonlySet<string>
   ) => Candidate[]
+  /** Hosts that serve a service, usable or not. */
+  readonly count: (service: string) => number
   /** Version that takes the next request of a service; undefined if any may. */
   readonly drawVersion: (service: string) => string | undefined
 }
@@ -58,6 +60,7 @@
       }
       return findOf(usable, bytes)
     },
+    count: (service) => view.listServing(service).length,
     drawVersion: (service) => {
       const release = view.getRelease(service)
       return release === undefined ? undefined : drawReleaseVersion(release, draw)
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -1,10 +1,11 @@
-import type { MeshRoute, Milliseconds } from '@snipenotch/contracts'
+import { type MeshRoute, type Milliseconds, toMilliseconds } from '@snipenotch/contracts'
 import { computeRetryAfter, createSplitPicker } from '@snipenotch/decisions'
 import { selectHeaders } from '@snipenotch/daemon'
 import { HEADERS } from '@snipenotch/platform'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { NodeContext } from '../NodeContext.js'
 import type { HomeOutcome } from '../home/HomeJob.js'
+import type { LoopWatch } from '../operations/createLoopWatch.js'
 import { isMeshHeader } from '../peers/peerHeaders.js'
 import type { MeshView } from '../rows/createMeshView.js'
 import type { ExchangeResult, StartExchange } from './createExchange.js'
@@ -36,6 +37,7 @@
   readonly view: MeshView
   readonly start: StartExchange
   readonly budgets: ResendBudgets
+  readonly loop: LoopWatch
 }
 
 interface Arrival {
@@ -55,7 +57,7 @@
 const SET_HERE: ReadonlySet<string> = new Set([HEADERS.callerService, HEADERS.remainingMs, HEADERS.targetInstance, 'content-length'])
 
 /** Creates the server for callers. */
-export function createEntryServer ({ context, view, start, budgets }: EntryOptions): EntryServer {
+export function createEntryServer ({ context, view, start, budgets, loop }: EntryOptions): EntryServer {
   const { settings, clock, log, counters, draw } = context
   const picker = createSplitPicker(draw)
   let isStopping = false
@@ -208,7 +210,7 @@
   function handleRequest (incoming: IncomingMessage, response: ServerResponse): void {
     const header = incoming.headers[HEADERS.attemptId]
     const arrival: Arrival = {
-      incoming, response, arrivedAt: clock.now(), attemptId: typeof header === 'string' ? header : ''
+      incoming, response, arrivedAt: toMilliseconds(clock.now() - loop.getDelay()), attemptId: typeof header === 'string' ? header : ''
     }
     open += 1
     counters.count('serving_requests', 'received')
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -9,8 +9,11 @@
 
 /** Tries of one request at nodes that refuse it before it reaches a backend server. */
 const MAX_PLACEMENTS = 6
-/** Busy hosts after which the rest of them, chosen later because they seemed busier, are not asked. */
-const MAX_BUSY_REFUSALS = 2
+/** Busy hosts after which the rest of them are not asked, of few hosts and at most; each costs a hop. */
+const MIN_BUSY_REFUSALS = 2
+const MAX_BUSY_REFUSALS = 4
+/** Hosts of a service for each busy one that is asked. */
+const HOSTS_PER_BUSY_REFUSAL = 5
 /** Time for which a host that refused gets nothing from here, by reason, in milliseconds. */
 const AVOID_MS: Partial<Record<ServingRefusal, number>> = {
   stopping: 1000,
@@ -70,6 +73,11 @@
 export function createExchange ({ context, home, client, finder, placement, budgets }: ExchangeOptions): StartExchange {
   const { settings, clock, log, counters } = context
 
+  function computeBusyLimit (service: string): number {
+    const share = finder.count(service) / HOSTS_PER_BUSY_REFUSAL
+    return Math.min(MAX_BUSY_REFUSALS, Math.max(MIN_BUSY_REFUSALS, Math.floor(share)))
+  }
+
   return (request, onResult) => {
     const { route, service, endAt } = request
     const tried = new Set<string>()
@@ -118,7 +126,7 @@
       if (reason === 'busy') busyRefusals += 1
       const avoidMs = AVOID_MS[reason]
       if (avoidMs !== undefined) placement.avoid(candidate.host, avoidMs, clock.now())
-      if (reason === 'expired' || busyRefusals >= MAX_BUSY_REFUSALS) {
+      if (reason === 'expired' || busyRefusals >= computeBusyLimit(service)) {
         refuse()
         return
       }
--- a/packages/node/src/entry/createHomeClient.ts
+++ b/packages/node/src/entry/createHomeClient.ts
@@ -19,8 +19,8 @@
 /** Time to connect to another host, in milliseconds: over a hundred times the way between data centres. */
 const CONNECT_TIMEOUT_MS = 400
 /** Silence on a request after which its host counts as lost, in milliseconds: several missed signs of life. */
-const SILENCE_LIMIT_MS = PROGRESS_INTERVAL_MS * 5
-const SILENCE_CHECK_MS = 40
+const SILENCE_LIMIT_MS = PROGRESS_INTERVAL_MS * 3
+const SILENCE_CHECK_MS = 60
 /** Connections to one host: the waiting and running requests of one sender, with room for a burst. */
 const MAX_CONNECTIONS_PER_HOST = 96
 
--- a/packages/node/src/home/createHomeServer.ts
+++ b/packages/node/src/home/createHomeServer.ts
@@ -1,13 +1,18 @@
+import { toMilliseconds } from '@snipenotch/contracts'
 import { KEEP_ALIVE_MS, selectHeaders } from '@snipenotch/daemon'
 import { HEADERS } from '@snipenotch/platform'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { LoopWatch } from '../operations/createLoopWatch.js'
 import type { NodeContext } from '../NodeContext.js'
 import { decodeJob, encodeNoAnswer, encodePeerState, isMeshHeader, type RowVersions } from '../peers/peerHeaders.js'
 import type { Home } from './createHome.js'
 import type { HomeJob, HomeOutcome } from './HomeJob.js'
 
 /** Time between two signs of life on a request that is still waiting or running, in milliseconds. */
-export const PROGRESS_INTERVAL_MS = 80
+export const PROGRESS_INTERVAL_MS = 150
+
+/** Delay of the event loop from which a request may be older than it seems, in milliseconds. */
+const MAX_TRUSTED_DELAY_MS = 30
 
 /** Takes requests of other nodes for the backend server beside this one. */
 export interface HomeServer {
@@ -16,7 +21,9 @@
 }
 
 /** Creates the server; `getVersions` tells the versions of this node's rows. */
-export function createHomeServer ({ clock }: NodeContext, home: Home, getVersions: () => RowVersions): HomeServer {
+export function createHomeServer (
+  { clock, counters }: NodeContext, home: Home, loop: LoopWatch, getVersions: () => RowVersions
+): HomeServer {
   const open = new Map<ServerResponse, number>()
 
   function sendOutcome (response: ServerResponse, outcome: HomeOutcome): void {
@@ -35,7 +42,7 @@
 
   function handleRequest (incoming: IncomingMessage, response: ServerResponse, body: Buffer): void {
     const now = clock.now()
-    const described = decodeJob(incoming.headers, now)
+    const described = decodeJob(incoming.headers, toMilliseconds(now - loop.getDelay()))
     const attemptId = incoming.headers[HEADERS.attemptId]
     if (described === undefined || typeof attemptId !== 'string') {
       response.writeHead(400, { 'content-length': 0 }).end()
@@ -60,11 +67,21 @@
     home.run(job, (outcome) => { sendOutcome(response, outcome) })
   }
 
+  function handleUnlessLeft (incoming: IncomingMessage, response: ServerResponse, body: Buffer): void {
+    if (incoming.socket.readableEnded || incoming.socket.destroyed) counters.count('serving_requests', 'left')
+    else handleRequest(incoming, response, body)
+  }
+
   const options = { keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0, headersTimeout: 0 }
   const server = createServer(options, (incoming, response) => {
     const chunks: Buffer[] = []
     incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
-    incoming.on('end', () => { handleRequest(incoming, response, Buffer.concat(chunks)) })
+    incoming.on('end', () => {
+      const handle = (): void => { handleUnlessLeft(incoming, response, Buffer.concat(chunks)) }
+      // A process that is behind reads the close of a connection one turn after the request before it.
+      if (loop.getDelay() > MAX_TRUSTED_DELAY_MS) setImmediate(() => { setImmediate(handle) })
+      else handle()
+    })
     // The sender is gone before its request was whole, so nothing has been sent on.
     incoming.on('error', () => { response.destroy() })
   })
--- /dev/null
+++ b/packages/node/src/operations/createLoopWatch.ts
@@ -0,0 +1,25 @@
+import type { Clock } from '@snipenotch/contracts'
+
+/** Tells how far this process is behind: what it reads now may have arrived so long ago. */
+export interface LoopWatch {
+  /** Delay of the latest turn of the event loop, in milliseconds. */
+  readonly getDelay: () => number
+  readonly close: () => void
+}
+
+const PERIOD_MS = 40
+
+/** Creates a watch that compares the times of its own timer with those it asked for. */
+export function createLoopWatch (clock: Clock): LoopWatch {
+  let tickedAt = clock.now()
+  let delay = 0
+  const timer = setInterval(() => {
+    const now = clock.now()
+    delay = Math.max(0, now - tickedAt - PERIOD_MS)
+    tickedAt = now
+  }, PERIOD_MS)
+  return {
+    getDelay: () => delay,
+    close: () => { clearInterval(timer) }
+  }
+}
--- a/packages/node/tests/createNode.test.ts
+++ b/packages/node/tests/createNode.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { Agent } from 'node:http'
+import { connect } from 'node:net'
 import {
   answerSigned, awaitCondition, composeConfiguration, send, startTestMesh, type TestHost, type TestMesh
 } from './startTestMesh.js'
@@ -113,6 +114,20 @@
     await awaitCondition('the connection to the backend server is closed', () => ended)
   })
 
+  it('does not send on what its sender has left while this process was busy (guards against work for nobody)', async () => {
+    const socket = connect(home.settings.requests.port, '127.0.0.1')
+    await new Promise((resolve) => { socket.once('connect', resolve) })
+    const head = 'GET /parts/1 HTTP/1.1\r\nHost: a.example\r\nSnipenotch-Attempt-Id: left\r\nsn-job: parts,r-parts,1,1,200,1500,200\r\n\r\n'
+    await new Promise((resolve) => { setTimeout(resolve, 100) })
+    socket.write(head)
+    socket.destroy()
+    const busyUntil = Date.now() + 200
+    while (Date.now() < busyUntil);
+    await awaitCondition('a later request is served', async () =>
+      (await send(home.settings.callers.port, '/parts/2')).status === 200)
+    expect(home.backend.seen.map(({ url }) => url)).to.deep.equal(['/parts/2'])
+  })
+
   it('refuses at once when no host takes requests (guards against a caller that is held for nothing)', async () => {
     await home.report({ state: 'draining' })
     await awaitCondition('the host is known to leave', () =>
