--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -191,9 +191,8 @@
       entry.server.close()
       entry.server.closeIdleConnections()
       await awaitEnd(() => entry.countOpen() === 0 && home.countRunning() === 0, limitAt)
-      for (const part of [...followers, { stop: peerRows.close }, { stop: client.close }, { stop: health.close }]) part.stop()
-      loop.close()
-      homeServer.close()
+      for (const follower of followers) follower.stop()
+      for (const part of [peerRows, client, health, loop, homeServer]) part.close()
       await recorder.flush(Math.min(RECORD_FLUSH_MS, Math.max(0, limitAt - clock.now())))
       log('daemonStopped', { open: entry.countOpen(), running: home.countRunning(), tookMs: Math.round(clock.now() - stoppedAt) })
     }
--- a/packages/node/src/rows/createPeerRows.ts
+++ b/packages/node/src/rows/createPeerRows.ts
@@ -18,8 +18,8 @@
 }
 
 /**
- * Time for which a peer may be ahead before its rows are fetched, in milliseconds: above the pause in which a feed gathers
- * changes, so that each change travels once, and below half of the time in which changes must be in force.
+ * Time for which a peer may be ahead before its rows are fetched, in milliseconds: above the pause in which a feed
+ * gathers changes, so that each change travels once, and below the time in which changes must be in force.
  */
 const AHEAD_LIMIT_MS = 1100
 /** Time between two looks, in milliseconds. */
--- a/packages/node/src/rows/createRowFollower.ts
+++ b/packages/node/src/rows/createRowFollower.ts
@@ -5,7 +5,7 @@
 
 /** Longest wait for a change, in milliseconds: a connection that went silent is noticed after it. */
 const FEED_WAIT_MS = 8000
-/** Pause after each batch of changes, in milliseconds, in which further ones gather into one call: a sixth of the bound. */
+/** Pause after each batch, in milliseconds, in which further changes gather into one call: a sixth of the bound. */
 const BATCH_PAUSE_MS = 350
 /** Further pause for each host, in milliseconds: records of many hosts change more often and wake as many feeds. */
 const BATCH_PAUSE_PER_HOST_MS = 4
@@ -38,7 +38,8 @@
 }
 
 /** Creates a follower that has not read anything yet. */
-export function createRowFollower ({ context, store, replica, table, onRows, countHosts }: RowFollowerOptions): RowFollower {
+export function createRowFollower (options: RowFollowerOptions): RowFollower {
+  const { context, store, replica, table, onRows, countHosts } = options
   const { clock, log, counters, draw } = context
   let cursor: number | undefined
   const stopping = new AbortController()
