fix(node): look for a caller's close at the entry node too when the process is behind

Cause: the guard of the home node holds as well where the caller's own request was read late. Change: one function for both.

--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -6,6 +6,7 @@
 import type { NodeContext } from '../NodeContext.js'
 import type { HomeOutcome } from '../home/HomeJob.js'
 import type { LoopWatch } from '../operations/createLoopWatch.js'
+import { runUnlessLeft } from '../operations/runUnlessLeft.js'
 import { isMeshHeader } from '../peers/peerHeaders.js'
 import type { MeshView } from '../rows/createMeshView.js'
 import type { ExchangeResult, StartExchange } from './createExchange.js'
@@ -224,7 +225,11 @@
     })
     incoming.on('end', () => {
       if (size > maxBytes) sendOwn(arrival, 413, 'body-too-large')
-      else handleWhole(arrival, Buffer.concat(chunks))
+      else {
+        runUnlessLeft(incoming, loop, () => { handleWhole(arrival, Buffer.concat(chunks)) }, () => {
+          counters.count('serving_requests', 'left')
+        })
+      }
     })
     // The caller left before its request was whole; nothing has been sent on.
     incoming.on('error', () => { response.destroy() })
--- a/packages/node/src/home/createHomeServer.ts
+++ b/packages/node/src/home/createHomeServer.ts
@@ -3,6 +3,7 @@
 import { HEADERS } from '@snipenotch/platform'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { LoopWatch } from '../operations/createLoopWatch.js'
+import { runUnlessLeft } from '../operations/runUnlessLeft.js'
 import type { NodeContext } from '../NodeContext.js'
 import { decodeJob, encodeNoAnswer, encodePeerState, isMeshHeader, type RowVersions } from '../peers/peerHeaders.js'
 import type { Home } from './createHome.js'
@@ -11,9 +12,6 @@
 /** Time between two signs of life on a request that is still waiting or running, in milliseconds. */
 export const PROGRESS_INTERVAL_MS = 150
 
-/** Delay of the event loop from which a request may be older than it seems, in milliseconds. */
-const MAX_TRUSTED_DELAY_MS = 30
-
 /** Takes requests of other nodes for the backend server beside this one. */
 export interface HomeServer {
   readonly server: Server
@@ -67,20 +65,14 @@
     home.run(job, (outcome) => { sendOutcome(response, outcome) })
   }
 
-  function handleUnlessLeft (incoming: IncomingMessage, response: ServerResponse, body: Buffer): void {
-    if (incoming.socket.readableEnded || incoming.socket.destroyed) counters.count('serving_requests', 'left')
-    else handleRequest(incoming, response, body)
-  }
-
   const options = { keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0, headersTimeout: 0 }
   const server = createServer(options, (incoming, response) => {
     const chunks: Buffer[] = []
     incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
     incoming.on('end', () => {
-      const handle = (): void => { handleUnlessLeft(incoming, response, Buffer.concat(chunks)) }
-      // A process that is behind reads the close of a connection one turn after the request before it.
-      if (loop.getDelay() > MAX_TRUSTED_DELAY_MS) setImmediate(() => { setImmediate(handle) })
-      else handle()
+      runUnlessLeft(incoming, loop, () => { handleRequest(incoming, response, Buffer.concat(chunks)) }, () => {
+        counters.count('serving_requests', 'left')
+      })
     })
     // The sender is gone before its request was whole, so nothing has been sent on.
     incoming.on('error', () => { response.destroy() })
