--- /dev/null
+++ b/packages/node/tests/rollouts.test.ts
@@ -0,0 +1,63 @@
+import { expect } from 'chai'
+import {
+  answerSigned, awaitCondition, composeConfiguration, send, startTestMesh, type TestHost, type TestMesh
+} from './startTestMesh.js'
+
+describe('rollouts over two nodes', () => {
+  let mesh: TestMesh
+  let stable: TestHost
+  let fresh: TestHost
+
+  async function readState (): Promise<string | undefined> {
+    const rows = (await mesh.client.readTable('status')).unwrap().rows
+    const value = rows.find(({ key }) => key === 'rollout/parts')?.value
+    return value === undefined ? undefined : (JSON.parse(value) as { state: string }).state
+  }
+
+  const sendOne = async (): Promise<void> => { await send(stable.settings.callers.port, '/parts/1') }
+
+  /** Sends requests one after the other until the operator's row shows one of the states. */
+  async function sendUntil (...states: string[]): Promise<void> {
+    await awaitCondition(`the rollout is ${states.join(' or ')}`, async () => {
+      for (let index = 0; index < 20; index++) await sendOne()
+      return states.includes(await readState() ?? '')
+    })
+  }
+
+  beforeEach(async () => {
+    mesh = await startTestMesh()
+    stable = await mesh.startHost('krakow-1', 'parts')
+    await mesh.putOperatorRow('config', composeConfiguration(1, ['parts']))
+    await stable.report()
+    await awaitCondition('the first version is stable', () =>
+      stable.context.events.some(({ name }) => name === 'releaseChanged'))
+    fresh = await mesh.startHost('krakow-2', 'parts')
+    await fresh.report({ version: 'v2' })
+    await awaitCondition('the new host is known', () =>
+      fresh.context.events.some(({ name }) => name === 'recordWritten'))
+  })
+  afterEach(() => mesh.close())
+
+  it('sends nothing to a version without an order (guards against a version that takes traffic by itself)', async () => {
+    for (let index = 0; index < 40; index++) await sendOne()
+    expect(fresh.backend.seen).to.be.empty
+  })
+
+  it('completes a good version and then sends it everything', async () => {
+    await mesh.putOperatorRow('rollout/parts', { service: 'parts', to: 'v2', 'duration-s': 3 })
+    await sendUntil('completed')
+    stable.backend.seen.length = 0
+    for (let index = 0; index < 20; index++) await sendOne()
+    expect(stable.backend.seen).to.be.empty
+  })
+
+  it('rolls a failing version back after few failures and sends it nothing more (guards against long exposure)', async () => {
+    fresh.backend.handle = (incoming, response) => { answerSigned(incoming, response, 'no', 500) }
+    await mesh.putOperatorRow('rollout/parts', { service: 'parts', to: 'v2', 'duration-s': 6 })
+    await sendUntil('rolled_back')
+    const exposed = fresh.backend.seen.length
+    expect(exposed).to.be.within(5, 20)
+    for (let index = 0; index < 40; index++) await sendOne()
+    expect(fresh.backend.seen.length).to.equal(exposed)
+  })
+})
