--- a/packages/node/tests/createNode.test.ts
+++ b/packages/node/tests/createNode.test.ts
@@ -1,8 +1,10 @@
 import { expect } from 'chai'
+import { HEADERS } from '@snipenotch/platform'
 import { Agent } from 'node:http'
 import { connect } from 'node:net'
+import { composeConfiguration, composeReport } from '../../../platform/tests/composeWire.js'
 import {
-  answerSigned, awaitCondition, composeConfiguration, send, startTestMesh, type TestHost, type TestMesh
+  answerSigned, awaitCondition, send, startTestMesh, type TestHost, type TestMesh
 } from './startTestMesh.js'
 
 describe('createNode', () => {
@@ -28,16 +30,16 @@
 
   it('carries a request to the backend server of another host and returns its answer unchanged', async () => {
     home.backend.handle = (incoming, response) => { answerSigned(incoming, response, 'made here', 201) }
-    const headers = { 'snipenotch-caller-service': 'forged', 'x-own': 'kept' }
+    const headers = { [HEADERS.callerService]: 'forged', 'x-own': 'kept' }
     const answer = await send(entry.settings.callers.port, '/parts/1?a=b', headers, { method: 'POST', body: 'payload' })
     expect(answer).to.include({ status: 201, body: 'made here' })
-    expect(answer.headers).to.include({ 'snipenotch-response-signature': 'signed', 'snipenotch-attempt-id': 'id-1' })
+    expect(answer.headers).to.include({ [HEADERS.signature]: 'signed', [HEADERS.attemptId]: 'id-1' })
     const seen = home.backend.seen[0]
     expect(seen).to.include({ method: 'POST', url: '/parts/1?a=b', body: 'payload' })
     expect(seen?.headers).to.include({
-      'snipenotch-caller-service': 'clocks', 'snipenotch-target-instance': 'i-krakow-2', 'x-own': 'kept', host: 'a.example'
+      [HEADERS.callerService]: 'clocks', [HEADERS.targetInstance]: 'i-krakow-2', 'x-own': 'kept', host: 'a.example'
     })
-    expect(Number(seen?.headers['snipenotch-deadline-remaining'])).to.be.within(1000, 1500)
+    expect(Number(seen?.headers[HEADERS.remainingMs])).to.be.within(1000, 1500)
     expect(Object.keys(seen?.headers ?? {}).filter((name) => name.startsWith('sn-'))).to.be.empty
   })
 
@@ -62,11 +64,9 @@
   })
 
   it('does not acknowledge a report from another address or service (guards against a forged server)', async () => {
-    const forged = JSON.stringify({
-      address: '127.0.0.1:9', information: { service: 'parts', version: 'v1', zone: 'krakow', slots: 4 }, status: { state: 'ready', sequence: 9 }
-    })
-    const path = '/rpc?call=instances.heartbeat&of=i-forged'
-    expect((await send(home.settings.reports.port, path, {}, { method: 'POST', body: forged })).status).to.equal(400)
+    const fields = { address: '127.0.0.1:9', service: 'parts', dataCentre: 'krakow', sequence: 9 }
+    const { path, body } = composeReport('i-forged', fields)
+    expect((await send(home.settings.reports.port, path, {}, { method: 'POST', body })).status).to.equal(400)
     expect((await send(entry.settings.callers.port, '/parts/1')).body).to.equal('krakow-2')
   })
 
@@ -83,7 +83,7 @@
   it('sends a failed lookup to a second server and a failed order to none (guards against an order that runs twice)', async () => {
     const second = await mesh.startHost('krakow-3', 'parts')
     await second.report()
-    await mesh.putOperatorRow('config', composeConfiguration(2, ['clocks', 'parts'], { kind: 'unsafe' }))
+    await mesh.putOperatorRow('config', composeConfiguration(2, ['clocks', 'parts'], { idempotent: false }))
     await awaitCondition('the version is in force', () => [entry, home, second].every(({ context }) =>
       context.events.some(({ name, fields }) => name === 'configurationApplied' && fields.version === 2)))
     await awaitCondition('both hosts are known', () => [home, second].every(({ context }) =>
@@ -99,7 +99,7 @@
 
   it('answers 504 at the route\'s timeout while the backend server still works (guards against a caller that is held)', async () => {
     home.backend.handle = () => undefined
-    await mesh.putOperatorRow('config', composeConfiguration(2, ['clocks', 'parts'], { 'timeout-ms': 200 }))
+    await mesh.putOperatorRow('config', composeConfiguration(2, ['clocks', 'parts'], { timeoutMs: 200 }))
     await awaitCondition('the version is in force', async () => (await send(entry.settings.callers.port, '/parts/1')).status === 504)
   })
 
@@ -117,7 +117,8 @@
   it('does not send on what its sender has left while this process was busy (guards against work for nobody)', async () => {
     const socket = connect(home.settings.requests.port, '127.0.0.1')
     await new Promise((resolve) => { socket.once('connect', resolve) })
-    const head = 'GET /parts/1 HTTP/1.1\r\nHost: a.example\r\nSnipenotch-Attempt-Id: left\r\nsn-job: parts,r-parts,1,1,200,1500,200\r\n\r\n'
+    const head = `GET /parts/1 HTTP/1.1\r\nHost: a.example\r\n${HEADERS.attemptId}: left\r\n` +
+      'sn-job: parts,r-parts,1,1,200,1500,200\r\n\r\n'
     await new Promise((resolve) => { setTimeout(resolve, 100) })
     socket.write(head)
     socket.destroy()
--- a/packages/node/tests/home/createBackendCaller.test.ts
+++ b/packages/node/tests/home/createBackendCaller.test.ts
@@ -1,4 +1,5 @@
 import { toMilliseconds } from '@snipenotch/contracts'
+import { HEADERS } from '@snipenotch/platform'
 import { expect } from 'chai'
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { type BackendCaller, type BackendResult, createBackendCaller } from '../../src/home/createBackendCaller.js'
@@ -15,7 +16,7 @@
   idempotent: true,
   method: 'GET',
   target: '/clocks/1',
-  headers: ['Host', 'a.example', 'Snipenotch-Attempt-Id', attemptId],
+  headers: ['Host', 'a.example', HEADERS.attemptId, attemptId],
   body: Buffer.alloc(0),
   arrivedAt: toMilliseconds(0),
   targetAt: toMilliseconds(0),
@@ -25,7 +26,7 @@
 })
 
 const head = (attemptId: string, more: string): string =>
-  `HTTP/1.1 200 OK\r\nSnipenotch-Attempt-Id: ${attemptId}\r\nSnipenotch-Response-Signature: s\r\n${more}\r\n`
+  `HTTP/1.1 200 OK\r\n${HEADERS.attemptId}: ${attemptId}\r\n${HEADERS.signature}: s\r\n${more}\r\n`
 
 describe('createBackendCaller', () => {
   let server: Server
@@ -59,7 +60,7 @@
       socket.write(head('a', 'Content-Length: 2\r\nX-Own: 1\r\n') + 'ok')
     }
     const result = await call(job('a'))
-    expect(seen.toLowerCase()).to.include('snipenotch-target-instance: i-1').and.include('snipenotch-deadline-remaining: 500')
+    expect(seen.toLowerCase()).to.include(`${HEADERS.targetInstance}: i-1`).and.include(`${HEADERS.remainingMs}: 500`)
     expect(result).to.include({ kind: 'answered', status: 200, notRun: false })
     expect(result.kind === 'answered' && result.body.toString()).to.equal('ok')
   })
@@ -92,7 +93,7 @@
   const faulty: Array<[string, string, string]> = [
     ['the answer of another request', head('b', 'Content-Length: 2\r\n') + 'ok', 'answer-mismatched'],
     ['an encoded answer', head('a', 'Content-Encoding: gzip\r\nContent-Length: 2\r\n') + 'ok', 'answer-mismatched'],
-    ['a success without signature', 'HTTP/1.1 200 OK\r\nSnipenotch-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n', 'answer-unsigned'],
+    ['a success without signature', `HTTP/1.1 200 OK\r\n${HEADERS.attemptId}: a\r\nContent-Length: 0\r\n\r\n`, 'answer-unsigned'],
     ['bytes that are no answer', 'garbage\r\n\r\n', 'connection-lost']
   ]
   for (const [title, text, reason] of faulty) {
--- a/packages/node/tests/rollouts.test.ts
+++ b/packages/node/tests/rollouts.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
+import { composeConfiguration, composeRolloutOrder } from '../../../platform/tests/composeWire.js'
 import {
-  answerSigned, awaitCondition, composeConfiguration, send, startTestMesh, type TestHost, type TestMesh
+  answerSigned, awaitCondition, send, startTestMesh, type TestHost, type TestMesh
 } from './startTestMesh.js'
 
 describe('rollouts over two nodes', () => {
@@ -44,7 +45,7 @@
   })
 
   it('completes a good version and then sends it everything', async () => {
-    await mesh.putOperatorRow('rollout/parts', { service: 'parts', to: 'v2', 'duration-s': 3 })
+    await mesh.putOperatorRow('rollout/parts', composeRolloutOrder('parts', 'v2', 3))
     await sendUntil('completed')
     stable.backend.seen.length = 0
     for (let index = 0; index < 20; index++) await sendOne()
@@ -53,7 +54,7 @@
 
   it('rolls a failing version back after few failures and sends it nothing more (guards against long exposure)', async () => {
     fresh.backend.handle = (incoming, response) => { answerSigned(incoming, response, 'no', 500) }
-    await mesh.putOperatorRow('rollout/parts', { service: 'parts', to: 'v2', 'duration-s': 6 })
+    await mesh.putOperatorRow('rollout/parts', composeRolloutOrder('parts', 'v2', 6))
     await sendUntil('rolled_back')
     const exposed = fresh.backend.seen.length
     expect(exposed).to.be.within(5, 20)
--- a/packages/node/tests/startTestMesh.ts
+++ b/packages/node/tests/startTestMesh.ts
@@ -1,7 +1,8 @@
 import type { NodeSettings } from '@snipenotch/contracts'
-import { createStoreClient, type StoreClient } from '@snipenotch/platform'
+import { createStoreClient, HEADERS, type StoreClient } from '@snipenotch/platform'
 import { Agent, createServer, request, type IncomingHttpHeaders, type IncomingMessage, type ServerResponse } from 'node:http'
 import { type AddressInfo, createServer as createTcpServer } from 'node:net'
+import { composeReport, HEALTH_PATH } from '../../../platform/tests/composeWire.js'
 import { type StoreStandIn, startStoreStandIn } from '../../../platform/tests/createStoreStandIn.js'
 import { createNode, type MeshNode } from '../src/createNode.js'
 import { createTestContext, type TestContext } from './createTestContext.js'
@@ -32,7 +33,7 @@
 }
 
 export interface ReportOptions {
-  readonly state?: 'ready' | 'draining'
+  readonly state?: 'serving' | 'draining'
   readonly coldMs?: number
   readonly version?: string
   readonly instance?: string
@@ -59,8 +60,8 @@
 /** Answers a request as a backend server does, with the id echoed and a signature. */
 export function answerSigned (incoming: IncomingMessage, response: ServerResponse, body: string, status = 200): void {
   response.writeHead(status, {
-    'Snipenotch-Attempt-Id': incoming.headers['snipenotch-attempt-id'] ?? '',
-    'Snipenotch-Response-Signature': 'signed',
+    [HEADERS.attemptId]: incoming.headers[HEADERS.attemptId] ?? '',
+    [HEADERS.signature]: 'signed',
     'Content-Length': Buffer.byteLength(body)
   }).end(body)
 }
@@ -72,8 +73,8 @@
     incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
     incoming.on('end', () => {
       const { method = '', url = '', headers } = incoming
-      if (url === '/health') {
-        response.writeHead(200, { 'Snipenotch-Instance-Id': `i-${name}`, 'Content-Length': 0 }).end()
+      if (url === HEALTH_PATH) {
+        response.writeHead(200, { [HEADERS.instance]: `i-${name}`, 'Content-Length': 0 }).end()
         return
       }
       seen.push({ method, url, headers, body: Buffer.concat(chunks).toString() })
@@ -107,7 +108,7 @@
       path,
       method,
       ...(agent === undefined ? { agent: false } : { agent }),
-      headers: { host: 'a.example', 'snipenotch-attempt-id': 'id-1', 'snipenotch-deadline-remaining': '1500', ...headers }
+      headers: { host: 'a.example', [HEADERS.attemptId]: 'id-1', [HEADERS.remainingMs]: '1500', ...headers }
     }, (incoming) => {
       const chunks: Buffer[] = []
       incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
@@ -130,36 +131,6 @@
   }
 }
 
-/** A configuration with one route for each service, below its name. */
-export function composeConfiguration (version: number, services: readonly string[], route: object = {}): object {
-  const routes = services.map((service) => ({
-    'resource-kind': 'routes',
-    metadata: { name: `r-${service}` },
-    specification: {
-      host: 'a.example',
-      prefix: `/${service}/`,
-      kind: 'safe',
-      'timeout-ms': 1500,
-      'target-latency-ms': 200,
-      priority: 1,
-      'max-attempts': 2,
-      service,
-      ...route
-    }
-  }))
-  const kinds = services.map((service) => ({
-    'resource-kind': 'services',
-    metadata: { name: service },
-    specification: { 'health-check-path': '/health', 'max-connections': 100, 'cold-per-s': 20 }
-  }))
-  const limits = {
-    'resource-kind': 'limits',
-    metadata: {},
-    specification: { 'max-header-bytes': 16384, 'max-body-bytes': 100_000, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15000 }
-  }
-  return { version, resources: [...routes, ...kinds, limits] }
-}
-
 /** Starts a store; hosts join with `startHost`. */
 export async function startTestMesh (): Promise<TestMesh> {
   const store = await startStoreStandIn()
@@ -190,15 +161,11 @@
     const node = createNode(context)
     await node.start()
     let sequence = 0
-    const report = async ({ state = 'ready', coldMs = 0, version = 'v1', instance = `i-${host}` }: ReportOptions = {}): Promise<number> => {
+    const report = async ({ instance = `i-${host}`, ...given }: ReportOptions = {}): Promise<number> => {
       sequence += 1
-      const body = JSON.stringify({
-        address: `127.0.0.1:${backend.port}`,
-        born: 1000,
-        information: { service, version, zone: dataCentre, slots: 4 },
-        status: { state, sequence, 'cold-remaining-ms': coldMs }
-      })
-      return (await send(reports.port, `/rpc?call=instances.heartbeat&of=${instance}`, {}, { method: 'POST', body })).status
+      const address = `127.0.0.1:${backend.port}`
+      const { path, body } = composeReport(instance, { address, service, dataCentre, sequence, ...given })
+      return (await send(reports.port, path, {}, { method: 'POST', body })).status
     }
     const started = { settings: context.settings, context, node, backend, report }
     hosts.push(started)
