perf(node): carry requests between nodes over one link each, batched by turn

Cause: an HTTP message pair between nodes took a third of a request's processor time, and each request that ran longer than 150 ms cost a sign of life of its own. Ruled out: the home gate and the codec of headers, each below a twentieth in a profile of 400 requests a second.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -78,6 +78,7 @@
   releaseChanged: { number: 819, level: 'info', text: 'release of a service changed' },
   versionCutOff: { number: 820, level: 'warn', text: 'version under rollout fails here; it gets no more requests' },
   instanceResumed: { number: 822, level: 'info', text: 'backend server probed after the start of this process' },
+  linkMalformed: { number: 823, level: 'warn', text: 'frame between nodes unreadable; its connection was closed' },
   linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
 
--- a/packages/contracts/src/mesh/servingReasons.ts
+++ b/packages/contracts/src/mesh/servingReasons.ts
@@ -21,6 +21,8 @@
   | 'shed-by-instance'
   /** No connection to the host was made. */
   | 'host-unreachable'
+  /** Too much waits already to be sent to the host. */
+  | 'link-full'
   | 'body-too-large'
 
 /** Why it is not known whether a request ran, or why its answer cannot be used. */
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -7,7 +7,6 @@
 import type { HomeOutcome } from '../home/HomeJob.js'
 import type { LoopWatch } from '../operations/createLoopWatch.js'
 import { runUnlessLeft } from '../operations/runUnlessLeft.js'
-import { isMeshHeader } from '../peers/peerHeaders.js'
 import type { MeshView } from '../rows/createMeshView.js'
 import type { ExchangeResult, StartExchange } from './createExchange.js'
 import type { ResendBudgets } from './createResendBudgets.js'
@@ -143,7 +142,7 @@
 
   function composeHeaders (incoming: IncomingMessage): string[] {
     const kept = selectHeaders(incoming.rawHeaders, incoming.headers.connection,
-      (name) => !SET_HERE.has(name) && !isMeshHeader(name))
+      (name) => !SET_HERE.has(name))
     kept.push(HEADERS.callerService, settings.service)
     return kept
   }
@@ -226,7 +225,7 @@
     incoming.on('end', () => {
       if (size > maxBytes) sendOwn(arrival, 413, 'body-too-large')
       else {
-        runUnlessLeft(incoming, loop, () => { handleWhole(arrival, Buffer.concat(chunks)) }, () => {
+        runUnlessLeft(() => incoming.socket.readableEnded || incoming.socket.destroyed, loop, () => { handleWhole(arrival, Buffer.concat(chunks)) }, () => {
           counters.count('serving_requests', 'left')
         })
       }
--- a/packages/node/src/home/createBackendCaller.ts
+++ b/packages/node/src/home/createBackendCaller.ts
@@ -4,7 +4,6 @@
 import { request, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { NodeContext } from '../NodeContext.js'
-import { isMeshHeader } from '../peers/peerHeaders.js'
 import type { HomeJob } from './HomeJob.js'
 
 /** How a call of the backend server ended. */
@@ -143,7 +142,7 @@
           kind: 'answered',
           status: incoming.statusCode ?? 0,
           headers: selectHeaders(incoming.rawHeaders, incoming.headers.connection,
-            (name) => name !== 'content-length' && !isMeshHeader(name)),
+            (name) => name !== 'content-length'),
           body: Buffer.concat(chunks),
           notRun: incoming.headers[HEADERS.notRun] !== undefined || incoming.statusCode === 421
         })
--- a/packages/node/src/home/createHomeServer.ts
+++ b/packages/node/src/home/createHomeServer.ts
@@ -1,16 +1,18 @@
 import { toMilliseconds } from '@snipenotch/contracts'
-import { KEEP_ALIVE_MS, selectHeaders } from '@snipenotch/daemon'
-import { HEADERS } from '@snipenotch/platform'
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createServer, type Server } from 'node:http'
+import { type WebSocket, WebSocketServer } from 'ws'
+import type { NodeContext } from '../NodeContext.js'
 import type { LoopWatch } from '../operations/createLoopWatch.js'
 import { runUnlessLeft } from '../operations/runUnlessLeft.js'
-import type { NodeContext } from '../NodeContext.js'
-import { decodeJob, encodeNoAnswer, encodePeerState, isMeshHeader, type RowVersions } from '../peers/peerHeaders.js'
+import { createBatchSender } from '../peers/createBatchSender.js'
+import { LINK_OPTIONS } from '../peers/LINK_OPTIONS.js'
+import { decodeBatch } from '../peers/linkCodec.js'
+import type { LinkedJob, RowVersions } from '../peers/LinkMessage.js'
 import type { Home } from './createHome.js'
-import type { HomeJob, HomeOutcome } from './HomeJob.js'
+import type { HomeJob } from './HomeJob.js'
 
-/** Time between two signs of life on a request that is still waiting or running, in milliseconds. */
-export const PROGRESS_INTERVAL_MS = 150
+/** Time between two signs of life on a link with requests that wait or run, in milliseconds. */
+export const BEAT_INTERVAL_MS = 150
 
 /** Takes requests of other nodes for the backend server beside this one. */
 export interface HomeServer {
@@ -18,80 +20,71 @@
   readonly close: () => void
 }
 
+interface OpenLink {
+  readonly sendBeat: () => void
+}
+
 /** Creates the server; `getVersions` tells the versions of this node's rows. */
 export function createHomeServer (
-  { clock, counters }: NodeContext, home: Home, loop: LoopWatch, getVersions: () => RowVersions
+  { clock, counters, log }: NodeContext, home: Home, loop: LoopWatch, getVersions: () => RowVersions
 ): HomeServer {
-  const open = new Map<ServerResponse, number>()
+  const links = new Set<OpenLink>()
 
-  function sendOutcome (response: ServerResponse, outcome: HomeOutcome): void {
-    open.delete(response)
-    if (response.destroyed) return
-    const state = encodePeerState(outcome.load ?? home.getLoad(), getVersions())
-    if (outcome.kind === 'answered') {
-      response.writeHead(outcome.status, [...outcome.headers, ...state, 'Content-Length', String(outcome.body.length)])
-      response.end(outcome.body)
-      return
-    }
-    const { status, headers } = encodeNoAnswer(outcome)
-    response.writeHead(status, [...headers, ...state, 'Content-Length', '0'])
-    response.end()
-  }
+  function acceptLink (socket: WebSocket, peer: string): void {
+    const sender = createBatchSender(socket, clock)
+    const open = new Map<number, HomeJob>()
+    const link: OpenLink = { sendBeat: () => { if (open.size > 0) sender.add({ kind: 'beat' }) } }
 
-  function handleRequest (incoming: IncomingMessage, response: ServerResponse, body: Buffer): void {
-    const now = clock.now()
-    const described = decodeJob(incoming.headers, toMilliseconds(now - loop.getDelay()))
-    const attemptId = incoming.headers[HEADERS.attemptId]
-    if (described === undefined || typeof attemptId !== 'string') {
-      response.writeHead(400, { 'content-length': 0 }).end()
-      return
+    function handleRun (id: number, linked: LinkedJob): void {
+      const job: HomeJob = { ...linked, isInternal: false, arrivedAt: clock.now() }
+      open.set(id, job)
+      runUnlessLeft(() => !open.has(id), loop, () => {
+        home.run(job, (outcome) => {
+          open.delete(id)
+          sender.add({ kind: 'outcome', id, outcome: { ...outcome, load: outcome.load ?? home.getLoad() }, versions: getVersions() })
+        })
+      }, () => { counters.count('serving_requests', 'left') })
     }
-    const job: HomeJob = {
-      ...described,
-      attemptId,
-      callerService: String(incoming.headers[HEADERS.callerService] ?? ''),
-      isInternal: false,
-      method: incoming.method ?? 'GET',
-      target: incoming.url ?? '/',
-      headers: selectHeaders(incoming.rawHeaders, incoming.headers.connection, (name) => !isMeshHeader(name)),
-      body,
-      arrivedAt: now
+
+    function handleCancel (id: number): void {
+      const job = open.get(id)
+      open.delete(id)
+      job?.cancel?.()
     }
-    open.set(response, now)
-    response.on('close', () => {
-      open.delete(response)
-      if (!response.writableFinished) job.cancel?.()
-    })
-    home.run(job, (outcome) => { sendOutcome(response, outcome) })
-  }
 
-  const options = { keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0, headersTimeout: 0 }
-  const server = createServer(options, (incoming, response) => {
-    const chunks: Buffer[] = []
-    incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
-    incoming.on('end', () => {
-      runUnlessLeft(incoming, loop, () => { handleRequest(incoming, response, Buffer.concat(chunks)) }, () => {
-        counters.count('serving_requests', 'left')
-      })
+    links.add(link)
+    socket.on('message', (data: Buffer) => {
+      const messages = decodeBatch(data, toMilliseconds(clock.now() - loop.getDelay()))
+      if (messages === undefined) {
+        log('linkMalformed', { peer, bytes: data.length })
+        counters.count('peer_closes', 'frame-malformed')
+        socket.terminate()
+        return
+      }
+      for (const message of messages) {
+        if (message.kind === 'run') handleRun(message.id, message.job)
+        else if (message.kind === 'cancel') handleCancel(message.id)
+      }
     })
-    // The sender is gone before its request was whole, so nothing has been sent on.
-    incoming.on('error', () => { response.destroy() })
-  })
+    // The close that follows ends the requests of the link.
+    socket.on('error', (error) => { log('linkMalformed', { peer, detail: error.message }) })
+    socket.on('close', () => {
+      links.delete(link)
+      for (const id of [...open.keys()]) handleCancel(id)
+    })
+  }
 
-  const progress = setInterval(() => {
-    const now = clock.now()
-    for (const [response, at] of open) {
-      if (now - at < PROGRESS_INTERVAL_MS) continue
-      open.set(response, now)
-      response.writeProcessing()
-    }
-  }, PROGRESS_INTERVAL_MS / 2)
+  const server = createServer((_, response) => { response.writeHead(404, { 'content-length': 0 }).end() })
+  const sockets = new WebSocketServer({ ...LINK_OPTIONS, server })
+  sockets.on('connection', (socket, incoming) => { acceptLink(socket, incoming.socket.remoteAddress ?? '') })
+  const timer = setInterval(() => { for (const link of links) link.sendBeat() }, BEAT_INTERVAL_MS)
 
   return {
     server,
     close: () => {
-      clearInterval(progress)
+      clearInterval(timer)
       server.close()
+      for (const socket of sockets.clients) socket.terminate()
     }
   }
 }
--- a/packages/node/src/operations/runUnlessLeft.ts
+++ b/packages/node/src/operations/runUnlessLeft.ts
@@ -1,4 +1,3 @@
-import type { IncomingMessage } from 'node:http'
 import type { LoopWatch } from './createLoopWatch.js'
 
 /** Delay of the event loop from which a request may be older than it seems, in milliseconds. */
@@ -9,7 +8,7 @@
  * connection one turn after the request before it, so it waits for two turns and looks again.
  */
 export function runUnlessLeft (
-  incoming: IncomingMessage, loop: LoopWatch, handle: () => void, handleLeft: () => void
+  hasLeft: () => boolean, loop: LoopWatch, handle: () => void, handleLeft: () => void
 ): void {
   if (loop.getDelay() <= MAX_TRUSTED_DELAY_MS) {
     handle()
@@ -17,8 +16,7 @@
   }
   setImmediate(() => {
     setImmediate(() => {
-      const hasLeft = incoming.socket.readableEnded || incoming.socket.destroyed
-      if (hasLeft) handleLeft()
+      if (hasLeft()) handleLeft()
       else handle()
     })
   })
--- /dev/null
+++ b/packages/node/src/peers/LinkMessage.ts
@@ -0,0 +1,20 @@
+import type { HomeJob, HomeOutcome } from '../home/HomeJob.js'
+
+/** Versions of a node's copies of the tables, by which peers notice that they are behind. */
+export type RowVersions = readonly number[]
+
+/** What of a request travels to the node of its backend server. */
+export type LinkedJob = Pick<
+  HomeJob,
+  'service' | 'route' | 'priority' | 'idempotent' | 'targetAt' | 'endAt' | 'targetLatencyMs' | 'attemptId' |
+  'callerService' | 'method' | 'target' | 'headers' | 'body'
+>
+
+/** What nodes tell each other about requests. `id` numbers the requests of one link. */
+export type LinkMessage =
+  | { readonly kind: 'run', readonly id: number, readonly job: LinkedJob }
+  /** The caller has left, or the request was placed elsewhere. */
+  | { readonly kind: 'cancel', readonly id: number }
+  | { readonly kind: 'outcome', readonly id: number, readonly outcome: HomeOutcome, readonly versions: RowVersions }
+  /** Sign of life of a node that still has requests of the link. */
+  | { readonly kind: 'beat' }
--- /dev/null
+++ b/packages/node/tests/entry/createHomeLink.test.ts
@@ -0,0 +1,155 @@
+import { type HostRecord, toMilliseconds } from '@snipenotch/contracts'
+import { expect } from 'chai'
+import { createServer, type Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { type WebSocket, WebSocketServer } from 'ws'
+import { createHomeLink, type HomeLink } from '../../src/entry/createHomeLink.js'
+import type { HomeJob, HomeOutcome } from '../../src/home/HomeJob.js'
+import { decodeBatch, encodeBatch } from '../../src/peers/linkCodec.js'
+import type { LinkMessage } from '../../src/peers/LinkMessage.js'
+import { createTestContext } from '../createTestContext.js'
+import { awaitCondition } from '../startTestMesh.js'
+
+function createJob (given: Partial<HomeJob> = {}): HomeJob {
+  return {
+    service: 'parts',
+    route: 'r-parts',
+    priority: 1,
+    idempotent: true,
+    targetAt: toMilliseconds(1200),
+    endAt: toMilliseconds(2000),
+    targetLatencyMs: 200,
+    attemptId: 'id-1',
+    callerService: 'clocks',
+    method: 'GET',
+    target: '/parts/1',
+    headers: [],
+    body: Buffer.alloc(0),
+    isInternal: false,
+    arrivedAt: toMilliseconds(0),
+    ...given
+  }
+}
+
+describe('createHomeLink', () => {
+  const context = createTestContext()
+  let server: Server
+  let received: LinkMessage[]
+  let accepted: WebSocket | undefined
+  let link: HomeLink
+  let outcomes: HomeOutcome[]
+  let unreachable: string[]
+
+  function open (port: number): void {
+    const record: HostRecord = {
+      host: 'krakow-2',
+      dataCentre: 'krakow',
+      service: 'parts',
+      requestAddress: `127.0.0.1:${port}`,
+      peerAddress: '127.0.0.1:1',
+      serving: true,
+      instance: 'i-2',
+      startedAt: 0,
+      sequence: 0,
+      version: 'v1',
+      slots: 8,
+      versionCut: false
+    }
+    link = createHomeLink({
+      context, record, onUnreachable: (detail) => { unreachable.push(detail) }, onVersions: () => undefined
+    })
+  }
+  const send = (job: HomeJob): void => { link.send(job, (outcome) => { outcomes.push(outcome) }) }
+  const answer = (message: LinkMessage): void => { accepted?.send(encodeBatch([message], context.clock.now())) }
+
+  beforeEach(async () => {
+    received = []
+    outcomes = []
+    unreachable = []
+    accepted = undefined
+    server = createServer()
+    const sockets = new WebSocketServer({ server })
+    sockets.on('connection', (socket) => {
+      accepted = socket
+      socket.on('message', (data: Buffer) => { received.push(...decodeBatch(data, context.clock.now()) ?? []) })
+    })
+    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+    open((server.address() as AddressInfo).port)
+  })
+  afterEach(() => {
+    link.close()
+    accepted?.terminate()
+    server.close()
+  })
+
+  it('gives each request its own outcome, in whatever order they come (guards against crossed answers)', async () => {
+    for (const attemptId of ['a', 'b']) send(createJob({ attemptId }))
+    await awaitCondition('both arrived', () => received.length === 2)
+    for (const message of [...received].reverse()) {
+      if (message.kind !== 'run') throw new Error(`found ${message.kind}, expected run`)
+      const headers = ['id', message.job.attemptId]
+      const outcome: HomeOutcome = { kind: 'answered', status: 200, headers, body: Buffer.alloc(0), notRun: false }
+      answer({ kind: 'outcome', id: message.id, outcome, versions: [] })
+    }
+    await awaitCondition('both ended', () => outcomes.length === 2)
+    expect(outcomes.map((outcome) => outcome.kind === 'answered' ? outcome.headers[1] : '')).to.deep.equal(['b', 'a'])
+    expect(link.countPending()).to.equal(0)
+  })
+
+  it('sends nothing of a request that was cancelled in the same turn (guards against work for nobody)', async () => {
+    const left = createJob({ attemptId: 'left' })
+    send(left)
+    left.cancel?.()
+    send(createJob({ attemptId: 'stays' }))
+    await awaitCondition('the other arrived', () => received.length > 0)
+    expect(received.map((message) => message.kind === 'run' ? message.job.attemptId : message.kind)).to.deep.equal(['stays'])
+  })
+
+  it('tells a request that was sent from one that was not when the connection ends (guards against a false "not run")', async () => {
+    send(createJob())
+    await awaitCondition('it arrived', () => received.length === 1)
+    accepted?.terminate()
+    await awaitCondition('it ended', () => outcomes.length === 1)
+    expect(outcomes[0]).to.include({ kind: 'lost', reason: 'connection-lost' })
+    expect(link.isClosed()).to.equal(true)
+    expect(unreachable).to.be.empty
+  })
+
+  it('refuses what no connection could carry', async () => {
+    open(1)
+    send(createJob())
+    await awaitCondition('it ended', () => outcomes.length === 1)
+    expect(outcomes[0]).to.include({ kind: 'refused', reason: 'host-unreachable' })
+    expect(unreachable).to.have.length(1)
+  })
+
+  it('gives up on silence only what may go elsewhere, and takes a late answer of the rest', async () => {
+    send(createJob({ attemptId: 'moves', mayMove: () => true }))
+    send(createJob({ attemptId: 'stays', mayMove: () => false }))
+    await awaitCondition('both arrived', () => received.length === 2)
+    link.giveUp()
+    expect(outcomes).to.deep.equal([{ kind: 'lost', reason: 'host-silent' }])
+    expect(link.isClosed()).to.equal(true)
+    await awaitCondition('the first is cancelled', () => received.some(({ kind }) => kind === 'cancel'))
+    answer({ kind: 'outcome', id: 2, outcome: { kind: 'refused', reason: 'busy', waitMs: 5, load: undefined }, versions: [] })
+    await awaitCondition('the second ended', () => outcomes.length === 2)
+    expect(outcomes[1]).to.include({ kind: 'refused', reason: 'busy' })
+  })
+
+  it('ends its requests when the connection ends after the link was given up (guards against requests held for ever)', async () => {
+    send(createJob({ mayMove: () => false }))
+    await awaitCondition('it arrived', () => received.length === 1)
+    link.giveUp()
+    accepted?.terminate()
+    await awaitCondition('it ended', () => outcomes.length === 1)
+    expect(outcomes[0]).to.include({ kind: 'lost', reason: 'connection-lost' })
+  })
+
+  it('closes on a frame that it cannot read', async () => {
+    send(createJob())
+    await awaitCondition('it arrived', () => received.length === 1)
+    accepted?.send(Buffer.from('junk'))
+    await awaitCondition('it ended', () => outcomes.length === 1)
+    expect(context.events.some(({ name }) => name === 'linkMalformed')).to.equal(true)
+  })
+})
--- /dev/null
+++ b/packages/node/tests/peers/linkCodec.test.ts
@@ -0,0 +1,73 @@
+import { toMilliseconds } from '@snipenotch/contracts'
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { pack } from 'msgpackr'
+import { decodeRows } from '../../src/peers/createPeerServer.js'
+import { decodeBatch, encodeBatch } from '../../src/peers/linkCodec.js'
+import type { LinkedJob, LinkMessage } from '../../src/peers/LinkMessage.js'
+
+const JOB: LinkedJob = {
+  service: 'parts',
+  route: 'r-parts',
+  priority: 1,
+  idempotent: true,
+  targetAt: toMilliseconds(1200),
+  endAt: toMilliseconds(2000),
+  targetLatencyMs: 200,
+  attemptId: 'id-1',
+  callerService: 'clocks',
+  method: 'POST',
+  target: '/parts/1?a=b',
+  headers: ['X-Own', 'kept'],
+  body: Buffer.from('payload')
+}
+const LOAD = { load: 7, slots: 8, serviceMs: 61, failureShare: 0.25 }
+const VERSIONS = [12, 340]
+const MESSAGES: LinkMessage[] = [
+  { kind: 'cancel', id: 4 },
+  { kind: 'beat' },
+  {
+    kind: 'outcome',
+    id: 5,
+    versions: VERSIONS,
+    outcome: { kind: 'answered', status: 201, headers: ['A', 'b'], body: Buffer.from('x'), notRun: false, load: LOAD }
+  },
+  { kind: 'outcome', id: 6, versions: VERSIONS, outcome: { kind: 'refused', reason: 'busy', waitMs: 42, load: LOAD } },
+  { kind: 'outcome', id: 7, versions: VERSIONS, outcome: { kind: 'lost', reason: 'answer-truncated', load: LOAD } },
+  { kind: 'outcome', id: 8, versions: [], outcome: { kind: 'lost', reason: 'answer-truncated', load: undefined } }
+]
+
+describe('linkCodec', () => {
+  it('carries a job with times left, whatever its texts hold', () => {
+    const check = (service: string, route: string, header: string, bytes: Uint8Array): void => {
+      // Lone surrogates have no encoding; names come from JSON texts of the platform, which hold none.
+      fc.pre(!/[\ud800-\udfff]/.test(service + route + header))
+      const job = { ...JOB, service, route, headers: ['X-Any', header], body: Buffer.from(bytes) }
+      const decoded = decodeBatch(encodeBatch([{ kind: 'run', id: 3, job }], toMilliseconds(1000)), toMilliseconds(5000))
+      expect(decoded).to.deep.equal([{ kind: 'run', id: 3, job: { ...job, targetAt: 5200, endAt: 6000 } }])
+    }
+    fc.assert(fc.property(fc.string(), fc.string(), fc.string(), fc.uint8Array(), check))
+  })
+
+  it('carries cancellations, outcomes and beats in one frame, in order', () => {
+    expect(decodeBatch(encodeBatch(MESSAGES, toMilliseconds(0)), toMilliseconds(0))).to.deep.equal(MESSAGES)
+  })
+
+  it('rejects malformed frames without an exception (guards against a sender that stops a node)', () => {
+    const wrong = [
+      {}, 'x', [1], [[0]], [['run', 1]], [[0, 1, 'parts']], [[2, 1, null, [], '200', [], Buffer.alloc(0)]], [[9, 1]],
+      [[0, 1, 's', 'r', 1, true, 1, 1, 1, 'id', 's', 'GET', '/', ['odd'], Buffer.alloc(0)]], [[3, 1, null, [], 'busy']]
+    ]
+    for (const value of wrong) expect(decodeBatch(pack(value), toMilliseconds(0)), JSON.stringify(value)).to.equal(undefined)
+    fc.assert(fc.property(fc.uint8Array(), (bytes) => { decodeBatch(Buffer.from(bytes), toMilliseconds(0)) }))
+  })
+})
+
+describe('decodeRows', () => {
+  it('reads rows and rejects anything else', () => {
+    const rows = [{ table: 't', key: 'k', value: 'v', version: 3 }, { table: 't', key: 'l', value: undefined, version: 4 }]
+    expect(decodeRows(pack(rows))).to.deep.equal(rows)
+    for (const value of [{}, [1], [{ table: 't' }], 'x']) expect(decodeRows(pack(value))).to.equal(undefined)
+    fc.assert(fc.property(fc.uint8Array(), (bytes) => { decodeRows(Buffer.from(bytes)) }))
+  })
+})
