fix(decisions): take no request past its deadline, though a slot is free

Change: both the gate and the entry node refuse a request with less than a tenth of its target latency left.

--- a/packages/decisions/src/serving/createHomeGate.ts
+++ b/packages/decisions/src/serving/createHomeGate.ts
@@ -77,9 +77,21 @@
  * Part of the time until the deadline that a wait may be expected to take; the rest covers the spread of work times.
  */
 const WAIT_SHARE_OF_TIME_LEFT = 0.8
+/**
+ * Share of the target latency that must be left for a request to be taken: one that a busy process read late is answered
+ * to nobody.
+ */
+const MIN_TARGET_SHARE_LEFT = 0.1
 /** Shortest pause between two looks at the queue, in milliseconds. */
 const MIN_DELAY_MS = 2
 
+/** True if too little of a request's time is left for any backend server. */
+export function isPastDeadline (
+  { endAt, targetLatencyMs }: Pick<GateJob, 'endAt' | 'targetLatencyMs'>, now: Milliseconds
+): boolean {
+  return endAt - now < targetLatencyMs * MIN_TARGET_SHARE_LEFT
+}
+
 /** Creates a gate without requests. */
 export function createHomeGate<Job extends GateJob> (): HomeGate<Job> {
   const times = createServiceTimes()
@@ -136,6 +148,7 @@
   return {
     submit: (job, limits, now) => {
       if (limits.closed !== undefined) return { kind: 'refuse', reason: limits.closed, waitMs: 0 }
+      if (isPastDeadline(job, now)) return { kind: 'refuse', reason: 'expired', waitMs: 0 }
       if (waiting.length === 0 && hasRoom(limits, now)) {
         begin(now)
         return { kind: 'start' }
--- a/packages/decisions/tests/serving/createHomeGate.test.ts
+++ b/packages/decisions/tests/serving/createHomeGate.test.ts
@@ -130,6 +130,14 @@
     expect(gate.takeExpired((delay + 1) as Milliseconds).map(({ name }) => name)).to.deep.equal(['waiting'])
   })
 
+  it('refuses what is past its deadline though a slot is free (guards against work for callers that have left)', () => {
+    const gate = createHomeGate<NamedJob>()
+    const late = job('late', 0, { endAt: toMilliseconds(119) })
+    expect(gate.submit(late, OPEN, toMilliseconds(100))).to.deep.equal({ kind: 'refuse', reason: 'expired', waitMs: 0 })
+    expect(gate.submit(late, OPEN, toMilliseconds(0)).kind).to.equal('start')
+    expect(gate.countRunning()).to.equal(1)
+  })
+
   it('refuses while closed, with the reason', () => {
     const gate = createHomeGate<NamedJob>()
     expect(gate.submit(job('a', 0), { ...OPEN, closed: 'evacuated' }, toMilliseconds(0)))
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -1,5 +1,5 @@
 import { type MeshRoute, type Milliseconds, toMilliseconds } from '@snipenotch/contracts'
-import { computeRetryAfter, createSplitPicker } from '@snipenotch/decisions'
+import { computeRetryAfter, createSplitPicker, isPastDeadline } from '@snipenotch/decisions'
 import { selectHeaders } from '@snipenotch/daemon'
 import { HEADERS } from '@snipenotch/platform'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
@@ -151,6 +151,11 @@
     const { incoming, response, arrivedAt } = arrival
     const remaining = readRemaining(incoming, route.timeoutMs)
     const endAt = (arrivedAt + Math.min(remaining, route.timeoutMs)) as Milliseconds
+    if (isPastDeadline({ endAt, targetLatencyMs: route.targetLatencyMs }, clock.now())) {
+      counters.count('serving_refusals', 'expired')
+      refuse(arrival, route, 'expired', 0, 0)
+      return
+    }
     const service = picker.pick(route)
     budgets.recordFirst(service)
     // A request without any host ends before `start` returns.
