feat(decisions): count a returning caller's target from its first attempt

Ruled out by replay: shorter and longer queues (TARGET_TIME_SHARE 1, 1.3, 1.6 against 2), a part of the slots kept for new requests, and a wait of 0.1 to 0.5 of the target for late ones. Change: the time left tells how long ago a caller first asked; what cannot meet its target takes a slot that is free but no longer queues.

--- a/packages/decisions/src/serving/createHomeGate.ts
+++ b/packages/decisions/src/serving/createHomeGate.ts
@@ -78,10 +78,12 @@
  */
 const WAIT_SHARE_OF_TIME_LEFT = 0.8
 /**
- * Share of the target latency that must be left for a request to be taken: one that a busy process read late is answered
- * to nobody.
+ * Share of the target latency that must be left for a request to be taken: one that a busy process read late is
+ * answered to nobody.
  */
 const MIN_TARGET_SHARE_LEFT = 0.1
+/** Share of the target latency that a request waits at most once it cannot meet its target: one slot ends meanwhile. */
+const MAX_LATE_WAIT_SHARE = 0.03
 /** Shortest pause between two looks at the queue, in milliseconds. */
 const MIN_DELAY_MS = 2
 
@@ -116,11 +118,16 @@
 
   /**
    * A request waits as long as it can then still meet its target: a longer queue would make all of them late and serve
-   * no more. One that cannot meet it even at once, and a call of a running request, waits within its deadline.
+   * no more. One that cannot meet it even at once takes what is left, as it would keep others from their target. A call
+   * of a running request waits within its deadline.
    */
   function computeLongestWait (job: Job, now: Milliseconds): number {
     const serviceMs = getServiceMs(job)
-    if (!job.isInternal && isAttainable(job, now)) return job.targetAt - now - serviceMs * TARGET_TIME_SHARE
+    if (!job.isInternal) {
+      return isAttainable(job, now)
+        ? job.targetAt - now - serviceMs * TARGET_TIME_SHARE
+        : job.targetLatencyMs * MAX_LATE_WAIT_SHARE
+    }
     return (job.endAt - now - serviceMs * MIN_TIME_LEFT_SHARE) * WAIT_SHARE_OF_TIME_LEFT
   }
 
--- a/packages/decisions/src/serving/index.ts
+++ b/packages/decisions/src/serving/index.ts
@@ -1,4 +1,5 @@
 export * from './computeRetryAfter.js'
+export * from './createAttemptAges.js'
 export * from './createHomeGate.js'
 export * from './createInstanceState.js'
 export * from './createPlacement.js'
--- a/packages/decisions/tests/serving/loadPatterns.test.ts
+++ b/packages/decisions/tests/serving/loadPatterns.test.ts
@@ -30,7 +30,40 @@
   }]
 ]
 
+/** Three servers of different speed where four are needed, and callers that come back once. */
+const RETURNING: ReplayLoad = {
+  servers: Array.from({ length: 3 }, (_, index) =>
+    server(`h${index}`, { slots: 12, slowness: () => [1.67, 1, 0.71][index] ?? 1 })),
+  rate: () => 0.53,
+  durationMs: 8000,
+  workMs: 85,
+  targetMs: 200,
+  deadlineMs: 500,
+  seed: 5,
+  returns: 1
+}
+
+const returningPatterns: Array<[string, ReplayLoad]> = [
+  ['a quarter of the servers evacuated', RETURNING],
+  ['burst with patient callers', {
+    ...RETURNING, rate: (now) => now > 2000 && now < 4000 ? 0.9 : 0.4, deadlineMs: 1200, returns: 2
+  }],
+  ['half of the servers gone, patient callers', {
+    ...RETURNING, servers: RETURNING.servers.slice(0, 2), rate: () => 0.45, deadlineMs: 1200, returns: 2
+  }]
+]
+
 describe('load patterns', () => {
+  for (const [title, load] of returningPatterns) {
+    it(`serves more in time where the age of callers that return is known, and no fewer in all: ${title}`, () => {
+      const known = replayDecisions(load)
+      const unknown = replayDecisions(load, false)
+      expect(known.inTarget).to.be.greaterThan(unknown.inTarget)
+      expect(known.inTarget + known.late).to.be.at.least((unknown.inTarget + unknown.late) * 0.99)
+      expect({ known, unknown }).toMatchSnapshot()
+    })
+  }
+
   for (const [title, load] of patterns) {
     it(`serves at least as many in time as the naive rule, and leaves none waiting to the end: ${title}`, () => {
       const decided = replayDecisions(load)
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -1,5 +1,5 @@
 import { type MeshRoute, type Milliseconds, toMilliseconds } from '@snipenotch/contracts'
-import { computeRetryAfter, createSplitPicker, isPastDeadline } from '@snipenotch/decisions'
+import { computeRetryAfter, createAttemptAges, createSplitPicker, isPastDeadline } from '@snipenotch/decisions'
 import { selectHeaders } from '@snipenotch/daemon'
 import { HEADERS } from '@snipenotch/platform'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
@@ -60,6 +60,7 @@
 export function createEntryServer ({ context, view, start, budgets, loop }: EntryOptions): EntryServer {
   const { settings, clock, log, counters, draw } = context
   const picker = createSplitPicker(draw)
+  const ages = createAttemptAges()
   let isStopping = false
   let open = 0
 
@@ -175,7 +176,7 @@
       target: incoming.url ?? '/',
       headers: composeHeaders(incoming),
       body,
-      arrivedAt,
+      targetAt: toMilliseconds(arrivedAt - ages.estimate(route.name, remaining) + route.targetLatencyMs),
       endAt
     }, (result) => {
       if (endOnce()) handleResult(arrival, route, result)
@@ -230,7 +231,8 @@
     incoming.on('end', () => {
       if (size > maxBytes) sendOwn(arrival, 413, 'body-too-large')
       else {
-        runUnlessLeft(() => incoming.socket.readableEnded || incoming.socket.destroyed, loop, () => { handleWhole(arrival, Buffer.concat(chunks)) }, () => {
+        const hasLeft = (): boolean => incoming.socket.readableEnded || incoming.socket.destroyed
+        runUnlessLeft(hasLeft, loop, () => { handleWhole(arrival, Buffer.concat(chunks)) }, () => {
           counters.count('serving_requests', 'left')
         })
       }
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -46,7 +46,8 @@
   readonly target: string
   readonly headers: readonly string[]
   readonly body: Buffer
-  readonly arrivedAt: Milliseconds
+  /** Counted from the first attempt of the caller, as far as it is known. */
+  readonly targetAt: Milliseconds
   readonly endAt: Milliseconds
 }
 
@@ -113,7 +114,7 @@
         headers: request.headers,
         body: request.body,
         arrivedAt: clock.now(),
-        targetAt: (request.arrivedAt + route.targetLatencyMs) as Milliseconds,
+        targetAt: request.targetAt,
         endAt,
         targetLatencyMs: route.targetLatencyMs
       }
--- a/packages/node/src/entry/createHomeClient.ts
+++ b/packages/node/src/entry/createHomeClient.ts
@@ -55,7 +55,8 @@
     const known = hosts.get(record.host)
     if (known?.address === record.requestAddress) return known
     // The host has moved to another address.
-    if (known !== undefined) for (const link of [...known.bulk, ...(known.shared === undefined ? [] : [known.shared])]) drainLink(link)
+    for (const link of known?.bulk ?? []) drainLink(link)
+    if (known?.shared !== undefined) drainLink(known.shared)
     const links: HostLinks = { address: record.requestAddress, shared: undefined, bulk: [] }
     hosts.set(record.host, links)
     return links
--- a/packages/node/src/peers/linkCodec.ts
+++ b/packages/node/src/peers/linkCodec.ts
@@ -20,11 +20,13 @@
   ]
 }
 
+const computeRounded = (value: number, parts: number): number => Math.round(value * parts) / parts
+
 function encodeOutcome (id: number, outcome: HomeOutcome, versions: RowVersions): Fields {
   const { load } = outcome
   const state = load === undefined
     ? null
-    : [load.load, Math.round(load.slots * 10) / 10, Math.round(load.serviceMs), Math.round(load.failureShare * 100) / 100]
+    : [load.load, computeRounded(load.slots, 10), Math.round(load.serviceMs), computeRounded(load.failureShare, 100)]
   switch (outcome.kind) {
     case 'answered':
       return [KIND_CODES.answered, id, state, versions, outcome.status, outcome.headers, outcome.body, outcome.notRun]
@@ -79,7 +81,8 @@
 function decodeLoad (state: unknown): ReportedLoad | undefined {
   if (!Array.isArray(state) || !state.every(isNumber)) return undefined
   const [load, slots, serviceMs, failureShare] = state
-  if (load === undefined || slots === undefined || serviceMs === undefined || failureShare === undefined) return undefined
+  if (load === undefined || slots === undefined) return undefined
+  if (serviceMs === undefined || failureShare === undefined) return undefined
   return { load, slots, serviceMs, failureShare }
 }
 
