feat(node): two hosts of a data centre read the store for the others

The store gives whole rows, so only another source can send less. Change: the hosts with the widest links read, the others ask them with answers held until there is a change, compressed, with a cursor for each table that tells how far a copy is complete. Nobody depends on the choice: a reader that ends, is stopping or has lost the store is replaced within 1.5 s, and versions on answers between nodes still tell a node that it is behind.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -78,6 +78,8 @@
   releaseChanged: { number: 819, level: 'info', text: 'release of a service changed' },
   versionCutOff: { number: 820, level: 'warn', text: 'version under rollout fails here; it gets no more requests' },
   instanceResumed: { number: 822, level: 'info', text: 'backend server probed after the start of this process' },
+  readerChosen: { number: 824, level: 'info', text: 'host that reads the store for this one changed' },
+  readerLost: { number: 825, level: 'warn', text: 'host that reads the store for this one brought nothing; another one is chosen' },
   linkMalformed: { number: 823, level: 'warn', text: 'frame between nodes unreadable; its connection was closed' },
   linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
--- a/packages/contracts/src/mesh/hostRecordSchema.ts
+++ b/packages/contracts/src/mesh/hostRecordSchema.ts
@@ -9,6 +9,8 @@
   requestAddress: z.string(),
   /** Where other nodes ask for rows and liveness. */
   peerAddress: z.string(),
+  /** Bandwidth of the host's link, in megabits a second; hosts with wide links read the store for others. */
+  linkMbps: z.number().nonnegative().default(0),
   /** The node accepts requests for its backend server. */
   serving: z.boolean(),
   instance: z.string(),
--- a/packages/contracts/src/mesh/nodeSettingsSchema.ts
+++ b/packages/contracts/src/mesh/nodeSettingsSchema.ts
@@ -36,6 +36,8 @@
   /** Requests that may be sent again in each window whatever the traffic, over all nodes. */
   retrySlack: z.number().nonnegative(),
   retryWindowMs: z.number().positive(),
+  /** Bandwidth of the host's link, in megabits a second. */
+  linkMbps: z.number().nonnegative(),
   /** Memory of the host, in megabytes. */
   memoryMb: z.number().positive()
 })
--- a/packages/decisions/src/serving/index.ts
+++ b/packages/decisions/src/serving/index.ts
@@ -1,3 +1,4 @@
+export * from './chooseReader.js'
 export * from './computeRetryAfter.js'
 export * from './createAttemptAges.js'
 export * from './createHomeGate.js'
--- /dev/null
+++ b/packages/decisions/tests/serving/chooseReader.test.ts
@@ -0,0 +1,40 @@
+import { expect } from 'chai'
+import { chooseReader, type ReaderCandidate } from '../../src/serving/chooseReader.js'
+
+const host = (name: string, dataCentre = 'krakow', linkMbps = 1000): ReaderCandidate => ({ host: name, dataCentre, linkMbps })
+const twelve = Array.from({ length: 12 }, (_, index) => host(`h${index}`))
+const always = (): boolean => true
+
+const chooseAll = (hosts: readonly ReaderCandidate[], isUsable: (host: string) => boolean = always): string[] =>
+  hosts.map((own) => chooseReader(own, hosts, isUsable))
+
+describe('chooseReader', () => {
+  it('lets two hosts of a data centre read for all, and shares the others between them (guards against a read by every host)', () => {
+    const chosen = chooseAll(twelve)
+    const readers = [...new Set(chosen)]
+    expect(readers).to.have.length(2)
+    for (const reader of readers) {
+      expect(chosen[twelve.findIndex((own) => own.host === reader)]).to.equal(reader)
+      expect(chosen.filter((name) => name === reader).length).to.be.at.least(3)
+    }
+  })
+
+  it('reads itself in a data centre with no other host, and never through another data centre', () => {
+    const hosts = [...twelve, host('alone', 'tarnow')]
+    expect(chooseReader(host('alone', 'tarnow'), hosts, always)).to.equal('alone')
+    expect(chooseReader(host('unknown'), [], always)).to.equal('unknown')
+  })
+
+  it('passes over hosts that do not answer, until each reads itself', () => {
+    const first = chooseAll(twelve)
+    const gone = new Set(first)
+    const second = chooseAll(twelve.filter(({ host }) => !gone.has(host)), (name) => !gone.has(name))
+    for (const reader of second) expect(gone.has(reader)).to.equal(false)
+    expect(chooseAll(twelve, () => false)).to.deep.equal(twelve.map((own) => own.host))
+  })
+
+  it('prefers wide links (guards against a configuration that takes seconds on the way to its reader)', () => {
+    const hosts = [...twelve.map((own) => ({ ...own, linkMbps: 8 })), host('wide-1'), host('wide-2', 'krakow', 140)]
+    expect(new Set(chooseAll(hosts))).to.deep.equal(new Set(['wide-1', 'wide-2']))
+  })
+})
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -21,8 +21,10 @@
 import { createHostRecorder } from './rows/createHostRecorder.js'
 import { createMeshView } from './rows/createMeshView.js'
 import { createPeerRows } from './rows/createPeerRows.js'
+import { createReaderFollower } from './rows/createReaderFollower.js'
 import { createRowFollower } from './rows/createRowFollower.js'
-import { FOLLOWED_TABLES, MESH_TABLE } from './rows/TABLES.js'
+import { createTableCursors } from './rows/createTableCursors.js'
+import { FOLLOWED_TABLES } from './rows/TABLES.js'
 
 /** A node beside a backend server. */
 export interface MeshNode {
@@ -66,21 +68,30 @@
   })
   const applyRows = (rows: readonly ReplicaRow[]): void => { view.apply(rows) }
   const recorder = createHostRecorder({ context, store, replica, onRows: applyRows })
-  const followers = FOLLOWED_TABLES.map((table) =>
-    createRowFollower({
-      context,
-      store,
-      replica,
-      table,
-      onRows: applyRows,
-      countHosts: () => table === MESH_TABLE ? view.listHosts().length : 0
-    }))
+  const cursors = createTableCursors()
+  const getStoreTime = (): number | undefined => followers[0]?.getStoreTime()
+  const reader = createReaderFollower({
+    context,
+    view,
+    health,
+    replica,
+    cursors,
+    onRows: applyRows,
+    onStoreTime: (storeTime) => { followers[0]?.setStoreTime(storeTime) }
+  })
+  const followers = FOLLOWED_TABLES.map((table) => createRowFollower({
+    context, store, replica, table, cursors, onRows: applyRows, isFollowing: reader.isFollowing
+  }))
+  const isStoreConnected = (): boolean =>
+    reader.isFollowing() || followers.every((follower) => follower.isConnected())
+  // Others choose another reader before this process ends.
+  const isReader = (): boolean => !isStopping && isStoreConnected()
   const peerRows = createPeerRows({
     context,
     view,
     replica,
     onRows: applyRows,
-    isStoreConnected: () => followers.every((follower) => follower.isConnected())
+    isStoreConnected
   })
   const home = createHome({ context, view, instance, backend, onChange: updateRecord })
   const loop = createLoopWatch(clock)
@@ -105,9 +116,9 @@
     }
   })
   const keeper = createRolloutKeeper({
-    context, view, replica, store, health, onRows: applyRows, getStoreTime: () => followers[0]?.getStoreTime()
+    context, view, replica, store, health, onRows: applyRows, getStoreTime
   })
-  const peers = createPeerServer(replica)
+  const peers = createPeerServer({ replica, cursors, isStoreConnected: isReader, getStoreTime })
   const readiness = createServer((_, response) => {
     const isReady = !isStopping && view.getConfiguration() !== undefined
     response.writeHead(isReady ? 200 : 503, { 'content-length': 0 }).end()
@@ -143,6 +154,7 @@
       service: settings.service,
       requestAddress: formatAddress(settings.requests),
       peerAddress: formatAddress(settings.peers),
+      linkMbps: settings.linkMbps,
       serving: instance.isServing(),
       instance: run.instance,
       startedAt: run.startedAt,
@@ -164,6 +176,7 @@
   return {
     start: async () => {
       for (const follower of followers) follower.start()
+      reader.start()
       peerRows.start()
       keeper.start()
       await Promise.all([
@@ -192,6 +205,7 @@
       entry.server.closeIdleConnections()
       await awaitEnd(() => entry.countOpen() === 0 && home.countRunning() === 0, limitAt)
       for (const follower of followers) follower.stop()
+      reader.stop()
       for (const part of [peerRows, client, health, loop, homeServer]) part.close()
       await recorder.flush(Math.min(RECORD_FLUSH_MS, Math.max(0, limitAt - clock.now())))
       log('daemonStopped', { open: entry.countOpen(), running: home.countRunning(), tookMs: Math.round(clock.now() - stoppedAt) })
--- a/packages/node/src/rows/createPeerRows.ts
+++ b/packages/node/src/rows/createPeerRows.ts
@@ -1,11 +1,12 @@
 import type { Replica, ReplicaRow } from '@snipenotch/decisions'
 import { Agent } from 'node:http'
 import type { NodeContext } from '../NodeContext.js'
-import { decodeRows, encodeRowsPath } from '../peers/createPeerServer.js'
+import { encodeRowsPath } from '../peers/createPeerServer.js'
 import { formatAddress } from '../peers/parseAddress.js'
 import type { RowVersions } from '../peers/LinkMessage.js'
 import { requestPeer } from '../peers/requestPeer.js'
 import type { MeshView } from './createMeshView.js'
+import { decodeRows } from './rowsCodec.js'
 import { FOLLOWED_TABLES } from './TABLES.js'
 
 /** Takes rows from peers when the store does not bring them. */
@@ -19,9 +20,9 @@
 
 /**
  * Time for which a peer may be ahead before its rows are fetched, in milliseconds: above the pause in which a feed
- * gathers changes, so that each change travels once, and below the time in which changes must be in force.
+ * gathers changes, so that each change travels once, and below half of the time in which changes must be in force.
  */
-const AHEAD_LIMIT_MS = 1100
+const AHEAD_LIMIT_MS = 800
 /** Time between two looks, in milliseconds. */
 const PERIOD_MS = 250
 /** Time between two questions to a peer while the store does not answer, in milliseconds. */
@@ -49,9 +50,9 @@
 
   async function fetch (address: string, reason: string): Promise<void> {
     isFetching = true
-    const body = await requestPeer(agent, address, encodeRowsPath(getVersions()), PEER_TIMEOUT_MS)
-    const rows = body === undefined ? undefined : decodeRows(body)
-    const changed = replica.merge(rows ?? [])
+    const body = await requestPeer(agent, address, encodeRowsPath(getVersions(), 0), PEER_TIMEOUT_MS)
+    const answer = body === undefined ? undefined : decodeRows(body)
+    const changed = replica.merge(answer?.updates.flatMap(({ rows }) => rows) ?? [])
     if (changed.length > 0) log('rowsFromPeer', { peer: address, rows: changed.length, reason, versions: getVersions() })
     onRows(changed)
     isFetching = false
--- a/packages/node/tests/createTestContext.ts
+++ b/packages/node/tests/createTestContext.ts
@@ -25,6 +25,7 @@
     retryRatio: 0.2,
     retrySlack: 60,
     retryWindowMs: 10_000,
+    linkMbps: 1000,
     memoryMb: 350,
     ...given
   }
--- a/packages/node/tests/entry/createHomeLink.test.ts
+++ b/packages/node/tests/entry/createHomeLink.test.ts
@@ -47,6 +47,7 @@
       service: 'parts',
       requestAddress: `127.0.0.1:${port}`,
       peerAddress: '127.0.0.1:1',
+      linkMbps: 1000,
       serving: true,
       instance: 'i-2',
       startedAt: 0,
