feat(node): weigh the way of a large body over narrow links

Change: the record of a host tells its link; placement adds twice the time of the body on the narrower of both links.

--- a/packages/decisions/src/serving/chooseReader.ts
+++ b/packages/decisions/src/serving/chooseReader.ts
@@ -28,7 +28,8 @@
 export function chooseReader (
   own: ReaderCandidate, hosts: readonly ReaderCandidate[], isUsable: (host: string) => boolean
 ): string {
-  const near = hosts.filter(({ host, dataCentre }) => dataCentre === own.dataCentre && host !== own.host && isUsable(host))
+  const near = hosts.filter(({ host, dataCentre }) =>
+    dataCentre === own.dataCentre && host !== own.host && isUsable(host))
   const ranked = [...near, own].sort((left, right) =>
     Math.min(WIDE_LINK_MBPS, right.linkMbps) - Math.min(WIDE_LINK_MBPS, left.linkMbps) ||
     digestName(left.host) - digestName(right.host))
--- a/packages/node/src/entry/createCandidateFinder.ts
+++ b/packages/node/src/entry/createCandidateFinder.ts
@@ -29,17 +29,34 @@
  * Weight of bytes that leave the data centre, in milliseconds for each kilobyte: they are dear, and links are narrow.
  */
 const OTHER_DATA_CENTRE_MS_PER_KB = 3
+/**
+ * Times that a body's way over the narrower of the two links counts: it delays its own request, and those of others that
+ * wait behind it on the link.
+ */
+const TRANSFER_WEIGHT = 2
+/** Bits of a byte over kilobits of a megabit: milliseconds for a byte on a link of 1 Mbit/s. */
+const MS_PER_BYTE_AT_1_MBPS = 8 / 1000
 /** Size of a request's head and a short answer, in bytes. */
 const HEAD_AND_ANSWER_BYTES = 1200
 
+/** What the finder needs to know of the mesh. */
+type FinderView = Pick<MeshView, 'listServing' | 'isEvacuated' | 'isVersionAllowed' | 'getRelease'>
+
 /** Creates the finder of a node. */
 export function createCandidateFinder (
-  { settings, draw }: NodeContext, view: MeshView, health: HostHealth
+  { settings, draw }: NodeContext, view: FinderView, health: Pick<HostHealth, 'isDown'>
 ): CandidateFinder {
+  function computeTransfer ({ linkMbps }: HostRecord, bytes: number): number {
+    const mbps = Math.min(linkMbps, settings.linkMbps)
+    return mbps > 0 ? bytes * MS_PER_BYTE_AT_1_MBPS / mbps * TRANSFER_WEIGHT : 0
+  }
+
   function computeDistance (record: HostRecord, bytes: number): number {
     if (record.host === settings.host) return 0
-    if (record.dataCentre === settings.dataCentre) return OTHER_HOST_MS
-    return OTHER_DATA_CENTRE_MS + (bytes + HEAD_AND_ANSWER_BYTES) / 1024 * OTHER_DATA_CENTRE_MS_PER_KB
+    const transferMs = computeTransfer(record, bytes)
+    if (record.dataCentre === settings.dataCentre) return OTHER_HOST_MS + transferMs
+    const costMs = (bytes + HEAD_AND_ANSWER_BYTES) / 1024 * OTHER_DATA_CENTRE_MS_PER_KB
+    return OTHER_DATA_CENTRE_MS + transferMs + costMs
   }
 
   function findOf (records: readonly HostRecord[], bytes: number): Candidate[] {
--- a/packages/node/src/peers/createPeerServer.ts
+++ b/packages/node/src/peers/createPeerServer.ts
@@ -61,7 +61,7 @@
     return body
   }
 
-  function answerRows (response: ServerResponse, after: readonly number[], waitMs: number): void {
+  function sendRows (response: ServerResponse, after: readonly number[], waitMs: number): void {
     const collect = (): TableUpdate[] =>
       FOLLOWED_TABLES.map((table, index) => collectUpdate(table, after[index] ?? 0))
     function send (): void {
@@ -90,6 +90,6 @@
       return
     }
     const after = (url.searchParams.get('after') ?? '').split(',').map((text) => Number(text) || 0)
-    answerRows(response, after, Number(url.searchParams.get('wait')) || 0)
+    sendRows(response, after, Number(url.searchParams.get('wait')) || 0)
   })
 }
--- a/packages/node/src/rows/createReaderFollower.ts
+++ b/packages/node/src/rows/createReaderFollower.ts
@@ -63,7 +63,7 @@
     return body === undefined ? undefined : decodeRows(body)
   }
 
-  async function followOnce (address: string): Promise<void> {
+  async function takeChanges (address: string): Promise<void> {
     const answer = await readChanges(address)
     if (answer?.isConnected !== true) {
       avoidedUntil.set(reader, clock.now() + AVOID_MS)
@@ -78,7 +78,7 @@
     while (!stopping.signal.aborted) {
       const address = chooseAddress()
       if (address === undefined) await new Promise((resolve) => { setTimeout(resolve, CHOICE_PERIOD_MS) })
-      else await followOnce(address)
+      else await takeChanges(address)
     }
   }
 
--- a/packages/node/src/rows/mergeUpdates.ts
+++ b/packages/node/src/rows/mergeUpdates.ts
@@ -4,7 +4,10 @@
 
 /** Takes in what a reader gave for the versions at the cursors, and moves the cursors on. */
 export function mergeUpdates (
-  updates: readonly TableUpdate[], replica: Replica, cursors: TableCursors, onRows: (rows: readonly ReplicaRow[]) => void
+  updates: readonly TableUpdate[],
+  replica: Replica,
+  cursors: TableCursors,
+  onRows: (rows: readonly ReplicaRow[]) => void
 ): void {
   for (const { table, isWhole, version, rows } of updates) {
     const known = cursors.get(table)
@@ -12,6 +15,7 @@
     if (version === 0) continue
     onRows(isWhole ? replica.mergeTable(table, rows, version) : replica.merge(rows))
     const floor = isWhole ? version : known?.floor ?? 0
-    if (isWhole || version > (known?.version ?? 0)) cursors.set(table, { version: Math.max(version, known?.version ?? 0), floor })
+    const complete = Math.max(version, known?.version ?? 0)
+    if (isWhole || complete !== known?.version) cursors.set(table, { version: complete, floor })
   }
 }
--- /dev/null
+++ b/packages/node/tests/entry/createCandidateFinder.test.ts
@@ -0,0 +1,41 @@
+import type { HostRecord } from '@snipenotch/contracts'
+import { expect } from 'chai'
+import { createCandidateFinder } from '../../src/entry/createCandidateFinder.js'
+import { createTestContext } from '../createTestContext.js'
+
+const record = (host: string, given: Partial<HostRecord> = {}): HostRecord => ({
+  host,
+  dataCentre: 'krakow',
+  service: 'parts',
+  requestAddress: '127.0.0.1:1',
+  peerAddress: '127.0.0.1:2',
+  linkMbps: 140,
+  serving: true,
+  instance: `i-${host}`,
+  startedAt: 0,
+  sequence: 0,
+  version: 'v1',
+  slots: 8,
+  versionCut: false,
+  ...given
+})
+
+describe('createCandidateFinder', () => {
+  const records = [record('krakow-1'), record('wide'), record('narrow', { linkMbps: 8.4 }), record('far', { dataCentre: 'tarnow' })]
+  const finder = createCandidateFinder(createTestContext({ linkMbps: 140 }), {
+    listServing: () => records,
+    isEvacuated: () => false,
+    isVersionAllowed: () => true,
+    getRelease: () => undefined
+  }, { isDown: () => false })
+  const measure = (bytes: number): Record<string, number> => Object.fromEntries(
+    finder.find('parts', undefined, bytes, new Set()).map(({ host, distanceMs }) => [host, Math.round(distanceMs)]))
+
+  it('weighs the way of a large body over a narrow link (guards against uploads that fill the links of a few hosts)', () => {
+    expect(measure(60_000)).to.deep.equal({ 'krakow-1': 0, wide: 8, narrow: 115, far: 190 })
+  })
+
+  it('hardly tells the links of one data centre apart for a request without body', () => {
+    expect(measure(0)).to.deep.equal({ 'krakow-1': 0, wide: 1, narrow: 1, far: 8 })
+  })
+})
