--- a/packages/node/src/entry/createCandidateFinder.ts
+++ b/packages/node/src/entry/createCandidateFinder.ts
@@ -30,8 +30,8 @@
  */
 const OTHER_DATA_CENTRE_MS_PER_KB = 3
 /**
- * Times that a body's way over the narrower of the two links counts: it delays its own request, and those of others that
- * wait behind it on the link.
+ * Times that a body's way over the narrower of the two links counts: it delays its own request, and those of others
+ * that wait behind it on the link.
  */
 const TRANSFER_WEIGHT = 2
 /** Bits of a byte over kilobits of a megabit: milliseconds for a byte on a link of 1 Mbit/s. */
