fix(node): end all requests of a connection that its caller closes

Change: each request listens to its connection; a node begins a received request one turn later, so that a cancellation read with it counts. Figures: the new test waits in vain before the change (15 s) and passes after it.

--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -56,13 +56,28 @@
 
 const SET_HERE: ReadonlySet<string> = new Set([HEADERS.callerService, HEADERS.remainingMs, HEADERS.targetInstance, 'content-length'])
 
+/**
+ * Calls `listener` when an answer has been sent or its caller has left. A response that waits behind another one of its
+ * connection is not told when the connection closes, so the connection itself is watched too.
+ */
+function listenLeft ({ incoming, response }: Arrival, listener: () => void): void {
+  const { socket } = incoming
+  function notifyOnce (): void {
+    response.off('close', notifyOnce)
+    socket.off('close', notifyOnce)
+    listener()
+  }
+  response.on('close', notifyOnce)
+  socket.on('close', notifyOnce)
+}
+
 /** Creates the server for callers. */
 export function createEntryServer ({ context, view, start, budgets, loop }: EntryOptions): EntryServer {
   const { settings, clock, log, counters, draw } = context
   const picker = createSplitPicker(draw)
   const ages = createAttemptAges()
   let isStopping = false
-  let open = 0
+  const openArrivals = new Set<Arrival>()
 
   function send (arrival: Arrival, status: number, headers: readonly string[], body: Buffer): void {
     const { incoming, response } = arrival
@@ -149,7 +164,7 @@
   }
 
   function startRequest (arrival: Arrival, route: MeshRoute, body: Buffer): void {
-    const { incoming, response, arrivedAt } = arrival
+    const { incoming, arrivedAt } = arrival
     const remaining = readRemaining(incoming, route.timeoutMs)
     const endAt = (arrivedAt + Math.min(remaining, route.timeoutMs)) as Milliseconds
     if (isPastDeadline({ endAt, targetLatencyMs: route.targetLatencyMs }, clock.now())) {
@@ -187,7 +202,7 @@
       exchange.cancel()
       fail(arrival, route, 504, 'deadline')
     }, endAt + END_GRACE_MS - clock.now())
-    response.on('close', () => {
+    listenLeft(arrival, () => {
       if (!endOnce()) return
       counters.count('serving_requests', 'left')
       log('requestLeft', { request: arrival.attemptId, route: route.name, durationMs: Math.round(clock.now() - arrivedAt) })
@@ -218,9 +233,9 @@
     const arrival: Arrival = {
       incoming, response, arrivedAt: toMilliseconds(clock.now() - loop.getDelay()), attemptId: typeof header === 'string' ? header : ''
     }
-    open += 1
     counters.count('serving_requests', 'received')
-    response.on('close', () => { open -= 1 })
+    openArrivals.add(arrival)
+    listenLeft(arrival, () => { openArrivals.delete(arrival) })
     const maxBytes = view.getConfiguration()?.limits.maxBodyBytes ?? Infinity
     const chunks: Buffer[] = []
     let size = 0
@@ -245,10 +260,13 @@
     keepAliveTimeout: DEFAULT_IDLE_MS, requestTimeout: 0, headersTimeout: 0, maxHeaderSize: MAX_HEAD_BYTES
   }, handleRequest)
 
+  // Each request of a connection listens to its end, and callers may send many before the first answer.
+  server.on('connection', (socket) => { socket.setMaxListeners(0) })
+
   return {
     server,
     stop: () => { isStopping = true },
-    countOpen: () => open,
+    countOpen: () => openArrivals.size,
     updateLimits: () => {
       const limits = view.getConfiguration()?.limits
       if (limits !== undefined) server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
--- a/packages/node/src/home/createHomeServer.ts
+++ b/packages/node/src/home/createHomeServer.ts
@@ -38,12 +38,20 @@
     function handleRun (id: number, linked: LinkedJob): void {
       const job: HomeJob = { ...linked, isInternal: false, arrivedAt: clock.now() }
       open.set(id, job)
-      runUnlessLeft(() => !open.has(id), loop, () => {
+      const hasLeft = (): boolean => !open.has(id)
+      const begin = (): void => {
         home.run(job, (outcome) => {
           open.delete(id)
-          sender.add({ kind: 'outcome', id, outcome: { ...outcome, load: outcome.load ?? home.getLoad() }, versions: getVersions() })
+          const load = outcome.load ?? home.getLoad()
+          sender.add({ kind: 'outcome', id, outcome: { ...outcome, load }, versions: getVersions() })
         })
-      }, () => { counters.count('serving_requests', 'left') })
+      }
+      const recordLeft = (): void => { counters.count('serving_requests', 'left') }
+      // Its cancellation may stand behind it in what was read at once.
+      setImmediate(() => {
+        if (hasLeft()) recordLeft()
+        else runUnlessLeft(hasLeft, loop, begin, recordLeft)
+      })
     }
 
     function handleCancel (id: number): void {
--- a/packages/node/tests/createNode.test.ts
+++ b/packages/node/tests/createNode.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai'
 import { HEADERS } from '@snipenotch/platform'
 import { Agent } from 'node:http'
+import { connect } from 'node:net'
 import { WebSocket } from 'ws'
 import { encodeBatch } from '../src/peers/linkCodec.js'
 import { composeConfiguration, composeReport } from '../../../platform/tests/composeWire.js'
@@ -115,6 +116,21 @@
     await awaitCondition('the connection to the backend server is closed', () => ended)
   })
 
+  it('ends the work of all requests of a connection that its caller closes (guards against work behind an open answer)', async () => {
+    await mesh.putOperatorRow('config', composeConfiguration(2, ['clocks', 'parts'], { timeoutMs: 60_000 }))
+    await awaitCondition('the version is in force', () => entry.context.events.some(({ name, fields }) =>
+      name === 'configurationApplied' && fields.version === 2))
+    let ended = 0
+    home.backend.handle = (incoming) => { incoming.socket.on('close', () => { ended += 1 }) }
+    const socket = connect(entry.settings.callers.port, '127.0.0.1')
+    for (const id of ['first', 'second', 'third']) {
+      socket.write(`GET /parts/${id} HTTP/1.1\r\nHost: a.example\r\n${HEADERS.attemptId}: ${id}\r\n\r\n`)
+    }
+    await awaitCondition('all of them run', () => home.backend.seen.length === 3)
+    socket.destroy()
+    await awaitCondition('their connections to the backend server are closed', () => ended === 3)
+  })
+
   it('does not send on what its sender has left while this process was busy (guards against work for nobody)', async () => {
     const socket = new WebSocket(`ws://127.0.0.1:${home.settings.requests.port}/`)
     await new Promise((resolve) => { socket.once('open', resolve) })
