feat(node): use the stated bound on the rate of cold backend servers

Change: the rate follows the bound in the settings (97% of it, in a window of 1,050 ms) instead of a fixed 1.25 of the stated rate.

--- a/packages/contracts/src/mesh/nodeSettingsSchema.ts
+++ b/packages/contracts/src/mesh/nodeSettingsSchema.ts
@@ -31,6 +31,8 @@
   drainMs: z.number().positive(),
   /** Time from the stop signal to the end of the process, in milliseconds. */
   gracePeriodMs: z.number().positive(),
+  /** Requests that a cold backend server may get in a second, as a multiple of its stated rate. */
+  coldOvershoot: z.number().positive(),
   /** Requests sent again, as a share of first tries, over all nodes. */
   retryRatio: z.number().nonnegative(),
   /** Requests that may be sent again in each window whatever the traffic, over all nodes. */
--- a/packages/decisions/src/serving/createRateWindow.ts
+++ b/packages/decisions/src/serving/createRateWindow.ts
@@ -2,9 +2,9 @@
 
 /**
  * Length of the sliding window in milliseconds: one second, and a margin for the time between this process's decision
- * and the arrival at the backend server.
+ * and the arrival at the backend server, which is on the same host.
  */
-export const RATE_WINDOW_MS = 1100
+export const RATE_WINDOW_MS = 1050
 
 /** Counts sends in a sliding window, exactly. */
 export interface RateWindow {
--- a/packages/node/src/home/createHome.ts
+++ b/packages/node/src/home/createHome.ts
@@ -22,8 +22,8 @@
 
 /** Part of the time between the acknowledgement of a leave and its bound in which waiting requests may still start. */
 const DRAIN_START_SHARE = 0.6
-/** Part of the stated rate that a cold backend server gets; it bears half as much again for a second. */
-const COLD_RATE_SHARE = 1.25
+/** Part of the bound on the rate of a cold backend server that is used; the rest covers a connection that opens late. */
+const COLD_BOUND_SHARE = 0.97
 /** Weight of a new answer in the share of failures. */
 const FAILURE_WEIGHT = 0.08
 /** Identifiers remembered so that a request that must run at most once is never sent twice. */
@@ -94,7 +94,7 @@
     return {
       slots: instance.getRun()?.slots ?? 1,
       coldPerSecond: isCold && coldPerSecond !== undefined && coldPerSecond > 0
-        ? Math.floor(coldPerSecond * COLD_RATE_SHARE)
+        ? Math.floor(coldPerSecond * settings.coldOvershoot * COLD_BOUND_SHARE)
         : undefined,
       closed,
       mayStart: closed === undefined || mayFinishQueue
--- a/packages/node/tests/createTestContext.ts
+++ b/packages/node/tests/createTestContext.ts
@@ -22,6 +22,7 @@
     reportIntervalMs: 1500,
     drainMs: 2000,
     gracePeriodMs: 6000,
+    coldOvershoot: 1.5,
     retryRatio: 0.2,
     retrySlack: 60,
     retryWindowMs: 10_000,
