feat(decisions): tell returning callers by their new connection

Ruled out: the address of a request; callers and the backend server have the same one. Change: attempts on kept connections are first ones and give the usual time; one on a new connection is as old as its time left is below the lower quartile of that.

--- a/packages/decisions/src/serving/createAttemptAges.ts
+++ b/packages/decisions/src/serving/createAttemptAges.ts
@@ -1,60 +1,72 @@
-/** Width of the classes that times left are counted in, in milliseconds: above the spread of one hop. */
-const CLASS_MS = 20
-/** Attempts of a route that are counted before older ones lose half of their weight. */
-const MAX_COUNTED = 200
+/** Attempts of a route that are remembered: those of some tenths of a second under load. */
+const MAX_REMEMBERED = 64
 /** Attempts of a route before any age is told. */
-const MIN_COUNTED = 20
-/** Share of a route's attempts that have the usual time left, at least; otherwise its callers have no usual time. */
-const MIN_USUAL_SHARE = 0.3
+const MIN_REMEMBERED = 16
+/**
+ * Part of the first attempts that have less time left than what counts as usual: callers differ by a sixth, and one
+ * that is taken for older than it is loses its place.
+ */
+const USUAL_QUANTILE = 0.25
+/** Attempts after which the usual time is computed anew. */
+const REFRESH_INTERVAL = 16
+
+/** An attempt of a caller, as its first node sees it. */
+export interface SeenAttempt {
+  readonly route: string
+  /** Time that the caller still waits, in milliseconds. */
+  readonly remainingMs: number
+  /** No other request came on its connection before it. */
+  readonly isFirstOfConnection: boolean
+}
 
 /** Tells how long ago the caller of an attempt first asked. */
 export interface AttemptAges {
-  /** Counts an attempt with `remainingMs` left; returns the milliseconds since the first attempt, 0 if unknown. */
-  readonly estimate: (route: string, remainingMs: number) => number
+  /** Milliseconds since the first attempt, at least; 0 if the attempt may be the first one. */
+  readonly estimate: (attempt: SeenAttempt) => number
 }
 
 interface RouteTimes {
-  readonly counts: Map<number, number>
-  total: number
-  /** Class with the most attempts. */
+  /** Times left of the latest attempts on kept connections. */
+  readonly times: number[]
+  next: number
+  sinceRefresh: number
   usual: number
 }
 
 /**
- * Creates an estimator without attempts. Callers that were refused come back with less time left, while most attempts
- * of a route are first ones and have the same time left. Answers bursts, in which those who return would otherwise take
- * the slots of requests that can still be answered within their target.
+ * Creates an estimator without attempts. A caller that was refused comes back on a new connection with less time left,
+ * while attempts on kept connections are first ones. Answers bursts, in which those who return would otherwise take the
+ * slots of requests that can still be answered within their target.
  */
 export function createAttemptAges (): AttemptAges {
   const routes = new Map<string, RouteTimes>()
 
-  function pruneCounts (times: RouteTimes): void {
-    times.total = 0
-    for (const [key, count] of times.counts) {
-      if (count < 1) times.counts.delete(key)
-      else times.counts.set(key, count / 2)
-      times.total += count / 2
-    }
+  function recordFirst (route: string, remainingMs: number): void {
+    let known = routes.get(route)
+    if (known === undefined) routes.set(route, known = { times: [], next: 0, sinceRefresh: REFRESH_INTERVAL, usual: 0 })
+    known.times[known.next] = remainingMs
+    known.next = (known.next + 1) % MAX_REMEMBERED
+    known.sinceRefresh += 1
   }
 
-  function recordTime (route: string, key: number): RouteTimes {
-    let times = routes.get(route)
-    if (times === undefined) routes.set(route, times = { counts: new Map(), total: 0, usual: key })
-    const count = (times.counts.get(key) ?? 0) + 1
-    times.counts.set(key, count)
-    times.total += 1
-    if (count > (times.counts.get(times.usual) ?? 0)) times.usual = key
-    if (times.total > MAX_COUNTED) pruneCounts(times)
-    return times
+  function computeUsual (known: RouteTimes): number {
+    if (known.sinceRefresh >= REFRESH_INTERVAL) {
+      const sorted = [...known.times].sort((left, right) => left - right)
+      known.usual = sorted[Math.floor(sorted.length * USUAL_QUANTILE)] ?? 0
+      known.sinceRefresh = 0
+    }
+    return known.usual
   }
 
   return {
-    estimate: (route, remainingMs) => {
-      const key = Math.floor(remainingMs / CLASS_MS)
-      const { counts, total, usual } = recordTime(route, key)
-      if (key >= usual - 1 || total < MIN_COUNTED) return 0
-      if ((counts.get(usual) ?? 0) < total * MIN_USUAL_SHARE) return 0
-      return usual * CLASS_MS - remainingMs
+    estimate: ({ route, remainingMs, isFirstOfConnection }) => {
+      if (!isFirstOfConnection) {
+        recordFirst(route, remainingMs)
+        return 0
+      }
+      const known = routes.get(route)
+      if (known === undefined || known.times.length < MIN_REMEMBERED) return 0
+      return Math.max(0, computeUsual(known) - remainingMs)
     }
   }
 }
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -3,6 +3,7 @@
 import { selectHeaders } from '@snipenotch/daemon'
 import { HEADERS } from '@snipenotch/platform'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import type { NodeContext } from '../NodeContext.js'
 import type { HomeOutcome } from '../home/HomeJob.js'
 import type { LoopWatch } from '../operations/createLoopWatch.js'
@@ -45,6 +46,8 @@
   readonly response: ServerResponse
   readonly attemptId: string
   readonly arrivedAt: Milliseconds
+  /** No other request came on its connection before it. */
+  readonly isFirstOfConnection: boolean
 }
 
 /** Remaining time that the caller names, in milliseconds. */
@@ -78,6 +81,7 @@
   const ages = createAttemptAges()
   let isStopping = false
   const openArrivals = new Set<Arrival>()
+  const usedSockets = new WeakSet<Socket>()
 
   function send (arrival: Arrival, status: number, headers: readonly string[], body: Buffer): void {
     const { incoming, response } = arrival
@@ -172,6 +176,8 @@
       refuse(arrival, route, 'expired', 0, 0)
       return
     }
+    const { isFirstOfConnection } = arrival
+    const ageMs = ages.estimate({ route: route.name, remainingMs: remaining, isFirstOfConnection })
     const service = picker.pick(route)
     budgets.recordFirst(service)
     // A request without any host ends before `start` returns.
@@ -191,7 +197,7 @@
       target: incoming.url ?? '/',
       headers: composeHeaders(incoming),
       body,
-      targetAt: toMilliseconds(arrivedAt - ages.estimate(route.name, remaining) + route.targetLatencyMs),
+      targetAt: toMilliseconds(arrivedAt - ageMs + route.targetLatencyMs),
       endAt
     }, (result) => {
       if (endOnce()) handleResult(arrival, route, result)
@@ -231,8 +237,13 @@
   function handleRequest (incoming: IncomingMessage, response: ServerResponse): void {
     const header = incoming.headers[HEADERS.attemptId]
     const arrival: Arrival = {
-      incoming, response, arrivedAt: toMilliseconds(clock.now() - loop.getDelay()), attemptId: typeof header === 'string' ? header : ''
+      incoming,
+      response,
+      arrivedAt: toMilliseconds(clock.now() - loop.getDelay()),
+      attemptId: typeof header === 'string' ? header : '',
+      isFirstOfConnection: !usedSockets.has(incoming.socket)
     }
+    usedSockets.add(incoming.socket)
     counters.count('serving_requests', 'received')
     openArrivals.add(arrival)
     listenLeft(arrival, () => { openArrivals.delete(arrival) })
--- a/packages/node/src/home/createHome.ts
+++ b/packages/node/src/home/createHome.ts
@@ -22,7 +22,7 @@
 
 /** Part of the time between the acknowledgement of a leave and its bound in which waiting requests may still start. */
 const DRAIN_START_SHARE = 0.6
-/** Part of the bound on the rate of a cold backend server that is used; the rest covers a connection that opens late. */
+/** Part of the bound on the rate of a cold backend server that is used; the rest covers connections that open late. */
 const COLD_BOUND_SHARE = 0.97
 /** Weight of a new answer in the share of failures. */
 const FAILURE_WEIGHT = 0.08
