fix(decisions): know calls of services whose routes are split

Cause: a route counted as internal only if its requests began beside one service. Ruled out: slots (16 of 32 in use on average), links (the calls that were answered took 54 ms at the median). Change: a route is internal once the chance that callers would have used it from none of the other services' hosts is below 0.001.

--- a/packages/decisions/src/serving/createRouteCallers.ts
+++ b/packages/decisions/src/serving/createRouteCallers.ts
@@ -1,31 +1,32 @@
-/** Requests of a route after which its callers are taken as known. */
-const MIN_REQUESTS = 25
+/** Chance of taking a route that callers use for one that only backend servers call. */
+const ERROR_CHANCE = 0.001
 
-/** Learns which routes are only called by the backend servers of one service. */
+/** Learns which routes are only called by backend servers, from the services beside which their requests begin. */
 export interface RouteCallers {
   readonly record: (route: string, callerService: string) => void
-  /** True if all requests of the route have come from hosts of one service, and there were enough of them. */
+  /** True if no request of the route began beside services where some of its callers would be by now. */
   readonly isInternal: (route: string) => boolean
 }
 
 /**
- * Creates a learner without requests. Callers connect at hosts of all services alike, so a route whose requests all
- * begin beside one service is called by that service itself. To refuse such a call wastes the run that makes it.
+ * Creates a learner without requests. Callers connect at all hosts alike, while a call between services begins beside
+ * the services that make it: if none of the hosts of the other services has sent any, callers do not use the route. To
+ * refuse such a call wastes the run that makes it. `getHostShare` tells the share of all hosts that serve one of the
+ * services, 0 to 1.
  */
-export function createRouteCallers (): RouteCallers {
-  const routes = new Map<string, { readonly service: string, isMixed: boolean, requests: number }>()
+export function createRouteCallers (getHostShare: (services: ReadonlySet<string>) => number): RouteCallers {
+  const routes = new Map<string, { readonly services: Set<string>, requests: number }>()
   return {
     record: (route, service) => {
-      const known = routes.get(route)
-      if (known === undefined) routes.set(route, { service, isMixed: false, requests: 1 })
-      else {
-        known.requests += 1
-        if (known.service !== service) known.isMixed = true
-      }
+      let known = routes.get(route)
+      if (known === undefined) routes.set(route, known = { services: new Set(), requests: 0 })
+      known.services.add(service)
+      known.requests += 1
     },
     isInternal: (route) => {
       const known = routes.get(route)
-      return known !== undefined && !known.isMixed && known.requests >= MIN_REQUESTS
+      if (known === undefined) return false
+      return getHostShare(known.services) ** known.requests < ERROR_CHANCE
     }
   }
 }
--- a/packages/node/src/home/createHome.ts
+++ b/packages/node/src/home/createHome.ts
@@ -51,7 +51,7 @@
   const { settings, clock, log, counters } = context
   const gate = createHomeGate<HomeJob>()
   const cut = createVersionCut()
-  const callers = createRouteCallers()
+  const callers = createRouteCallers(view.getHostShare)
   const outcomes = new Map<HomeJob, (outcome: HomeOutcome) => void>()
   const attempts = new Set<string>()
   let isStopping = false
--- a/packages/node/src/rows/createMeshView.ts
+++ b/packages/node/src/rows/createMeshView.ts
@@ -24,6 +24,8 @@
   readonly listHosts: () => readonly HostRecord[]
   /** Hosts that serve a service, with any version and in any data centre. */
   readonly listServing: (service: string) => readonly HostRecord[]
+  /** Share of all hosts that serve one of the services, 0 to 1. */
+  readonly getHostShare: (services: ReadonlySet<string>) => number
   readonly getRelease: (service: string) => Release | undefined
   readonly listOrders: () => readonly OrderedRollout[]
   readonly isVersionAllowed: (service: string, version: string) => boolean
@@ -47,6 +49,7 @@
   const releases = new Map<string, Release>()
   let serving = new Map<string, HostRecord[]>()
   let servedVersions = new Map<string, Set<string>>()
+  let hostCounts = new Map<string, number>()
 
   function applyConfiguration (row: ReplicaRow): void {
     if (row.value === undefined) return
@@ -110,7 +113,9 @@
   function buildHostIndex (): void {
     serving = new Map()
     servedVersions = new Map()
+    hostCounts = new Map()
     for (const record of hosts.values()) {
+      hostCounts.set(record.service, (hostCounts.get(record.service) ?? 0) + 1)
       if (!record.serving) continue
       const list = serving.get(record.service) ?? []
       list.push(record)
@@ -138,6 +143,11 @@
     getHost: (host) => hosts.get(host),
     listHosts: () => [...hosts.values()],
     listServing: (service) => serving.get(service) ?? NO_HOSTS,
+    getHostShare: (names) => {
+      let count = 0
+      for (const name of names) count += hostCounts.get(name) ?? 0
+      return hosts.size === 0 ? 1 : count / hosts.size
+    },
     getRelease: (service) => releases.get(service),
     listOrders: () => [...orders.values()],
     isVersionAllowed: (service, version) =>
--- /dev/null
+++ b/packages/node/tests/soak/createLedger.ts
@@ -0,0 +1,77 @@
+/** A request as its caller sent it. */
+export interface SentRequest {
+  readonly id: string
+  readonly service: string
+  readonly mayRepeat: boolean
+  readonly body: string
+}
+
+/** Record of what callers sent and got and what backend servers ran, which tells whether a promise was broken. */
+export interface Ledger {
+  readonly recordSent: (request: SentRequest) => void
+  /** A backend server begins to run a request. */
+  readonly recordRun: (id: string, service: string, body: string) => void
+  /** A caller gets an answer. */
+  readonly recordAnswer: (id: string, answer: { status: number, echoedId: string, body: string }) => void
+  /** The request ended without an answer. */
+  readonly recordEnd: (id: string) => void
+  readonly recordBroken: (promise: string, detail: string) => void
+  /** Broken promises so far; at the end also those that only the whole record shows. */
+  readonly listBroken: (isOver: boolean) => string[]
+  readonly countAnswers: () => Readonly<Record<string, number>>
+}
+
+/** Body of the answer that a backend server gives to a request. */
+export const composeAnswerBody = (id: string, body: string): string => `${id}:${body}`
+
+/** Creates an empty ledger. */
+export function createLedger (): Ledger {
+  const sent = new Map<string, SentRequest>()
+  const runs = new Map<string, number>()
+  const refused = new Set<string>()
+  const open = new Set<string>()
+  const broken: string[] = []
+  const answers: Record<string, number> = {}
+  const recordBroken = (promise: string, detail: string): void => { broken.push(`${promise}: ${detail}`) }
+
+  return {
+    recordSent: (request) => {
+      sent.set(request.id, request)
+      open.add(request.id)
+    },
+    recordRun: (id, service, body) => {
+      const request = sent.get(id)
+      if (request === undefined) recordBroken('unasked', `${id} was never sent`)
+      else if (request.service !== service) recordBroken('route', `${id} for ${request.service} ran at ${service}`)
+      else if (request.body !== body) recordBroken('unasked', `${id} ran with another body`)
+      const count = (runs.get(id) ?? 0) + 1
+      runs.set(id, count)
+      if (count > 1 && request?.mayRepeat === false) recordBroken('twice', `${id} ran ${count} times`)
+    },
+    recordAnswer: (id, { status, echoedId, body }) => {
+      open.delete(id)
+      answers[status] = (answers[status] ?? 0) + 1
+      const request = sent.get(id)
+      if (status === 503) refused.add(id)
+      if (status !== 200) return
+      if (echoedId !== id) recordBroken('mixed', `${id} got the answer of ${echoedId}`)
+      if (body !== composeAnswerBody(id, request?.body ?? '')) recordBroken('mixed', `${id} got another body`)
+      if (!runs.has(id)) recordBroken('mixed', `${id} was answered and never ran`)
+    },
+    recordEnd: (id) => {
+      open.delete(id)
+      answers.none = (answers.none ?? 0) + 1
+    },
+    recordBroken,
+    listBroken: (isOver) => {
+      if (!isOver) return [...broken]
+      const ranRefused = [...refused].filter((id) => runs.has(id) && sent.get(id)?.mayRepeat === false)
+      return [
+        ...broken,
+        ...ranRefused.map((id) => `refused: ${id} was told that it has not run`),
+        ...[...open].map((id) => `held: ${id} has not ended`)
+      ]
+    },
+    countAnswers: () => answers
+  }
+}
--- /dev/null
+++ b/packages/node/tests/soak/startSoakHost.ts
@@ -0,0 +1,184 @@
+import { createFaultProxy, type FaultProxy } from '@snipenotch/stand-ins'
+import { HEADERS } from '@snipenotch/platform'
+import { writeFileSync } from 'node:fs'
+import { createServer, request, type IncomingMessage, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { findFreePort } from '../../../emulator/src/mesh/findFreePort.js'
+import { startProcess, type StartedProcess } from '../../../emulator/src/mesh/startProcess.js'
+import { composeReport, composeSettings, HEALTH_PATH } from '../../../../platform/tests/composeWire.js'
+import { composeAnswerBody, type Ledger } from './createLedger.js'
+
+/** A host of the soak: a real node process, and a backend server in this process. */
+export interface SoakHost {
+  readonly host: string
+  readonly service: string
+  readonly callersPort: number
+  readonly storeProxy: FaultProxy
+  readonly backendProxy: FaultProxy
+  readonly isRunning: () => boolean
+  /** Sends a signal to the node; one that ends it is followed by a restart after `restartMs`. */
+  readonly signal: (name: NodeJS.Signals, restartMs?: number) => void
+  /** Lets the backend server leave and, after its time to drain, come back as a new run. */
+  readonly leaveAndReturn: () => Promise<void>
+  readonly stop: () => Promise<void>
+  /** Last lines of the node's log. */
+  readonly readLog: () => string
+}
+
+export interface SoakHostOptions {
+  readonly bundle: string
+  readonly directory: string
+  readonly host: string
+  readonly service: string
+  readonly dataCentre: string
+  readonly storeAddress: string
+  readonly ledger: Ledger
+  readonly draw: () => number
+}
+
+const SLOTS = 4
+const REPORT_INTERVAL_MS = 300
+/** Bound of the settings from the acknowledgement of a leave to the last request, in milliseconds. */
+const DRAIN_MS = 2000
+/** Share of answers that are lost after the request ran. */
+const LOST_ANSWER_SHARE = 0.02
+const KILLS: ReadonlySet<NodeJS.Signals> = new Set(['SIGKILL', 'SIGTERM'])
+const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
+
+/** Starts the host's backend server, proxies and node. */
+export async function startSoakHost (options: SoakHostOptions): Promise<SoakHost> {
+  const { host, service, dataCentre, ledger, draw } = options
+  let run = 1
+  let sequence = 0
+  let running = 0
+  let leavingAckedAt: number | undefined
+  let state: 'serving' | 'draining' = 'serving'
+  let isStopped = false
+  const getInstance = (): string => `i-${host}-${run}`
+
+  function handleRequest (incoming: IncomingMessage, response: ServerResponse, body: string): void {
+    const id = String(incoming.headers[HEADERS.attemptId] ?? '')
+    const isNamed = incoming.headers[HEADERS.targetInstance] === getInstance()
+    if (!isNamed) {
+      response.writeHead(421, { [HEADERS.attemptId]: id, 'Content-Length': 0 }).end()
+      return
+    }
+    if (leavingAckedAt !== undefined && performance.now() > leavingAckedAt + DRAIN_MS) {
+      ledger.recordBroken('drain', `${id} reached ${getInstance()} after its time to drain`)
+    }
+    running += 1
+    if (running > SLOTS) ledger.recordBroken('slots', `${running} requests at ${getInstance()}`)
+    ledger.recordRun(id, service, body)
+    const timer = setTimeout(() => {
+      if (draw() < LOST_ANSWER_SHARE) {
+        incoming.socket.destroy()
+        return
+      }
+      const text = composeAnswerBody(id, body)
+      const headers = { [HEADERS.attemptId]: id, [HEADERS.signature]: 'signed', 'Content-Length': Buffer.byteLength(text) }
+      response.writeHead(200, headers).end(text)
+    }, 5 + draw() * 50)
+    response.on('close', () => {
+      clearTimeout(timer)
+      running -= 1
+    })
+  }
+
+  const backend = createServer((incoming, response) => {
+    const chunks: Buffer[] = []
+    incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
+    // A sender that ends in the midst of a body has had nothing run.
+    incoming.on('error', () => { response.destroy() })
+    incoming.on('end', () => {
+      if (incoming.url !== HEALTH_PATH) handleRequest(incoming, response, Buffer.concat(chunks).toString())
+      else response.writeHead(state === 'serving' ? 200 : 503, { [HEADERS.instance]: getInstance(), 'Content-Length': 0 }).end()
+    })
+  })
+  await new Promise<void>((resolve) => { backend.listen(0, '127.0.0.1', resolve) })
+  const backendProxy = await createFaultProxy(`127.0.0.1:${(backend.address() as AddressInfo).port}`, draw)
+  const storeProxy = await createFaultProxy(options.storeAddress, draw)
+  const [callers, requests, readiness, reports, peers, metrics] = await Promise.all(Array.from({ length: 6 }, findFreePort))
+  if (callers === undefined || reports === undefined || peers === undefined || metrics === undefined) throw new Error('no free port')
+  const file = `${options.directory}/${host}.toml`
+  writeFileSync(file, composeSettings({
+    host,
+    dataCentre,
+    service,
+    callers: `127.0.0.1:${callers}`,
+    requests: `127.0.0.1:${requests}`,
+    readiness: `127.0.0.1:${readiness}`,
+    reports: `127.0.0.1:${reports}`,
+    backend: backendProxy.address,
+    store: storeProxy.address,
+    ports: [peers, metrics]
+  }))
+
+  /** True if the node acknowledged the report. */
+  function report (): Promise<boolean> {
+    sequence += 1
+    const fields = { address: backendProxy.address, service, dataCentre, sequence, state, startedAt: run }
+    const { path, body } = composeReport(getInstance(), fields)
+    return new Promise((resolve) => {
+      const outgoing = request({ host: '127.0.0.1', port: reports, path, method: 'POST', timeout: 1000 }, (incoming) => {
+        incoming.resume()
+        resolve(incoming.statusCode === 200)
+      })
+      outgoing.on('timeout', () => { outgoing.destroy() })
+      outgoing.on('error', () => { resolve(false) })
+      outgoing.end(body)
+    })
+  }
+  async function reportOn (): Promise<void> {
+    while (!isStopped) {
+      const isAcknowledged = await report()
+      if (isAcknowledged && state === 'draining') leavingAckedAt ??= performance.now()
+      await awaitPause(REPORT_INTERVAL_MS)
+    }
+  }
+
+  let node: StartedProcess | undefined
+  function startNode (): void {
+    if (isStopped) return
+    const started = startProcess(options.bundle, [], { env: { SNIPENOTCH_NODE_FILE: file } })
+    node = started
+    started.exited.then(() => { if (node === started) node = undefined }, () => undefined)
+  }
+  startNode()
+  reportOn().catch((error: unknown) => { ledger.recordBroken('soak', String(error)) })
+
+  return {
+    host,
+    service,
+    callersPort: callers,
+    storeProxy,
+    backendProxy,
+    isRunning: () => node !== undefined,
+    signal: (name, restartMs = 0) => {
+      const target = node
+      if (target === undefined) return
+      target.child.kill(name)
+      if (!KILLS.has(name)) return
+      target.exited.then(() => { setTimeout(startNode, restartMs) }, () => undefined)
+    },
+    leaveAndReturn: async () => {
+      if (state === 'draining') return
+      state = 'draining'
+      await awaitPause(DRAIN_MS * 2)
+      run += 1
+      sequence = 0
+      leavingAckedAt = undefined
+      state = 'serving'
+    },
+    stop: async () => {
+      isStopped = true
+      const last = node
+      last?.child.kill('SIGCONT')
+      last?.child.kill('SIGKILL')
+      await last?.exited
+      for (const proxy of [storeProxy, backendProxy]) proxy.stop()
+      backend.closeAllConnections()
+      backend.close()
+    },
+    readLog: () => node?.readOutput().slice(-4000) ?? ''
+  }
+}
