--- a/packages/emulator/src/mesh/startProcess.ts
+++ b/packages/emulator/src/mesh/startProcess.ts
@@ -17,13 +17,17 @@
   readonly onLine?: (line: string) => void
   /** Options of Node.js itself. */
   readonly nodeOptions?: readonly string[]
+  /** Added to the environment of this process. */
+  readonly env?: Readonly<Record<string, string>>
 }
 
 /** Starts a Node.js script with this process's own interpreter. */
 export function startProcess (
-  script: string, args: readonly string[], { onLine, nodeOptions = [] }: ProcessOptions = {}
+  script: string, args: readonly string[], { onLine, nodeOptions = [], env = {} }: ProcessOptions = {}
 ): StartedProcess {
-  const child = spawn(process.execPath, [...nodeOptions, script, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+  const child = spawn(process.execPath, [...nodeOptions, script, ...args], {
+    stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, ...env }
+  })
   let output = ''
   const collect = (chunk: Buffer): void => { output = (output + chunk.toString('utf8')).slice(-MAX_OUTPUT_LENGTH) }
   child.stdout.on('data', collect)
--- a/packages/node/tests/soak/runSoak.ts
+++ b/packages/node/tests/soak/runSoak.ts
@@ -129,7 +129,11 @@
   })
 }
 
-async function startScene (options: SoakOptions, ledger: Ledger, directory: string): Promise<Scene & { close: () => Promise<void> }> {
+interface OpenScene extends Scene {
+  readonly close: () => Promise<void>
+}
+
+async function startScene (options: SoakOptions, ledger: Ledger, directory: string): Promise<OpenScene> {
   const draw = createDraw(options.seed)
   const store = await startStoreStandIn()
   const client = createStoreClient(store.address)
@@ -139,8 +143,10 @@
     version += 1
     const parts = SERVICES.map(({ service, mayRepeat }) =>
       composeConfiguration(version, [service], { idempotent: mayRepeat }) as { resources: unknown[] })
-    const value = JSON.stringify({ version, resources: [...parts.flatMap(({ resources }) => resources.slice(0, 2)), parts[0]?.resources.at(-1)] })
-    const written = await client.write([{ table: 'op', key: 'config', version: row }], [{ table: 'op', key: 'config', value }])
+    const resources = [...parts.flatMap((part) => part.resources.slice(0, 2)), parts[0]?.resources.at(-1)]
+    const value = JSON.stringify({ version, resources })
+    const condition = { table: 'op', key: 'config', version: row }
+    const written = await client.write([condition], [{ table: 'op', key: 'config', value }])
     // A fault of the store may hit the operator as well; the next change follows the row that is there then.
     if (written.isErr()) return
     row = written.value.kind === 'done' ? written.value.version : written.value.rows[0]?.version ?? row
@@ -197,11 +203,12 @@
     recent.length = 0
     const endsAt = performance.now() + RECOVERY_MS
     while (!isServed() && performance.now() < endsAt) await awaitPause(100)
-    if (!isServed()) ledger.recordBroken('recover', `${title}: ${recent.filter((status) => status === 200).length} of the latest ${recent.length} served`)
+    const served = recent.filter((status) => status === 200).length
+    if (!isServed()) ledger.recordBroken('recover', `${title}: ${served} of the latest ${recent.length} served`)
   }
   try {
     await awaitServed('at the start')
-    const playing: Array<Promise<void> | void> = []
+    const playing: Array<Promise<void>> = []
     const endsAt = performance.now() + options.faultMs
     while (performance.now() < endsAt) {
       const names = Object.keys(FAULTS)
@@ -209,7 +216,7 @@
       const host = scene.hosts[Math.floor(scene.draw() * scene.hosts.length)]
       if (host === undefined) break
       faults.push(`${name} (${host.host})`)
-      playing.push(FAULTS[name]?.(scene, host))
+      playing.push(Promise.resolve(FAULTS[name]?.(scene, host)))
       await awaitPause(50 + scene.draw() * 500)
     }
     await Promise.all(playing)
--- a/packages/node/tests/soak/startSoakHost.ts
+++ b/packages/node/tests/soak/startSoakHost.ts
@@ -97,8 +97,10 @@
   await new Promise<void>((resolve) => { backend.listen(0, '127.0.0.1', resolve) })
   const backendProxy = await createFaultProxy(`127.0.0.1:${(backend.address() as AddressInfo).port}`, draw)
   const storeProxy = await createFaultProxy(options.storeAddress, draw)
-  const [callers, requests, readiness, reports, peers, metrics] = await Promise.all(Array.from({ length: 6 }, findFreePort))
-  if (callers === undefined || reports === undefined || peers === undefined || metrics === undefined) throw new Error('no free port')
+  const ports = await Promise.all(Array.from({ length: 6 }, findFreePort))
+  const [callers, requests, readiness, reports, peers, metrics] = ports
+  if (callers === undefined || reports === undefined) throw new Error('no free port')
+  if (peers === undefined || metrics === undefined) throw new Error('no free port')
   const file = `${options.directory}/${host}.toml`
   writeFileSync(file, composeSettings({
     host,
@@ -129,11 +131,11 @@
     })
   }
   async function reportOn (): Promise<void> {
-    while (!isStopped) {
-      const isAcknowledged = await report()
-      if (isAcknowledged && state === 'draining') leavingAckedAt ??= performance.now()
-      await awaitPause(REPORT_INTERVAL_MS)
-    }
+    const sentState = state
+    const isAcknowledged = await report()
+    if (isAcknowledged && sentState === 'draining' && state === 'draining') leavingAckedAt ??= performance.now()
+    await awaitPause(REPORT_INTERVAL_MS)
+    if (!isStopped) await reportOn()
   }
 
   let node: StartedProcess | undefined
