perf(node): look less often whether the store must be read again

Cause: two timers of 100 ms in each follower woke the process 20 times a second for nothing. Change: 250 ms; a reader that is lost is replaced by another one without this look.

--- a/packages/node/src/rows/createRowFollower.ts
+++ b/packages/node/src/rows/createRowFollower.ts
@@ -13,7 +13,7 @@
 /** Longest pause in milliseconds, well below the time in which changes must be in force. */
 const MAX_BATCH_PAUSE_MS = 600
 /** Time between two looks at whether the node must read the store itself again, in milliseconds. */
-const FOLLOWING_CHECK_MS = 100
+const FOLLOWING_CHECK_MS = 250
 /** First and longest pause after a failed call, in milliseconds. */
 const FIRST_BACKOFF_MS = 100
 const MAX_BACKOFF_MS = 1000
