fix(node): count no silence while a large body is on a narrow link

Cause: a home node beats only for requests that it has read whole. Change: the limit grows by four times the way of the open bodies over the narrower link.

--- a/packages/node/src/entry/createCandidateFinder.ts
+++ b/packages/node/src/entry/createCandidateFinder.ts
@@ -1,6 +1,7 @@
 import type { HostRecord } from '@snipenotch/contracts'
 import { drawReleaseVersion, type PlacementCandidate } from '@snipenotch/decisions'
 import type { NodeContext } from '../NodeContext.js'
+import { computeTransferMs } from '../peers/computeTransferMs.js'
 import type { HostHealth } from '../peers/createHostHealth.js'
 import type { MeshView } from '../rows/createMeshView.js'
 
@@ -37,8 +38,6 @@
  * that wait behind it on the link.
  */
 const TRANSFER_WEIGHT = 2
-/** Bits of a byte over kilobits of a megabit: milliseconds for a byte on a link of 1 Mbit/s. */
-const MS_PER_BYTE_AT_1_MBPS = 8 / 1000
 /** Size of a request's head and a short answer, in bytes. */
 const HEAD_AND_ANSWER_BYTES = 1200
 
@@ -49,14 +48,9 @@
 export function createCandidateFinder (
   { settings, draw }: NodeContext, view: FinderView, health: Pick<HostHealth, 'isDown'>
 ): CandidateFinder {
-  function computeTransfer ({ linkMbps }: HostRecord, bytes: number): number {
-    const mbps = Math.min(linkMbps, settings.linkMbps)
-    return mbps > 0 ? bytes * MS_PER_BYTE_AT_1_MBPS / mbps * TRANSFER_WEIGHT : 0
-  }
-
   function computeDistance (record: HostRecord, bytes: number): number {
     if (record.host === settings.host) return 0
-    const transferMs = computeTransfer(record, bytes)
+    const transferMs = computeTransferMs(bytes, record.linkMbps, settings.linkMbps) * TRANSFER_WEIGHT
     if (record.dataCentre === settings.dataCentre) return OTHER_HOST_MS + transferMs
     const costMs = (bytes + HEAD_AND_ANSWER_BYTES) / 1024 * OTHER_DATA_CENTRE_MS_PER_KB
     return OTHER_DATA_CENTRE_MS + transferMs + costMs
--- a/packages/node/src/entry/createHomeClient.ts
+++ b/packages/node/src/entry/createHomeClient.ts
@@ -2,6 +2,7 @@
 import type { NodeContext } from '../NodeContext.js'
 import { BEAT_INTERVAL_MS } from '../home/createHomeServer.js'
 import type { HomeJob, HomeOutcome } from '../home/HomeJob.js'
+import { computeTransferMs } from '../peers/computeTransferMs.js'
 import type { HostHealth } from '../peers/createHostHealth.js'
 import type { PeerRows } from '../rows/createPeerRows.js'
 import { createHomeLink, type HomeLink } from './createHomeLink.js'
@@ -15,6 +16,11 @@
 /** Silence on a link with open requests after which its host counts as lost, in milliseconds: three missed beats. */
 const SILENCE_LIMIT_MS = BEAT_INTERVAL_MS * 3
 const SILENCE_CHECK_MS = 100
+/**
+ * Times that the way of open bodies over the narrower link may take before silence counts: a home node beats only for
+ * requests that it has read whole, and bodies share links with others.
+ */
+const TRANSFER_MARGIN = 4
 /** Bodies above this size travel on links of their own, so that no other request waits behind them, in bytes. */
 const MAX_SHARED_BODY_BYTES = 16_384
 /** Links to one host for large bodies; the slots of a backend server are fewer. */
@@ -26,13 +32,16 @@
 
 interface HostLinks {
   readonly address: string
+  readonly linkMbps: number
   shared: HomeLink | undefined
   bulk: HomeLink[]
 }
 
 /** Creates the client of all other hosts. */
-export function createHomeClient (context: NodeContext, health: HostHealth, peerRows: PeerRows): HomeClient {
-  const { clock } = context
+export function createHomeClient (
+  context: NodeContext, health: Pick<HostHealth, 'markDown'>, peerRows: Pick<PeerRows, 'observe'>
+): HomeClient {
+  const { clock, settings } = context
   const hosts = new Map<string, HostLinks>()
   /** Links that get no more requests but still have some. */
   const retired = new Set<HomeLink>()
@@ -57,7 +66,9 @@
     // The host has moved to another address.
     for (const link of known?.bulk ?? []) drainLink(link)
     if (known?.shared !== undefined) drainLink(known.shared)
-    const links: HostLinks = { address: record.requestAddress, shared: undefined, bulk: [] }
+    const links: HostLinks = {
+      address: record.requestAddress, linkMbps: record.linkMbps, shared: undefined, bulk: []
+    }
     hosts.set(record.host, links)
     return links
   }
@@ -78,7 +89,7 @@
   }
 
   /** Gives up a link that is silent, and closes one that is not used; true if it may be used on. */
-  function checkLink (host: string, link: HomeLink): boolean {
+  function checkLink (host: string, linkMbps: number, link: HomeLink): boolean {
     if (link.isClosed()) return false
     const silentMs = clock.now() - link.getHeardAt()
     if (link.countPending() === 0) {
@@ -86,7 +97,8 @@
       link.close()
       return false
     }
-    if (silentMs < SILENCE_LIMIT_MS) return true
+    const transferMs = computeTransferMs(link.countPendingBytes(), linkMbps, settings.linkMbps)
+    if (silentMs < SILENCE_LIMIT_MS + transferMs * TRANSFER_MARGIN) return true
     health.markDown(host, 'silent while a request was open')
     link.giveUp()
     drainLink(link)
@@ -95,8 +107,8 @@
 
   const timer = setInterval(() => {
     for (const [host, links] of hosts) {
-      links.bulk = links.bulk.filter((link) => checkLink(host, link))
-      if (links.shared !== undefined && !checkLink(host, links.shared)) links.shared = undefined
+      links.bulk = links.bulk.filter((link) => checkLink(host, links.linkMbps, link))
+      if (links.shared !== undefined && !checkLink(host, links.linkMbps, links.shared)) links.shared = undefined
       if (links.shared === undefined && links.bulk.length === 0) hosts.delete(host)
     }
     for (const link of retired) {
--- a/packages/node/src/entry/createHomeLink.ts
+++ b/packages/node/src/entry/createHomeLink.ts
@@ -11,6 +11,8 @@
 export interface HomeLink {
   readonly send: (job: HomeJob, onOutcome: (outcome: HomeOutcome) => void) => void
   readonly countPending: () => number
+  /** Bytes of the bodies of open requests, sent or not. */
+  readonly countPendingBytes: () => number
   /** Bytes that wait to be sent. */
   readonly countBacklog: () => number
   /** Time of the last sign of life, or of the first request that waits for one. */
@@ -118,6 +120,7 @@
       sender.add({ kind: 'run', id, job })
     },
     countPending: () => pending.size,
+    countPendingBytes: () => [...pending.values()].reduce((sum, { job }) => sum + job.body.length, 0),
     countBacklog: () => socket.bufferedAmount,
     getHeardAt: () => heardAt,
     giveUp: () => {
--- /dev/null
+++ b/packages/node/tests/createJob.ts
@@ -0,0 +1,44 @@
+import { type HostRecord, toMilliseconds } from '@snipenotch/contracts'
+import type { HomeJob } from '../src/home/HomeJob.js'
+
+/** A request for a backend server of the service "parts". */
+export function createJob (given: Partial<HomeJob> = {}): HomeJob {
+  return {
+    service: 'parts',
+    route: 'r-parts',
+    priority: 1,
+    idempotent: true,
+    targetAt: toMilliseconds(1200),
+    endAt: toMilliseconds(2000),
+    targetLatencyMs: 200,
+    attemptId: 'id-1',
+    callerService: 'clocks',
+    method: 'GET',
+    target: '/parts/1',
+    headers: [],
+    body: Buffer.alloc(0),
+    isInternal: false,
+    arrivedAt: toMilliseconds(0),
+    ...given
+  }
+}
+
+/** Record of a host that serves "parts". */
+export function createRecord (host: string, given: Partial<HostRecord> = {}): HostRecord {
+  return {
+    host,
+    dataCentre: 'krakow',
+    service: 'parts',
+    requestAddress: '127.0.0.1:1',
+    peerAddress: '127.0.0.1:2',
+    linkMbps: 140,
+    serving: true,
+    instance: `i-${host}`,
+    startedAt: 0,
+    sequence: 0,
+    version: 'v1',
+    slots: 8,
+    versionCut: false,
+    ...given
+  }
+}
--- a/packages/node/tests/entry/createCandidateFinder.test.ts
+++ b/packages/node/tests/entry/createCandidateFinder.test.ts
@@ -1,27 +1,15 @@
-import type { HostRecord } from '@snipenotch/contracts'
 import { expect } from 'chai'
 import { createCandidateFinder } from '../../src/entry/createCandidateFinder.js'
+import { createRecord } from '../createJob.js'
 import { createTestContext } from '../createTestContext.js'
 
-const record = (host: string, given: Partial<HostRecord> = {}): HostRecord => ({
-  host,
-  dataCentre: 'krakow',
-  service: 'parts',
-  requestAddress: '127.0.0.1:1',
-  peerAddress: '127.0.0.1:2',
-  linkMbps: 140,
-  serving: true,
-  instance: `i-${host}`,
-  startedAt: 0,
-  sequence: 0,
-  version: 'v1',
-  slots: 8,
-  versionCut: false,
-  ...given
-})
-
 describe('createCandidateFinder', () => {
-  const records = [record('krakow-1'), record('wide'), record('narrow', { linkMbps: 8.4 }), record('far', { dataCentre: 'tarnow' })]
+  const records = [
+    createRecord('krakow-1'),
+    createRecord('wide'),
+    createRecord('narrow', { linkMbps: 8.4 }),
+    createRecord('far', { dataCentre: 'tarnow' })
+  ]
   const finder = createCandidateFinder(createTestContext({ linkMbps: 140 }), {
     listServing: () => records,
     isEvacuated: () => false,
--- a/packages/node/tests/entry/createHomeLink.test.ts
+++ b/packages/node/tests/entry/createHomeLink.test.ts
@@ -1,4 +1,3 @@
-import { type HostRecord, toMilliseconds } from '@snipenotch/contracts'
 import { expect } from 'chai'
 import { createServer, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
@@ -7,30 +6,10 @@
 import type { HomeJob, HomeOutcome } from '../../src/home/HomeJob.js'
 import { decodeBatch, encodeBatch } from '../../src/peers/linkCodec.js'
 import type { LinkMessage } from '../../src/peers/LinkMessage.js'
+import { createJob, createRecord } from '../createJob.js'
 import { createTestContext } from '../createTestContext.js'
 import { awaitCondition } from '../startTestMesh.js'
 
-function createJob (given: Partial<HomeJob> = {}): HomeJob {
-  return {
-    service: 'parts',
-    route: 'r-parts',
-    priority: 1,
-    idempotent: true,
-    targetAt: toMilliseconds(1200),
-    endAt: toMilliseconds(2000),
-    targetLatencyMs: 200,
-    attemptId: 'id-1',
-    callerService: 'clocks',
-    method: 'GET',
-    target: '/parts/1',
-    headers: [],
-    body: Buffer.alloc(0),
-    isInternal: false,
-    arrivedAt: toMilliseconds(0),
-    ...given
-  }
-}
-
 describe('createHomeLink', () => {
   const context = createTestContext()
   let server: Server
@@ -41,21 +20,7 @@
   let unreachable: string[]
 
   function open (port: number): void {
-    const record: HostRecord = {
-      host: 'krakow-2',
-      dataCentre: 'krakow',
-      service: 'parts',
-      requestAddress: `127.0.0.1:${port}`,
-      peerAddress: '127.0.0.1:1',
-      linkMbps: 1000,
-      serving: true,
-      instance: 'i-2',
-      startedAt: 0,
-      sequence: 0,
-      version: 'v1',
-      slots: 8,
-      versionCut: false
-    }
+    const record = createRecord('krakow-2', { requestAddress: `127.0.0.1:${port}` })
     link = createHomeLink({
       context, record, onUnreachable: (detail) => { unreachable.push(detail) }, onVersions: () => undefined
     })
