--- a/packages/node/tests/createNode.test.ts
+++ b/packages/node/tests/createNode.test.ts
@@ -6,6 +6,7 @@
 import { WebSocket } from 'ws'
 import { encodeBatch } from '../src/peers/linkCodec.js'
 import { composeConfiguration, composeReport } from '../../../platform/tests/composeWire.js'
+import { createJob } from './createJob.js'
 import {
   answerSigned, awaitCondition, send, startTestMesh, type TestHost, type TestMesh
 } from './startTestMesh.js'
@@ -135,21 +136,8 @@
     const socket = new WebSocket(`ws://127.0.0.1:${home.settings.requests.port}/`)
     await new Promise((resolve) => { socket.once('open', resolve) })
     const now = entry.context.clock.now()
-    const job = {
-      service: 'parts',
-      route: 'r-parts',
-      priority: 1,
-      idempotent: true,
-      targetAt: toMilliseconds(now + 200),
-      endAt: toMilliseconds(now + 1500),
-      targetLatencyMs: 200,
-      attemptId: 'left',
-      callerService: 'clocks',
-      method: 'GET',
-      target: '/parts/1',
-      headers: [],
-      body: Buffer.alloc(0)
-    }
+    const [targetAt, endAt] = [toMilliseconds(now + 200), toMilliseconds(now + 1500)]
+    const job = createJob({ attemptId: 'left', targetAt, endAt })
     await new Promise((resolve) => { setTimeout(resolve, 100) })
     socket.send(encodeBatch([{ kind: 'run', id: 1, job }], now))
     socket.terminate()
