--- a/packages/decisions/tests/serving/replayLoad.ts
+++ b/packages/decisions/tests/serving/replayLoad.ts
@@ -82,7 +82,7 @@
   else tally.lost += 1
 }
 
-function createJob (load: ReplayLoad, { at, work, firstAt, returnsLeft }: Arrival, targetFrom: number): Job {
+function createJob (load: ReplayLoad, { work, firstAt, returnsLeft }: Arrival, targetFrom: number): Job {
   return {
     route: 'r',
     priority: 1,
