feat(node): logs and histograms that tell a slow link, processor and queue apart

Event 809 did not say who closed a connection, nor which host had the request. Now 826 is written for a connection that this node closes before the answer, and for what is open when the process ends. Outcomes carry the time at the home node, so the way between two nodes is known (transitMs, histogram transit); the arrival of bodies and the delay of the event loop are recorded, and 827 writes the 99th percentiles each 5 s.

--- a/packages/daemon/src/observability/createCounters.ts
+++ b/packages/daemon/src/observability/createCounters.ts
@@ -20,7 +20,7 @@
   /** Tries sent again to another backend server. */
   serving_resends: 'not-run' | 'failed' | 'lost' | 'budget-spent'
   /** Requests by how they ended at the node that their caller is connected to. */
-  serving_requests: 'received' | 'answered' | 'failed' | 'refused' | 'left'
+  serving_requests: 'received' | 'answered' | 'failed' | 'refused' | 'left' | 'cut'
   /** Log lines left out to bound the volume. */
   log_lines: 'omitted'
   /** Rollout steps by their kind. */
@@ -29,14 +29,19 @@
 
 export type CounterName = keyof CounterLabels
 
-/** Latency histograms: the whole time at the entry node, the wait for a slot, and the backend server's own time. */
-export type HistogramName = 'request' | 'queue' | 'backend'
+/**
+ * Latency histograms: the whole time at the entry node, the wait for a slot, the backend server's own time, the time in
+ * which a request's body arrives, the way to another node and back, and the delay of the event loop.
+ */
+export type HistogramName = 'request' | 'queue' | 'backend' | 'body' | 'transit' | 'loop'
 
 export interface Counters {
   readonly count: <Name extends CounterName>(name: Name, label: CounterLabels[Name], amount?: number) => void
   readonly read: <Name extends CounterName>(name: Name, label: CounterLabels[Name]) => number
   /** Records a latency in milliseconds. */
   readonly record: (name: HistogramName, duration: number) => void
+  /** Latency in milliseconds that `quantile` (0 to 1) of the recorded ones do not exceed; 0 without any. */
+  readonly readQuantile: (name: HistogramName, quantile: number) => number
   /** Prometheus text format. */
   readonly format: () => string
 }
@@ -76,6 +81,7 @@
       }
       histogram.recordValue(Math.min(MAX_LATENCY_US, Math.max(1, Math.round(duration * 1000))))
     },
+    readQuantile: (name, quantile) => (histograms.get(name)?.getValueAtPercentile(quantile * 100) ?? 0) / 1000,
     format: () => {
       const lines = [...values].flatMap(([name, labels]) =>
         [...labels].map(([label, value]) => `snipenotch_${name}_total{reason="${label}"} ${value}`)).sort()
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -12,6 +12,7 @@
 import { createHomeServer } from './home/createHomeServer.js'
 import { probeInstance } from './home/probeInstance.js'
 import type { NodeContext } from './NodeContext.js'
+import { createLoadLog } from './operations/createLoadLog.js'
 import { createLoopWatch } from './operations/createLoopWatch.js'
 import { createReportServer } from './operations/createReportServer.js'
 import { createRolloutKeeper } from './operations/createRolloutKeeper.js'
@@ -94,7 +95,7 @@
     isStoreConnected
   })
   const home = createHome({ context, view, instance, backend, onChange: updateRecord })
-  const loop = createLoopWatch(clock)
+  const loop = createLoopWatch(clock, (delay) => { counters.record('loop', delay) })
   const homeServer = createHomeServer(context, home, loop, () => peerRows.getVersions())
   const client = createHomeClient(context, health, peerRows)
   const budgets = createResendBudgets(context, () => view.listHosts().length)
@@ -115,6 +116,7 @@
       home.update()
     }
   })
+  const loadLog = createLoadLog(context, entry, home)
   const keeper = createRolloutKeeper({
     context, view, replica, store, health, onRows: applyRows, getStoreTime
   })
@@ -179,6 +181,7 @@
       reader.start()
       peerRows.start()
       keeper.start()
+      loadLog.start()
       await Promise.all([
         listen(entry.server, settings.callers),
         listen(homeServer.server, settings.requests),
@@ -195,6 +198,7 @@
       log('daemonStopping', { open: entry.countOpen(), running: home.countRunning() })
       entry.stop()
       keeper.stop()
+      loadLog.stop()
       if (instance.getLeavingSince() !== undefined) recorder.set(undefined)
       const limitAt = stoppedAt + settings.gracePeriodMs * STOP_LIMIT_SHARE
       await awaitEnd(() => false, Math.min(limitAt, stoppedAt + HOME_LINGER_MS))
@@ -204,6 +208,7 @@
       entry.server.close()
       entry.server.closeIdleConnections()
       await awaitEnd(() => entry.countOpen() === 0 && home.countRunning() === 0, limitAt)
+      entry.logOpen()
       for (const follower of followers) follower.stop()
       reader.stop()
       for (const part of [peerRows, client, health, loop, homeServer]) part.close()
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -18,6 +18,8 @@
   /** Ends kept connections with the next answer. */
   readonly stop: () => void
   readonly countOpen: () => number
+  /** Logs the requests that are still open, because the process ends. */
+  readonly logOpen: () => void
   /** Limits of the configuration in force apply to new connections. */
   readonly updateLimits: () => void
 }
@@ -48,6 +50,9 @@
   readonly arrivedAt: Milliseconds
   /** No other request came on its connection before it. */
   readonly isFirstOfConnection: boolean
+  route?: string
+  /** Host that has the request now. */
+  getHost?: () => string | undefined
 }
 
 /** Remaining time that the caller names, in milliseconds. */
@@ -57,6 +62,9 @@
   return Number.isFinite(value) && value >= 0 ? value : fallback
 }
 
+const formatDuration = (duration: number | undefined): number | undefined =>
+  duration === undefined ? undefined : Math.round(duration)
+
 const SET_HERE: ReadonlySet<string> = new Set([HEADERS.callerService, HEADERS.remainingMs, HEADERS.targetInstance, 'content-length'])
 
 /**
@@ -74,6 +82,11 @@
   socket.on('close', notifyOnce)
 }
 
+/** True if the connection ended because of its caller, by a close or a reset. */
+function isClosedByCaller ({ incoming: { socket } }: Arrival): boolean {
+  return socket.readableEnded || socket.errored !== null
+}
+
 /** Creates the server for callers. */
 export function createEntryServer ({ context, view, start, budgets, loop }: EntryOptions): EntryServer {
   const { settings, clock, log, counters, draw } = context
@@ -116,6 +129,18 @@
     sendOwn(arrival, 503, reason, waitMs)
   }
 
+  /** The connection ended before the answer, or will at once. */
+  function logUnanswered (arrival: Arrival, isCut: boolean): void {
+    counters.count('serving_requests', isCut ? 'cut' : 'left')
+    log(isCut ? 'requestCut' : 'requestLeft', {
+      request: arrival.attemptId,
+      route: arrival.route,
+      backendHost: arrival.getHost?.(),
+      isStopping,
+      durationMs: Math.round(clock.now() - arrival.arrivedAt)
+    })
+  }
+
   function fail (arrival: Arrival, route: MeshRoute, status: number, reason: string, result?: ExchangeResult): void {
     counters.count('serving_requests', 'failed')
     log('requestFailed', {
@@ -125,6 +150,7 @@
       reason,
       backendHost: result?.host,
       tries: result?.tries,
+      transitMs: formatDuration(result?.outcome.transitMs),
       durationMs: Math.round(clock.now() - arrival.arrivedAt),
       configuration: view.getConfiguration()?.version
     })
@@ -144,6 +170,7 @@
       status: outcome.status,
       tries: result.tries,
       durationMs: Math.round(durationMs),
+      transitMs: formatDuration(result.outcome.transitMs),
       configuration: view.getConfiguration()?.version
     })
     send(arrival, outcome.status, outcome.headers, outcome.body)
@@ -176,6 +203,7 @@
       refuse(arrival, route, 'expired', 0, 0)
       return
     }
+    arrival.route = route.name
     const { isFirstOfConnection } = arrival
     const ageMs = ages.estimate({ route: route.name, remainingMs: remaining, isFirstOfConnection })
     const service = picker.pick(route)
@@ -202,6 +230,7 @@
     }, (result) => {
       if (endOnce()) handleResult(arrival, route, result)
     })
+    arrival.getHost = exchange.getHost
     if (state.isDone) return
     state.timer = setTimeout(() => {
       if (!endOnce()) return
@@ -210,8 +239,7 @@
     }, endAt + END_GRACE_MS - clock.now())
     listenLeft(arrival, () => {
       if (!endOnce()) return
-      counters.count('serving_requests', 'left')
-      log('requestLeft', { request: arrival.attemptId, route: route.name, durationMs: Math.round(clock.now() - arrivedAt) })
+      logUnanswered(arrival, !isClosedByCaller(arrival))
       exchange.cancel()
     })
   }
@@ -255,6 +283,7 @@
       if (size <= maxBytes) chunks.push(chunk)
     })
     incoming.on('end', () => {
+      if (size > 0) counters.record('body', clock.now() - arrival.arrivedAt)
       if (size > maxBytes) sendOwn(arrival, 413, 'body-too-large')
       else {
         const hasLeft = (): boolean => incoming.socket.readableEnded || incoming.socket.destroyed
@@ -278,6 +307,7 @@
     server,
     stop: () => { isStopping = true },
     countOpen: () => openArrivals.size,
+    logOpen: () => { for (const arrival of openArrivals) logUnanswered(arrival, true) },
     updateLimits: () => {
       const limits = view.getConfiguration()?.limits
       if (limits !== undefined) server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -54,8 +54,8 @@
 /** A request on its way; `cancel` ends it because the caller has left or its time is over. */
 export interface Exchange {
   readonly cancel: () => void
-  /** True once the request may have reached a backend server. */
-  readonly isSent: () => boolean
+  /** Host that has the request now; undefined between two tries. */
+  readonly getHost: () => string | undefined
 }
 
 export interface ExchangeOptions {
@@ -85,9 +85,9 @@
     const version = finder.drawVersion(service)
     let placements = 0
     let tries = 0
-    let isSent = false
     let isCancelled = false
     let current: HomeJob | undefined
+    let currentHost: string | undefined
     /** Shortest wait that a host named. */
     let waitMs = Infinity
     let lastRefusal: ServingRefusal = 'no-host'
@@ -95,6 +95,7 @@
 
     function end (outcome: HomeOutcome, host: string | undefined): void {
       current = undefined
+      currentHost = undefined
       onResult({ outcome, host, tries })
     }
 
@@ -189,10 +190,10 @@
       }
       placements += 1
       tried.add(candidate.host)
-      isSent = true
       placement.recordSend(candidate.host)
       const job = createJob(candidate)
       current = job
+      currentHost = candidate.host
       const handle = (outcome: HomeOutcome): void => { handleOutcome(candidate, outcome) }
       if (candidate.host === settings.host) home.run(job, handle)
       else client.send(job, candidate.record, handle)
@@ -215,7 +216,7 @@
         isCancelled = true
         current?.cancel?.()
       },
-      isSent: () => isSent
+      getHost: () => currentHost
     }
   }
 }
--- a/packages/node/src/entry/createHomeLink.ts
+++ b/packages/node/src/entry/createHomeLink.ts
@@ -36,6 +36,7 @@
 const CONNECT_TIMEOUT_MS = 400
 
 interface Pending {
+  readonly sentAt: number
   readonly job: HomeJob
   readonly onOutcome: (outcome: HomeOutcome) => void
 }
@@ -77,7 +78,11 @@
   function handleMessage (message: LinkMessage): void {
     if (message.kind !== 'outcome') return
     onVersions(message.versions)
-    end(message.id, message.outcome)
+    const sentAt = pending.get(message.id)?.sentAt
+    if (sentAt === undefined) return
+    const transitMs = Math.max(0, clock.now() - sentAt - message.homeMs)
+    counters.record('transit', transitMs)
+    end(message.id, { ...message.outcome, transitMs })
   }
 
   /** What was not sent has not run; what was sent may have. */
@@ -115,7 +120,7 @@
     send: (job, onOutcome) => {
       const id = nextId++
       if (pending.size === 0) heardAt = clock.now()
-      pending.set(id, { job, onOutcome })
+      pending.set(id, { sentAt: clock.now(), job, onOutcome })
       job.cancel = () => { cancel(id) }
       sender.add({ kind: 'run', id, job })
     },
--- a/packages/node/src/home/HomeJob.ts
+++ b/packages/node/src/home/HomeJob.ts
@@ -24,7 +24,12 @@
 }
 
 /** How a job ended at the node of its backend server. */
-export type HomeOutcome =
+export type HomeOutcome = JobEnd & {
+  /** Way to the other node and back in milliseconds; undefined if the job stayed on its host. */
+  readonly transitMs?: number | undefined
+}
+
+type JobEnd =
   | {
     readonly kind: 'answered'
     readonly status: number
--- a/packages/node/src/home/createHomeServer.ts
+++ b/packages/node/src/home/createHomeServer.ts
@@ -43,7 +43,8 @@
         home.run(job, (outcome) => {
           open.delete(id)
           const load = outcome.load ?? home.getLoad()
-          sender.add({ kind: 'outcome', id, outcome: { ...outcome, load }, versions: getVersions() })
+          const homeMs = clock.now() - job.arrivedAt
+          sender.add({ kind: 'outcome', id, outcome: { ...outcome, load }, versions: getVersions(), homeMs })
         })
       }
       const recordLeft = (): void => { counters.count('serving_requests', 'left') }
--- a/packages/node/src/operations/createLoopWatch.ts
+++ b/packages/node/src/operations/createLoopWatch.ts
@@ -9,14 +9,15 @@
 
 const PERIOD_MS = 40
 
-/** Creates a watch that compares the times of its own timer with those it asked for. */
-export function createLoopWatch (clock: Clock): LoopWatch {
+/** Creates a watch that compares the times of its own timer with those it asked for; `onTick` gets each delay. */
+export function createLoopWatch (clock: Clock, onTick: (delay: number) => void): LoopWatch {
   let tickedAt = clock.now()
   let delay = 0
   const timer = setInterval(() => {
     const now = clock.now()
     delay = Math.max(0, now - tickedAt - PERIOD_MS)
     tickedAt = now
+    onTick(delay)
   }, PERIOD_MS)
   return {
     // The timer may be late itself, so the time since it last ran counts as well.
--- a/packages/node/src/peers/LinkMessage.ts
+++ b/packages/node/src/peers/LinkMessage.ts
@@ -15,6 +15,13 @@
   | { readonly kind: 'run', readonly id: number, readonly job: LinkedJob }
   /** The caller has left, or the request was placed elsewhere. */
   | { readonly kind: 'cancel', readonly id: number }
-  | { readonly kind: 'outcome', readonly id: number, readonly outcome: HomeOutcome, readonly versions: RowVersions }
+  | {
+    readonly kind: 'outcome'
+    readonly id: number
+    readonly outcome: HomeOutcome
+    readonly versions: RowVersions
+    /** Time that the request was at the sending node, in milliseconds. */
+    readonly homeMs: number
+  }
   /** Sign of life of a node that still has requests of the link. */
   | { readonly kind: 'beat' }
--- a/packages/node/src/peers/linkCodec.ts
+++ b/packages/node/src/peers/linkCodec.ts
@@ -2,7 +2,7 @@
 import type { ReportedLoad } from '@snipenotch/decisions'
 import { Packr } from 'msgpackr'
 import type { HomeOutcome } from '../home/HomeJob.js'
-import type { LinkedJob, LinkMessage, RowVersions } from './LinkMessage.js'
+import type { LinkedJob, LinkMessage } from './LinkMessage.js'
 
 const packr = new Packr({ useRecords: false })
 
@@ -22,16 +22,17 @@
 
 const computeRounded = (value: number, parts: number): number => Math.round(value * parts) / parts
 
-function encodeOutcome (id: number, outcome: HomeOutcome, versions: RowVersions): Fields {
+function encodeOutcome ({ id, outcome, versions, homeMs }: Extract<LinkMessage, { kind: 'outcome' }>): Fields {
   const { load } = outcome
   const state = load === undefined
     ? null
     : [load.load, computeRounded(load.slots, 10), Math.round(load.serviceMs), computeRounded(load.failureShare, 100)]
+  const common = [id, state, versions, Math.round(homeMs)]
   switch (outcome.kind) {
     case 'answered':
-      return [KIND_CODES.answered, id, state, versions, outcome.status, outcome.headers, outcome.body, outcome.notRun]
-    case 'refused': return [KIND_CODES.refused, id, state, versions, outcome.reason, Math.round(outcome.waitMs)]
-    case 'lost': return [KIND_CODES.lost, id, state, versions, outcome.reason]
+      return [KIND_CODES.answered, ...common, outcome.status, outcome.headers, outcome.body, outcome.notRun]
+    case 'refused': return [KIND_CODES.refused, ...common, outcome.reason, Math.round(outcome.waitMs)]
+    case 'lost': return [KIND_CODES.lost, ...common, outcome.reason]
   }
 }
 
@@ -39,7 +40,7 @@
   switch (message.kind) {
     case 'run': return encodeRun(message.id, message.job, now)
     case 'cancel': return [KIND_CODES.cancel, message.id]
-    case 'outcome': return encodeOutcome(message.id, message.outcome, message.versions)
+    case 'outcome': return encodeOutcome(message)
     case 'beat': return [KIND_CODES.beat, 0]
   }
 }
@@ -87,7 +88,7 @@
 }
 
 function decodeOutcome (code: number, fields: readonly unknown[]): HomeOutcome | undefined {
-  const [state, , first, second, body, notRun] = fields
+  const [state, , , first, second, body, notRun] = fields
   const load = decodeLoad(state)
   if (code === KIND_CODES.answered) {
     if (!isNumber(first) || !isHeaderList(second) || !Buffer.isBuffer(body)) return undefined
@@ -111,7 +112,8 @@
     case KIND_CODES.lost: {
       const outcome = decodeOutcome(code, rest)
       const versions = Array.isArray(rest[1]) ? rest[1].filter(isNumber) : []
-      return outcome === undefined ? undefined : { kind: 'outcome', id, outcome, versions }
+      if (outcome === undefined || !isNumber(rest[2])) return undefined
+      return { kind: 'outcome', id, outcome, versions, homeMs: rest[2] }
     }
     default: return undefined
   }
--- a/packages/node/tests/entry/createHomeClient.test.ts
+++ b/packages/node/tests/entry/createHomeClient.test.ts
@@ -44,7 +44,7 @@
           const { id } = message
           setTimeout(() => {
             const outcome: HomeOutcome = { kind: 'refused', reason: 'busy', waitMs: 1 }
-            socket.send(encodeBatch([{ kind: 'outcome', id, outcome, versions: [] }], context.clock.now()))
+            socket.send(encodeBatch([{ kind: 'outcome', id, outcome, versions: [], homeMs: 0 }], context.clock.now()))
           }, answerAfterMs)
         }
       })
--- a/packages/node/tests/entry/createHomeLink.test.ts
+++ b/packages/node/tests/entry/createHomeLink.test.ts
@@ -55,7 +55,7 @@
       if (message.kind !== 'run') throw new Error(`found ${message.kind}, expected run`)
       const headers = ['id', message.job.attemptId]
       const outcome: HomeOutcome = { kind: 'answered', status: 200, headers, body: Buffer.alloc(0), notRun: false }
-      answer({ kind: 'outcome', id: message.id, outcome, versions: [] })
+      answer({ kind: 'outcome', id: message.id, outcome, versions: [], homeMs: 0 })
     }
     await awaitCondition('both ended', () => outcomes.length === 2)
     expect(outcomes.map((outcome) => outcome.kind === 'answered' ? outcome.headers[1] : '')).to.deep.equal(['b', 'a'])
@@ -97,7 +97,7 @@
     expect(outcomes).to.deep.equal([{ kind: 'lost', reason: 'host-silent' }])
     expect(link.isClosed()).to.equal(true)
     await awaitCondition('the first is cancelled', () => received.some(({ kind }) => kind === 'cancel'))
-    answer({ kind: 'outcome', id: 2, outcome: { kind: 'refused', reason: 'busy', waitMs: 5, load: undefined }, versions: [] })
+    answer({ kind: 'outcome', id: 2, outcome: { kind: 'refused', reason: 'busy', waitMs: 5, load: undefined }, versions: [], homeMs: 0 })
     await awaitCondition('the second ended', () => outcomes.length === 2)
     expect(outcomes[1]).to.include({ kind: 'refused', reason: 'busy' })
   })
--- a/packages/node/tests/peers/linkCodec.test.ts
+++ b/packages/node/tests/peers/linkCodec.test.ts
@@ -29,11 +29,12 @@
     kind: 'outcome',
     id: 5,
     versions: VERSIONS,
+    homeMs: 31,
     outcome: { kind: 'answered', status: 201, headers: ['A', 'b'], body: Buffer.from('x'), notRun: false, load: LOAD }
   },
-  { kind: 'outcome', id: 6, versions: VERSIONS, outcome: { kind: 'refused', reason: 'busy', waitMs: 42, load: LOAD } },
-  { kind: 'outcome', id: 7, versions: VERSIONS, outcome: { kind: 'lost', reason: 'answer-truncated', load: LOAD } },
-  { kind: 'outcome', id: 8, versions: [], outcome: { kind: 'lost', reason: 'answer-truncated', load: undefined } }
+  { kind: 'outcome', id: 6, versions: VERSIONS, homeMs: 0, outcome: { kind: 'refused', reason: 'busy', waitMs: 42, load: LOAD } },
+  { kind: 'outcome', id: 7, versions: VERSIONS, homeMs: 0, outcome: { kind: 'lost', reason: 'answer-truncated', load: LOAD } },
+  { kind: 'outcome', id: 8, versions: [], homeMs: 0, outcome: { kind: 'lost', reason: 'answer-truncated', load: undefined } }
 ]
 
 describe('linkCodec', () => {
@@ -54,8 +55,9 @@
 
   it('rejects malformed frames without an exception (guards against a sender that stops a node)', () => {
     const wrong = [
-      {}, 'x', [1], [[0]], [['run', 1]], [[0, 1, 'parts']], [[2, 1, null, [], '200', [], Buffer.alloc(0)]], [[9, 1]],
-      [[0, 1, 's', 'r', 1, true, 1, 1, 1, 'id', 's', 'GET', '/', ['odd'], Buffer.alloc(0)]], [[3, 1, null, [], 'busy']]
+      {}, 'x', [1], [[0]], [['run', 1]], [[0, 1, 'parts']], [[9, 1]],
+      [[2, 1, null, [], 0, '200', [], Buffer.alloc(0)]], [[2, 1, null, [], 'x', 200, [], Buffer.alloc(0), false]],
+      [[0, 1, 's', 'r', 1, true, 1, 1, 1, 'id', 's', 'GET', '/', ['odd'], Buffer.alloc(0)]], [[3, 1, null, [], 0, 'busy']]
     ]
     for (const value of wrong) {
       expect(decodeBatch(pack(value), toMilliseconds(0)), JSON.stringify(value)).to.equal(undefined)
