--- a/packages/node/tests/startTestMesh.ts
+++ b/packages/node/tests/startTestMesh.ts
@@ -44,7 +44,8 @@
 export interface TestMesh {
   readonly store: StoreStandIn
   readonly client: StoreClient
-  readonly startHost: (host: string, service: string, dataCentre?: string) => Promise<TestHost>
+  /** `given` replaces settings of the node. */
+  readonly startHost: (host: string, service: string, given?: Partial<NodeSettings>) => Promise<TestHost>
   readonly putOperatorRow: (key: string, value: object | undefined) => Promise<void>
   readonly close: () => Promise<void>
 }
@@ -138,7 +139,10 @@
   const hosts: TestHost[] = []
   const versions = new Map<string, number>()
 
-  async function startHost (host: string, service: string, dataCentre = 'krakow'): Promise<TestHost> {
+  async function startHost (
+    host: string, service: string, given: Partial<NodeSettings> = {}
+  ): Promise<TestHost> {
+    const { dataCentre = 'krakow' } = given
     const backend = await startBackend(host)
     const ports = await Promise.all(Array.from({ length: 6 }, findFreePort))
     const [callers, requests, readiness, reports, peers, metrics] = ports.map((port) => ({ host: '127.0.0.1', port }))
@@ -156,7 +160,8 @@
       metrics,
       store: store.address,
       backend: { host: '127.0.0.1', port: backend.port },
-      gracePeriodMs: 100
+      gracePeriodMs: 100,
+      ...given
     })
     const node = createNode(context)
     await node.start()
--- /dev/null
+++ b/packages/node/tests/stopping.test.ts
@@ -0,0 +1,74 @@
+import { expect } from 'chai'
+import { HEADERS } from '@snipenotch/platform'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { connect } from 'node:net'
+import { composeConfiguration } from '../../../platform/tests/composeWire.js'
+import { answerSigned, awaitCondition, send, startTestMesh, type TestHost, type TestMesh } from './startTestMesh.js'
+
+/** Grace period of the node that stops, in milliseconds. */
+const GRACE_MS = 3000
+const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
+
+describe('stopping', () => {
+  let mesh: TestMesh
+  let entry: TestHost
+  let home: TestHost
+  let held: Array<() => void>
+
+  beforeEach(async () => {
+    mesh = await startTestMesh()
+    entry = await mesh.startHost('krakow-1', 'clocks', { gracePeriodMs: GRACE_MS })
+    home = await mesh.startHost('krakow-2', 'parts')
+    await mesh.putOperatorRow('config', composeConfiguration(1, ['clocks', 'parts'], { timeoutMs: 60_000 }))
+    await entry.report()
+    await home.report()
+    await awaitCondition('it is served', async () =>
+      (await send(entry.settings.callers.port, '/parts/1')).status === 200)
+    home.backend.seen.length = 0
+    held = []
+    home.backend.handle = (incoming: IncomingMessage, response: ServerResponse) => {
+      held.push(() => { answerSigned(incoming, response, `answer to ${incoming.url ?? ''}`) })
+    }
+  })
+  afterEach(() => mesh.close())
+
+  function sendBehindEachOther (names: readonly string[]): { readonly read: () => string, readonly isEnded: () => boolean } {
+    const socket = connect(entry.settings.callers.port, '127.0.0.1')
+    let received = ''
+    let isEnded = false
+    socket.on('data', (chunk) => { received += chunk.toString() })
+    socket.on('close', () => { isEnded = true })
+    for (const name of names) {
+      socket.write(`GET /parts/${name} HTTP/1.1\r\nHost: a.example\r\n${HEADERS.attemptId}: ${name}\r\n\r\n`)
+    }
+    return { read: () => received, isEnded: () => isEnded }
+  }
+
+  it('answers all requests of a connection (guards against answers lost with a connection closed by an earlier one)', async () => {
+    const names = ['first', 'second', 'third']
+    const connection = sendBehindEachOther(names)
+    await awaitCondition('all of them run', () => held.length === names.length)
+    const stopped = entry.node.stop()
+    for (const answer of held) {
+      answer()
+      await awaitPause(100)
+    }
+    await awaitCondition('the connection ends', connection.isEnded)
+    for (const name of names) expect(connection.read()).to.contain(`answer to /parts/${name}`)
+    expect(connection.read().match(/^connection: close/gim)).to.have.length(1)
+    await stopped
+  })
+
+  it('awaits an answer that comes late in the grace period (guards against a request cut by a process that ends early)', async () => {
+    const answer = send(entry.settings.callers.port, '/parts/late', { [HEADERS.remainingMs]: '60000' })
+    await awaitCondition('it runs', () => held.length === 1)
+    const stopped = entry.node.stop()
+    let isStopped = false
+    stopped.then(() => { isStopped = true }, () => undefined)
+    await awaitPause(GRACE_MS * 0.85)
+    expect(isStopped).to.equal(false)
+    held[0]?.()
+    expect((await answer).body).to.equal('answer to /parts/late')
+    await stopped
+  })
+})
