fix(node): close a connection of a stopping node only behind its last answer

Callers that send several requests on one connection before the first is answered (inspect-lookup does) got one answer from a node that was told to stop, and a closed connection in place of the others, though backend servers were at work on them: LOST.

Cause: a stopping node put Connection: close on its next answer, and Node's HTTP server ends the connection behind it, whatever stands behind it. Class: the end of a shared connection decided by one of its requests.

Now the answer of the latest request of a connection closes it, and what arrives on it after that is not read, so the caller may send it elsewhere.

--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -94,15 +94,21 @@
   const ages = createAttemptAges()
   let isStopping = false
   const openArrivals = new Set<Arrival>()
-  const usedSockets = new WeakSet<Socket>()
+  /** Latest request of each connection. */
+  const latest = new WeakMap<Socket, Arrival>()
+  /** Connections whose last answer has been composed; what arrives on them is not read. */
+  const closing = new WeakSet<Socket>()
 
   function send (arrival: Arrival, status: number, headers: readonly string[], body: Buffer): void {
     const { incoming, response } = arrival
     if (response.destroyed || response.headersSent) return
-    const closing = isStopping ? ['Connection', 'close'] : []
+    // Closing after an earlier answer would lose those behind it.
+    const isLast = isStopping && latest.get(incoming.socket) === arrival
+    if (isLast) closing.add(incoming.socket)
+    const connection = isLast ? ['Connection', 'close'] : []
     const hasNoBody = incoming.method === 'HEAD' || status === 204 || status === 304
     const length = hasNoBody ? [] : ['Content-Length', String(body.length)]
-    response.writeHead(status, [...headers, ...length, ...closing])
+    response.writeHead(status, [...headers, ...length, ...connection])
     response.end(hasNoBody ? undefined : body)
   }
 
@@ -263,15 +269,20 @@
   }
 
   function handleRequest (incoming: IncomingMessage, response: ServerResponse): void {
+    if (closing.has(incoming.socket)) {
+      // The caller sends it again elsewhere: it has not been read.
+      incoming.resume()
+      return
+    }
     const header = incoming.headers[HEADERS.attemptId]
     const arrival: Arrival = {
       incoming,
       response,
       arrivedAt: toMilliseconds(clock.now() - loop.getDelay()),
       attemptId: typeof header === 'string' ? header : '',
-      isFirstOfConnection: !usedSockets.has(incoming.socket)
+      isFirstOfConnection: !latest.has(incoming.socket)
     }
-    usedSockets.add(incoming.socket)
+    latest.set(incoming.socket, arrival)
     counters.count('serving_requests', 'received')
     openArrivals.add(arrival)
     listenLeft(arrival, () => { openArrivals.delete(arrival) })
--- a/packages/node/tests/stopping.test.ts
+++ b/packages/node/tests/stopping.test.ts
@@ -9,6 +9,11 @@
 const GRACE_MS = 3000
 const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
 
+interface Connection {
+  readonly read: () => string
+  readonly isEnded: () => boolean
+}
+
 describe('stopping', () => {
   let mesh: TestMesh
   let entry: TestHost
@@ -32,7 +37,7 @@
   })
   afterEach(() => mesh.close())
 
-  function sendBehindEachOther (names: readonly string[]): { readonly read: () => string, readonly isEnded: () => boolean } {
+  function sendBehindEachOther (names: readonly string[]): Connection {
     const socket = connect(entry.settings.callers.port, '127.0.0.1')
     let received = ''
     let isEnded = false
