fix(node): await open requests to the end of the grace period

Requests open at a node 4.8 s after SIGTERM, of 6 s, were cut, though their backend servers were at work and would have answered in time; uploads take up to 3.8 s there and are accepted for 2.3 s after the signal.

Cause: a fifth of the grace period was kept for the end of the process, which takes milliseconds. Two more ways to the same loss: Node's closeIdleConnections destroys a connection whose answer is composed but not sent, and a home node could end with outcomes still in the buffers of its links. Class: a process that ends by its own count of open work before the work has left it.

Now 300 ms are kept, connections count as idle once their answers are sent, and the end waits for the buffers of the links.

--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -40,8 +40,8 @@
  * Time for which the backend server still gets requests after the stop signal, in milliseconds; they end in the rest.
  */
 const HOME_LINGER_MS = 1700
-/** Part of the grace period after which open requests are no longer awaited; the rest covers the end of the process. */
-const STOP_LIMIT_SHARE = 0.8
+/** End of the grace period in which requests are no longer awaited, in milliseconds: time for the process to end. */
+const EXIT_RESERVE_MS = 300
 /** Time between two looks at whether all requests have ended, in milliseconds. */
 const STOP_POLL_MS = 25
 /** Time for removing the record of a host whose backend server has left, in milliseconds. */
@@ -200,14 +200,15 @@
       keeper.stop()
       loadLog.stop()
       if (instance.getLeavingSince() !== undefined) recorder.set(undefined)
-      const limitAt = stoppedAt + settings.gracePeriodMs * STOP_LIMIT_SHARE
+      const limitAt = stoppedAt + Math.max(0, settings.gracePeriodMs - EXIT_RESERVE_MS)
       await awaitEnd(() => false, Math.min(limitAt, stoppedAt + HOME_LINGER_MS))
       home.stop()
       home.update()
       await awaitEnd(() => false, Math.min(limitAt, stoppedAt + LINGER_MS))
       entry.server.close()
-      entry.server.closeIdleConnections()
-      await awaitEnd(() => entry.countOpen() === 0 && home.countRunning() === 0, limitAt)
+      const isIdle = (): boolean =>
+        entry.countOpen() === 0 && home.countRunning() === 0 && homeServer.countBacklog() === 0
+      await awaitEnd(isIdle, limitAt)
       entry.logOpen()
       for (const follower of followers) follower.stop()
       reader.stop()
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -311,8 +311,19 @@
     keepAliveTimeout: DEFAULT_IDLE_MS, requestTimeout: 0, headersTimeout: 0, maxHeaderSize: MAX_HEAD_BYTES
   }, handleRequest)
 
-  // Each request of a connection listens to its end, and callers may send many before the first answer.
-  server.on('connection', (socket) => { socket.setMaxListeners(0) })
+  const sockets = new Set<Socket>()
+  server.on('connection', (socket) => {
+    // Each request of a connection listens to its end, and callers may send many before the first answer.
+    socket.setMaxListeners(0)
+    sockets.add(socket)
+    socket.once('close', () => { sockets.delete(socket) })
+  })
+
+  // Called when the server closes. Node's own method takes a connection for idle while its answer is still being sent.
+  server.closeIdleConnections = () => {
+    const busy = new Set([...openArrivals].map(({ incoming }) => incoming.socket))
+    for (const socket of sockets) if (!busy.has(socket)) socket.destroy()
+  }
 
   return {
     server,
--- a/packages/node/src/home/createHomeServer.ts
+++ b/packages/node/src/home/createHomeServer.ts
@@ -17,6 +17,8 @@
 /** Takes requests of other nodes for the backend server beside this one. */
 export interface HomeServer {
   readonly server: Server
+  /** Bytes of outcomes that wait to be sent. */
+  readonly countBacklog: () => number
   readonly close: () => void
 }
 
@@ -90,6 +92,7 @@
 
   return {
     server,
+    countBacklog: () => [...sockets.clients].reduce((sum, socket) => sum + socket.bufferedAmount, 0),
     close: () => {
       clearInterval(timer)
       server.close()
