test(node): calls behind uploads on a narrow link, failing

Declarations fail because their calls to the upload service get no answer in time.

The tests put a link of 12 Mbit/s in front of a home node and send uploads and calls to it.

--- /dev/null
+++ b/packages/node/tests/narrowLink.test.ts
@@ -0,0 +1,88 @@
+import { addMilliseconds } from '@snipenotch/contracts'
+import { expect } from 'chai'
+import type { AddressInfo } from 'node:net'
+import { createHomeClient, type HomeClient } from '../src/entry/createHomeClient.js'
+import type { Home } from '../src/home/createHome.js'
+import { createHomeServer, type HomeServer } from '../src/home/createHomeServer.js'
+import type { HomeJob, HomeOutcome } from '../src/home/HomeJob.js'
+import { createJob, createRecord } from './createJob.js'
+import { createTestContext } from './createTestContext.js'
+import { awaitCondition } from './startTestMesh.js'
+import { type NarrowLink, startNarrowLink } from './startNarrowLink.js'
+
+const LINK_MBPS = 12
+const LOAD = { load: 0, slots: 6, serviceMs: 20, failureShare: 0 }
+const BODY_BYTES = 100_000
+/** Target latency of a call between services there, in milliseconds. */
+const CALL_TARGET_MS = 107
+/** Time that callers wait, in milliseconds; generous, as the link is emulated in this process. */
+const TIME_MS = 15_000
+
+interface Sent {
+  readonly job: HomeJob
+  readonly isAnswered: () => boolean
+}
+
+/** Hosts with narrow links that get bodies from many other hosts, and small calls beside them. */
+describe('narrow link', () => {
+  const context = createTestContext({ linkMbps: LINK_MBPS })
+  let ran: HomeJob[]
+  let homeServer: HomeServer
+  let link: NarrowLink
+  let clients: HomeClient[]
+
+  beforeEach(async () => {
+    ran = []
+    const home = {
+      run: (job: HomeJob, onOutcome: (outcome: HomeOutcome) => void) => {
+        ran.push(job)
+        onOutcome({ kind: 'answered', status: 200, headers: [], body: Buffer.from('done'), notRun: false })
+      },
+      findRefusal: () => undefined,
+      getLoad: () => LOAD
+    } as unknown as Home
+    homeServer = createHomeServer(context, home, { getDelay: () => 0, close: () => undefined }, () => [])
+    await new Promise<void>((resolve) => { homeServer.server.listen(0, '127.0.0.1', resolve) })
+    link = await startNarrowLink((homeServer.server.address() as AddressInfo).port, LINK_MBPS)
+    clients = Array.from({ length: 8 }, () =>
+      createHomeClient(context, { markDown: () => undefined }, { observe: () => undefined }))
+  })
+  afterEach(() => {
+    for (const client of clients) client.close()
+    link.close()
+    homeServer.close()
+    homeServer.server.close()
+  })
+
+  function send (client: HomeClient, bytes: number): Sent {
+    const now = context.clock.now()
+    let isAnswered = false
+    const job = createJob({
+      idempotent: bytes === 0,
+      body: Buffer.alloc(bytes, 'x'),
+      arrivedAt: now,
+      targetAt: addMilliseconds(now, TIME_MS),
+      endAt: addMilliseconds(now, TIME_MS)
+    })
+    const record = createRecord('krakow-2', { requestAddress: link.address, linkMbps: LINK_MBPS })
+    client.send(job, record, ({ kind }) => { isAnswered ||= kind === 'answered' })
+    return { job, isAnswered: () => isAnswered }
+  }
+
+  it('keeps the way free for calls while uploads arrive (guards against calls that wait behind bodies)', async () => {
+    const uploads = clients.flatMap((client) => [send(client, BODY_BYTES), send(client, BODY_BYTES)])
+    const calls = clients.map((client) => send(client, 0))
+    await awaitCondition('all are answered', () => [...uploads, ...calls].every(({ isAnswered }) => isAnswered()))
+    expect(ran.filter(({ body }) => body.equals(Buffer.alloc(BODY_BYTES, 'x')))).to.have.length(uploads.length)
+    expect(link.getMostWaiting()).to.be.lessThan(LINK_MBPS * 1000 / 8 * CALL_TARGET_MS / 2)
+  })
+
+  it('sends little of an upload whose caller has left (guards against a link full of bodies for nobody)', async () => {
+    const left = clients.slice(1).map((client) => send(client, BODY_BYTES))
+    await awaitCondition('a body is on its way', () => link.countCarried() > 10_000)
+    for (const { job } of left) job.cancel?.()
+    const stays = send(clients[0] as HomeClient, BODY_BYTES)
+    await awaitCondition('it is answered', () => stays.isAnswered())
+    expect(link.countCarried()).to.be.lessThan(BODY_BYTES * 3)
+  })
+})
