feat(node): fetch large bodies at the pace of the receiving host's link

Cause: every entry node sent its bodies at once, on links of their own, to hosts whose link carries 12 Mbit/s; the queue in front of that link held all of them, and each small request to or from the host stood behind. Class: senders that are each within bounds share a bottleneck that only the receiver knows.

Ruled out: the processor alone (event loop late by 23 ms at the 99th percentile at most; without processor time charged calls still take 136 ms on the way at the 95th), and the wait for slots.

A request with a body above 16 KB is now offered with the size; a home node that would not take it refuses before any byte of the body has left, and otherwise asks for parts: at most 15 ms of its link, or 32 KB, on the way from all hosts together, the earlier target first. A body that was not asked for as a whole has not run, and its request may go elsewhere. Links for large bodies and the transfer of whole bodies are gone.

--- /dev/null
+++ b/packages/decisions/src/serving/createBodyIntake.ts
@@ -0,0 +1,121 @@
+import type { Milliseconds } from '@snipenotch/contracts'
+
+/** A request's body that another host keeps until it is asked for it. */
+export interface OfferedBody {
+  readonly bytes: number
+  /** An answer after this point is worth little. */
+  readonly targetAt: Milliseconds
+  /** An answer after this point is worth nothing. */
+  readonly endAt: Milliseconds
+}
+
+/** Bytes of a body to ask for, those that follow the ones asked for before. */
+export interface BodyGrant<Body extends OfferedBody> {
+  readonly body: Body
+  readonly bytes: number
+}
+
+/**
+ * Decides which bodies to ask for, and how much of them at a time. Answers uploads from many hosts to one with a narrow
+ * link: sent at once, they would fill its queue, and each small request to the host would wait behind them.
+ */
+export interface BodyIntake<Body extends OfferedBody> {
+  readonly add: (body: Body) => void
+  /** What to ask for now; it counts as on its way until it arrives. */
+  readonly takeGrants: (now: Milliseconds) => Array<BodyGrant<Body>>
+  /** Notes the arrival of a part; undefined if it was not asked for. */
+  readonly recordArrival: (body: Body, bytes: number, now: Milliseconds) => 'part' | 'whole' | undefined
+  readonly remove: (body: Body) => void
+  /** Removes bodies whose time is over. */
+  readonly takeExpired: (now: Milliseconds) => Body[]
+  /** Time until a body offered now would be here, in milliseconds. */
+  readonly computeFetchMs: (body: Body) => number
+  readonly count: () => number
+}
+
+/** Bytes on the way, as time on the link in milliseconds: several round trips, and a small part of a call's target. */
+const WINDOW_MS = 15
+/** Fewest bytes on the way: two parts, so that the link carries one while the next is asked for. */
+const MIN_WINDOW_BYTES = 32_768
+/** Time without a part after which those asked for count as lost, in milliseconds: the other host is silent. */
+const STALL_MS = 300
+const BYTES_PER_MS_AT_1_MBPS = 125
+
+interface Progress {
+  granted: number
+  arrived: number
+  /** Time of the latest grant or arrival. */
+  movedAt: Milliseconds
+}
+
+/** Creates an intake without bodies; `linkMbps` is the bandwidth of the own link, 0 if it is not known. */
+export function createBodyIntake<Body extends OfferedBody> (linkMbps: number): BodyIntake<Body> {
+  const bodies = new Map<Body, Progress>()
+  const bytesPerMs = linkMbps > 0 ? linkMbps * BYTES_PER_MS_AT_1_MBPS : Infinity
+  const windowBytes = Math.max(MIN_WINDOW_BYTES, bytesPerMs * WINDOW_MS)
+
+  function countOnTheWay (now: Milliseconds): number {
+    let bytes = 0
+    for (const { granted, arrived, movedAt } of bodies.values()) {
+      if (now - movedAt < STALL_MS) bytes += granted - arrived
+    }
+    return bytes
+  }
+
+  const isAttainable = (body: Body, { arrived }: Progress, now: Milliseconds): boolean =>
+    now + (body.bytes - arrived) / bytesPerMs <= body.targetAt
+
+  /** What can still meet its target first, then the earlier target: one after the other, all are early. */
+  function findNext (now: Milliseconds): [Body, Progress] | undefined {
+    let best: [Body, Progress] | undefined
+    let isBestAttainable = false
+    for (const [body, progress] of bodies) {
+      if (progress.granted >= body.bytes) continue
+      const isThisAttainable = isAttainable(body, progress, now)
+      const isBefore = best === undefined ||
+        (isThisAttainable === isBestAttainable ? body.targetAt < best[0].targetAt : isThisAttainable)
+      if (!isBefore) continue
+      best = [body, progress]
+      isBestAttainable = isThisAttainable
+    }
+    return best
+  }
+
+  return {
+    add: (body) => { bodies.set(body, { granted: 0, arrived: 0, movedAt: 0 as Milliseconds }) },
+    takeGrants: (now) => {
+      const grants: Array<BodyGrant<Body>> = []
+      let room = windowBytes - countOnTheWay(now)
+      for (let next = findNext(now); room > 0 && next !== undefined; next = findNext(now)) {
+        const [body, progress] = next
+        const bytes = Math.min(room, body.bytes - progress.granted)
+        progress.granted += bytes
+        progress.movedAt = now
+        room -= bytes
+        grants.push({ body, bytes })
+      }
+      return grants
+    },
+    recordArrival: (body, bytes, now) => {
+      const progress = bodies.get(body)
+      if (progress === undefined || progress.arrived + bytes > progress.granted) return undefined
+      progress.arrived += bytes
+      progress.movedAt = now
+      if (progress.arrived < body.bytes) return 'part'
+      bodies.delete(body)
+      return 'whole'
+    },
+    remove: (body) => { bodies.delete(body) },
+    takeExpired: (now) => {
+      const expired = [...bodies.keys()].filter(({ endAt }) => endAt <= now)
+      for (const body of expired) bodies.delete(body)
+      return expired
+    },
+    computeFetchMs: ({ bytes, targetAt }) => {
+      let ahead = bytes
+      for (const [body, { arrived }] of bodies) if (body.targetAt <= targetAt) ahead += body.bytes - arrived
+      return ahead / bytesPerMs
+    },
+    count: () => bodies.size
+  }
+}
--- a/packages/decisions/src/serving/createHomeGate.ts
+++ b/packages/decisions/src/serving/createHomeGate.ts
@@ -16,10 +16,14 @@
   readonly targetLatencyMs: number
 }
 
-export type GateVerdict =
-  | { readonly kind: 'start' }
-  | { readonly kind: 'wait' }
-  | { readonly kind: 'refuse', readonly reason: ServingRefusal, readonly waitMs: number }
+export interface GateRefusal {
+  readonly kind: 'refuse'
+  readonly reason: ServingRefusal
+  /** Time until there may be room, in milliseconds. */
+  readonly waitMs: number
+}
+
+export type GateVerdict = { readonly kind: 'start' } | { readonly kind: 'wait' } | GateRefusal
 
 /** Limits in force at a moment. */
 export interface GateLimits {
@@ -47,6 +51,8 @@
  * backend server can run: bursts, slow or cold backend servers, and callers that send again at once.
  */
 export interface HomeGate<Job extends GateJob> {
+  /** What `submit` would refuse the request for now; undefined if it would take it. */
+  readonly findRefusal: (job: Job, limits: GateLimits, now: Milliseconds) => GateRefusal | undefined
   readonly submit: (job: Job, limits: GateLimits, now: Milliseconds) => GateVerdict
   /** Waiting requests that may start now, in order; they count as running. */
   readonly takeReady: (limits: GateLimits, now: Milliseconds) => Job[]
@@ -152,16 +158,25 @@
     sends.record(now)
   }
 
+  const isFree = (limits: GateLimits, now: Milliseconds): boolean => waiting.length === 0 && hasRoom(limits, now)
+
+  function findRefusal (job: Job, limits: GateLimits, now: Milliseconds): GateRefusal | undefined {
+    if (limits.closed !== undefined) return { kind: 'refuse', reason: limits.closed, waitMs: 0 }
+    if (isPastDeadline(job, now)) return { kind: 'refuse', reason: 'expired', waitMs: 0 }
+    if (isFree(limits, now)) return undefined
+    const waitMs = computeWait(job, limits, now)
+    return waitMs > computeLongestWait(job, now) ? { kind: 'refuse', reason: 'busy', waitMs } : undefined
+  }
+
   return {
+    findRefusal,
     submit: (job, limits, now) => {
-      if (limits.closed !== undefined) return { kind: 'refuse', reason: limits.closed, waitMs: 0 }
-      if (isPastDeadline(job, now)) return { kind: 'refuse', reason: 'expired', waitMs: 0 }
-      if (waiting.length === 0 && hasRoom(limits, now)) {
+      const refusal = findRefusal(job, limits, now)
+      if (refusal !== undefined) return refusal
+      if (isFree(limits, now)) {
         begin(now)
         return { kind: 'start' }
       }
-      const waitMs = computeWait(job, limits, now)
-      if (waitMs > computeLongestWait(job, now)) return { kind: 'refuse', reason: 'busy', waitMs }
       waiting.push(job)
       return { kind: 'wait' }
     },
--- a/packages/decisions/src/serving/index.ts
+++ b/packages/decisions/src/serving/index.ts
@@ -1,6 +1,7 @@
 export * from './chooseReader.js'
 export * from './computeRetryAfter.js'
 export * from './createAttemptAges.js'
+export * from './createBodyIntake.js'
 export * from './createHomeGate.js'
 export * from './createInstanceState.js'
 export * from './createPlacement.js'
--- /dev/null
+++ b/packages/decisions/tests/serving/createBodyIntake.test.ts
@@ -0,0 +1,90 @@
+import { toMilliseconds } from '@snipenotch/contracts'
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { createBodyIntake, type OfferedBody } from '../../src/serving/createBodyIntake.js'
+
+const LINK_MBPS = 12
+const BYTES_PER_MS = LINK_MBPS * 125
+
+const offer = (bytes: number, targetAt: number, endAt = targetAt + 4000): OfferedBody =>
+  ({ bytes, targetAt: toMilliseconds(targetAt), endAt: toMilliseconds(endAt) })
+
+interface Replay {
+  /** Time at which each body was whole, in milliseconds; undefined if it expired. */
+  readonly wholeAt: Map<OfferedBody, number>
+  /** Most bytes on the way at once: those that a small request would wait behind. */
+  readonly mostOnTheWay: number
+}
+
+/** Plays bodies that arrive at `at` over a link that carries what was granted, in order. */
+function replay (arrivals: ReadonlyArray<{ readonly at: number, readonly body: OfferedBody }>): Replay {
+  const intake = createBodyIntake<OfferedBody>(LINK_MBPS)
+  const link: Array<{ body: OfferedBody, bytes: number }> = []
+  const wholeAt = new Map<OfferedBody, number>()
+  let mostOnTheWay = 0
+  for (let now = 0; now < 8000; now++) {
+    const time = toMilliseconds(now)
+    for (const { body } of arrivals.filter(({ at }) => at === now)) intake.add(body)
+    for (let room = BYTES_PER_MS, next = link[0]; room > 0 && next !== undefined; next = link[0]) {
+      const bytes = Math.min(room, next.bytes)
+      room -= bytes
+      next.bytes -= bytes
+      if (intake.recordArrival(next.body, bytes, time) === 'whole') wholeAt.set(next.body, now)
+      if (next.bytes === 0) link.shift()
+    }
+    intake.takeExpired(time)
+    for (const { body, bytes } of intake.takeGrants(time)) link.push({ body, bytes })
+    mostOnTheWay = Math.max(mostOnTheWay, link.reduce((sum, { bytes }) => sum + bytes, 0))
+  }
+  return { wholeAt, mostOnTheWay }
+}
+
+describe('createBodyIntake', () => {
+  it('keeps the link short while many hosts upload, and uses all of it (guards against calls that wait behind bodies)', () => {
+    const arrivals = Array.from({ length: 20 }, (_, index) => ({ at: 1, body: offer(60_000, 600 + index) }))
+    const { wholeAt, mostOnTheWay } = replay(arrivals)
+    // All at once, 1.2 MB would be on the way: 800 ms for a call that has 250.
+    expect(mostOnTheWay).to.be.at.most(32_768)
+    const lastAt = Math.max(...wholeAt.values())
+    expect(wholeAt.size).to.equal(20)
+    expect(lastAt).to.be.at.most(20 * 60_000 / BYTES_PER_MS * 1.1)
+  })
+
+  it('brings in one body after the other, the earlier target first (guards against uploads that are all late)', () => {
+    const arrivals = Array.from({ length: 16 }, (_, index) => ({ at: 1, body: offer(60_000, 600 + index) }))
+    const { wholeAt } = replay(arrivals)
+    // Side by side, all would be whole at 640 ms: none of them within its target.
+    const inTime = arrivals.filter(({ body }) => (wholeAt.get(body) ?? Infinity) <= 600)
+    expect(inTime.length).to.be.at.least(13)
+    expect([...wholeAt.keys()]).to.deep.equal(arrivals.map(({ body }) => body))
+  })
+
+  it('goes on with others while a host is silent, and drops its body at the end of its time', () => {
+    const intake = createBodyIntake<OfferedBody>(LINK_MBPS)
+    const [silent, other] = [offer(60_000, 500, 1000), offer(10_000, 800, 2000)]
+    intake.add(silent)
+    expect(intake.takeGrants(toMilliseconds(0))).to.deep.equal([{ body: silent, bytes: 32_768 }])
+    intake.add(other)
+    expect(intake.takeGrants(toMilliseconds(100))).to.deep.equal([])
+    const later = intake.takeGrants(toMilliseconds(900))
+    expect(later.some(({ body }) => body === other)).to.equal(true)
+    expect(intake.takeExpired(toMilliseconds(1000))).to.deep.equal([silent])
+    expect(intake.recordArrival(silent, 10, toMilliseconds(1001))).to.equal(undefined)
+  })
+
+  it('never asks for more than a body has, and takes no part beyond what it asked for', () => {
+    const sizes = fc.array(fc.integer({ min: 1, max: 200_000 }), { minLength: 1, maxLength: 12 })
+    fc.assert(fc.property(sizes, (list) => {
+      const { wholeAt } = replay(list.map((bytes, index) => ({ at: index, body: offer(bytes, 4000, 9000) })))
+      expect(wholeAt.size).to.equal(list.length)
+    }), { numRuns: 10 })
+    const intake = createBodyIntake<OfferedBody>(LINK_MBPS)
+    const body = offer(100, 500)
+    intake.add(body)
+    expect(intake.recordArrival(body, 1, toMilliseconds(1))).to.equal(undefined)
+    expect(intake.takeGrants(toMilliseconds(1))).to.deep.equal([{ body, bytes: 100 }])
+    expect(intake.recordArrival(body, 101, toMilliseconds(2))).to.equal(undefined)
+    expect(intake.recordArrival(body, 100, toMilliseconds(2))).to.equal('whole')
+    expect(intake.count()).to.equal(0)
+  })
+})
--- a/packages/node/src/entry/createHomeClient.ts
+++ b/packages/node/src/entry/createHomeClient.ts
@@ -17,24 +17,19 @@
 const SILENCE_LIMIT_MS = BEAT_INTERVAL_MS * 3
 const SILENCE_CHECK_MS = 100
 /**
- * Times that the way of open bodies over the narrower link may take before silence counts: a home node beats only for
- * requests that it has read whole, and bodies share links with others.
+ * Times that the way of what travels over the narrower link may take before silence counts: a home node beats only for
+ * requests that it has read, and they share the link with others.
  */
 const TRANSFER_MARGIN = 4
-/** Bodies above this size travel on links of their own, so that no other request waits behind them, in bytes. */
-const MAX_SHARED_BODY_BYTES = 16_384
-/** Links to one host for large bodies; the slots of a backend server are fewer. */
-const MAX_BULK_LINKS = 24
-/** Bytes that may wait on a shared link, in bytes: seconds of the narrowest machines' links. */
+/** Bytes that may wait on a link: seconds of the narrowest machines' links. */
 const MAX_BACKLOG_BYTES = 1_000_000
 /** Links without a request for this long are closed, in milliseconds. */
 const IDLE_LIMIT_MS = 60_000
 
-interface HostLinks {
+interface HostLink {
   readonly address: string
   readonly linkMbps: number
-  shared: HomeLink | undefined
-  bulk: HomeLink[]
+  readonly link: HomeLink
 }
 
 /** Creates the client of all other hosts. */
@@ -42,7 +37,7 @@
   context: NodeContext, health: Pick<HostHealth, 'markDown'>, peerRows: Pick<PeerRows, 'observe'>
 ): HomeClient {
   const { clock, settings } = context
-  const hosts = new Map<string, HostLinks>()
+  const hosts = new Map<string, HostLink>()
   /** Links that get no more requests but still have some. */
   const retired = new Set<HomeLink>()
 
@@ -60,36 +55,18 @@
     else retired.add(link)
   }
 
-  function getLinks (record: HostRecord): HostLinks {
+  function getLink (record: HostRecord): HomeLink {
     const known = hosts.get(record.host)
-    if (known?.address === record.requestAddress) return known
-    // The host has moved to another address.
-    for (const link of known?.bulk ?? []) drainLink(link)
-    if (known?.shared !== undefined) drainLink(known.shared)
-    const links: HostLinks = {
-      address: record.requestAddress, linkMbps: record.linkMbps, shared: undefined, bulk: []
-    }
-    hosts.set(record.host, links)
-    return links
-  }
-
-  /** Link for a request; undefined if the way to the host is full. */
-  function takeLink (record: HostRecord, bytes: number): HomeLink | undefined {
-    const links = getLinks(record)
-    if (bytes <= MAX_SHARED_BODY_BYTES) {
-      if (links.shared === undefined || links.shared.isClosed()) links.shared = openLink(record)
-      return links.shared.countBacklog() > MAX_BACKLOG_BYTES ? undefined : links.shared
-    }
-    links.bulk = links.bulk.filter((link) => !link.isClosed())
-    const free = links.bulk.find((link) => link.countPending() === 0 && link.countBacklog() === 0)
-    if (free !== undefined || links.bulk.length >= MAX_BULK_LINKS) return free
-    const opened = openLink(record)
-    links.bulk.push(opened)
-    return opened
+    if (known !== undefined && known.address === record.requestAddress && !known.link.isClosed()) return known.link
+    // The host has moved to another address, or the link has ended.
+    if (known !== undefined) drainLink(known.link)
+    const link = openLink(record)
+    hosts.set(record.host, { address: record.requestAddress, linkMbps: record.linkMbps, link })
+    return link
   }
 
   /** Gives up a link that is silent, and closes one that is not used; true if it may be used on. */
-  function checkLink (host: string, linkMbps: number, link: HomeLink): boolean {
+  function checkLink (host: string, { link, linkMbps }: HostLink): boolean {
     if (link.isClosed()) return false
     const silentMs = clock.now() - link.getHeardAt()
     if (link.countPending() === 0) {
@@ -106,11 +83,7 @@
   }
 
   const timer = setInterval(() => {
-    for (const [host, links] of hosts) {
-      links.bulk = links.bulk.filter((link) => checkLink(host, links.linkMbps, link))
-      if (links.shared !== undefined && !checkLink(host, links.linkMbps, links.shared)) links.shared = undefined
-      if (links.shared === undefined && links.bulk.length === 0) hosts.delete(host)
-    }
+    for (const [host, found] of hosts) if (!checkLink(host, found)) hosts.delete(host)
     for (const link of retired) {
       if (link.countPending() > 0) continue
       link.close()
@@ -120,13 +93,13 @@
 
   return {
     send: (job, record, onOutcome) => {
-      const link = takeLink(record, job.body.length)
-      if (link === undefined) onOutcome({ kind: 'refused', reason: 'link-full', waitMs: 0 })
+      const link = getLink(record)
+      if (link.countBacklog() > MAX_BACKLOG_BYTES) onOutcome({ kind: 'refused', reason: 'link-full', waitMs: 0 })
       else link.send(job, onOutcome)
     },
     close: () => {
       clearInterval(timer)
-      for (const { shared, bulk } of hosts.values()) for (const link of [...bulk, shared]) link?.close()
+      for (const { link } of hosts.values()) link.close()
       for (const link of retired) link.close()
     }
   }
--- a/packages/node/src/entry/createHomeLink.ts
+++ b/packages/node/src/entry/createHomeLink.ts
@@ -11,7 +11,7 @@
 export interface HomeLink {
   readonly send: (job: HomeJob, onOutcome: (outcome: HomeOutcome) => void) => void
   readonly countPending: () => number
-  /** Bytes of the bodies of open requests, sent or not. */
+  /** Bytes of the bodies of open requests that travel, or may. */
   readonly countPendingBytes: () => number
   /** Bytes that wait to be sent. */
   readonly countBacklog: () => number
@@ -32,11 +32,20 @@
   readonly onVersions: (versions: RowVersions) => void
 }
 
+const NO_BODY = Buffer.alloc(0)
 /** Time to connect to another host, in milliseconds: over a hundred times the way between data centres. */
 const CONNECT_TIMEOUT_MS = 400
 
+/**
+ * Bodies above this size, in bytes, are offered and sent as the other node asks for them, so that they do not fill the
+ * link in front of other requests; they travel in parts of this size.
+ */
+const PART_BYTES = 16_384
+
 interface Pending {
   readonly sentAt: number
+  /** Bytes of the body that have been sent. */
+  sentBytes: number
   readonly job: HomeJob
   readonly onOutcome: (outcome: HomeOutcome) => void
 }
@@ -69,14 +78,21 @@
 
   function cancel (id: number): void {
     pending.delete(id)
-    if (sender.remove(id)) return
-    // A request that has not left as a whole is cut off; otherwise its message stands before the cancellation.
-    if (pending.size === 0 && socket.bufferedAmount > 0) socket.terminate()
-    else sender.add({ kind: 'cancel', id })
+    if (!sender.remove(id)) sender.add({ kind: 'cancel', id })
   }
 
-  function handleMessage (message: LinkMessage): void {
-    if (message.kind !== 'outcome') return
+  function sendParts (id: number, bytes: number): void {
+    const found = pending.get(id)
+    if (found === undefined) return
+    const { body } = found.job
+    const end = Math.min(body.length, found.sentBytes + bytes)
+    for (let start = found.sentBytes; start < end; start += PART_BYTES) {
+      sender.add({ kind: 'part', id, part: body.subarray(start, Math.min(end, start + PART_BYTES)) })
+    }
+    found.sentBytes = end
+  }
+
+  function handleOutcome (message: Extract<LinkMessage, { kind: 'outcome' }>): void {
     onVersions(message.versions)
     const sentAt = pending.get(message.id)?.sentAt
     if (sentAt === undefined) return
@@ -85,15 +101,26 @@
     end(message.id, { ...message.outcome, transitMs })
   }
 
+  function handleMessage (message: LinkMessage): void {
+    if (message.kind === 'outcome') handleOutcome(message)
+    else if (message.kind === 'pull') sendParts(message.id, message.bytes)
+  }
+
+  /** True if the other node may have begun to run the request; what has not left is taken back. */
+  const isSentWhole = (id: number): boolean => {
+    const found = pending.get(id)
+    return isOpen && found !== undefined && found.sentBytes === found.job.body.length && !sender.remove(id)
+  }
+
   /** What was not sent has not run; what was sent may have. */
   function handleClose (detail: string): void {
     if (isEnded) return
     isEnded = true
     if (!isOpen) onUnreachable(detail)
     for (const id of [...pending.keys()]) {
-      end(id, !isOpen || sender.remove(id)
-        ? { kind: 'refused', reason: 'host-unreachable', waitMs: 0 }
-        : { kind: 'lost', reason: 'connection-lost' })
+      end(id, isSentWhole(id)
+        ? { kind: 'lost', reason: 'connection-lost' }
+        : { kind: 'refused', reason: 'host-unreachable', waitMs: 0 })
     }
   }
 
@@ -120,24 +147,30 @@
     send: (job, onOutcome) => {
       const id = nextId++
       if (pending.size === 0) heardAt = clock.now()
-      pending.set(id, { sentAt: clock.now(), job, onOutcome })
+      const bytes = job.body.length
+      const isOffered = bytes > PART_BYTES
+      pending.set(id, { sentAt: clock.now(), sentBytes: isOffered ? 0 : bytes, job, onOutcome })
       job.cancel = () => { cancel(id) }
-      sender.add({ kind: 'run', id, job })
+      sender.add(isOffered ? { kind: 'offer', id, job: { ...job, body: NO_BODY }, bytes } : { kind: 'run', id, job })
     },
     countPending: () => pending.size,
-    countPendingBytes: () => [...pending.values()].reduce((sum, { job }) => sum + job.body.length, 0),
+    countPendingBytes: () =>
+      [...pending.values()].reduce((sum, { job }) => sum + Math.min(PART_BYTES, job.body.length), 0),
     countBacklog: () => socket.bufferedAmount,
     getHeardAt: () => heardAt,
     giveUp: () => {
       isGivenUp = true
       for (const [id, { job }] of [...pending]) {
+        const { onOutcome, sentBytes } = pending.get(id) ?? {}
+        const isWhole = sentBytes === job.body.length
         // The answer may still come; it is given up only for another try that is allowed.
-        if (job.mayMove?.() !== true) continue
-        const { onOutcome } = pending.get(id) ?? {}
+        if (isWhole && job.mayMove?.() !== true) continue
         cancel(id)
         delete job.cancel
-        counters.count('serving_losses', 'host-silent')
-        onOutcome?.({ kind: 'lost', reason: 'host-silent' })
+        if (isWhole) counters.count('serving_losses', 'host-silent')
+        onOutcome?.(isWhole
+          ? { kind: 'lost', reason: 'host-silent' }
+          : { kind: 'refused', reason: 'host-unreachable', waitMs: 0 })
       }
     },
     isClosed: () => isGivenUp || isEnded,
--- a/packages/node/src/home/createHome.ts
+++ b/packages/node/src/home/createHome.ts
@@ -11,6 +11,8 @@
 export interface Home {
   /** Runs a job; `onOutcome` is called once, unless the job is cancelled. */
   readonly run: (job: HomeJob, onOutcome: (outcome: HomeOutcome) => void) => void
+  /** The outcome of a job that would be refused now; undefined if it would be taken. */
+  readonly findRefusal: (job: HomeJob) => Extract<HomeOutcome, { kind: 'refused' }> | undefined
   /** Looks at the queue again because the limits may have changed. */
   readonly update: () => void
   readonly getLoad: () => ReportedLoad
@@ -231,6 +233,12 @@
 
   return {
     run,
+    findRefusal: (job) => {
+      const refusal = gate.findRefusal(job, computeLimits(), clock.now())
+      if (refusal === undefined) return undefined
+      counters.count('serving_refusals', refusal.reason)
+      return { kind: 'refused', reason: refusal.reason, waitMs: refusal.waitMs }
+    },
     update,
     getLoad,
     countRunning: () => gate.countRunning() + gate.countWaiting(),
--- a/packages/node/src/home/createHomeServer.ts
+++ b/packages/node/src/home/createHomeServer.ts
@@ -7,9 +7,10 @@
 import { createBatchSender } from '../peers/createBatchSender.js'
 import { LINK_OPTIONS } from '../peers/LINK_OPTIONS.js'
 import { decodeBatch } from '../peers/linkCodec.js'
-import type { LinkedJob, RowVersions } from '../peers/LinkMessage.js'
+import type { LinkedJob, LinkMessage, RowVersions } from '../peers/LinkMessage.js'
 import type { Home } from './createHome.js'
-import type { HomeJob } from './HomeJob.js'
+import { createBodyReceiver, type IncomingBody } from './createBodyReceiver.js'
+import type { HomeJob, HomeOutcome } from './HomeJob.js'
 
 /** Time between two signs of life on a link with requests that wait or run, in milliseconds. */
 export const BEAT_INTERVAL_MS = 150
@@ -28,54 +29,110 @@
 
 /** Creates the server; `getVersions` tells the versions of this node's rows. */
 export function createHomeServer (
-  { clock, counters, log }: NodeContext, home: Home, loop: LoopWatch, getVersions: () => RowVersions
+  { clock, counters, log, settings }: NodeContext, home: Home, loop: LoopWatch, getVersions: () => RowVersions
 ): HomeServer {
   const links = new Set<OpenLink>()
+  const receiver = createBodyReceiver(clock, settings.linkMbps)
 
   function acceptLink (socket: WebSocket, peer: string): void {
     const sender = createBatchSender(socket, clock)
     const open = new Map<number, HomeJob>()
+    /** Bodies that are being fetched, of open requests. */
+    const bodies = new Map<number, IncomingBody>()
     const link: OpenLink = { sendBeat: () => { if (open.size > 0) sender.add({ kind: 'beat' }) } }
 
-    function handleRun (id: number, linked: LinkedJob): void {
+    function end (id: number, job: HomeJob, outcome: HomeOutcome): void {
+      open.delete(id)
+      bodies.delete(id)
+      const known = outcome.load ?? home.getLoad()
+      // Requests whose bodies are on their way will need slots.
+      const load = { ...known, load: known.load + receiver.count() }
+      const homeMs = clock.now() - job.arrivedAt
+      sender.add({ kind: 'outcome', id, outcome: { ...outcome, load }, versions: getVersions(), homeMs })
+    }
+
+    function run (id: number, job: HomeJob): void {
+      open.set(id, job)
+      home.run(job, (outcome) => { end(id, job, outcome) })
+    }
+
+    /** Asks for the body of a request that would be taken now. */
+    function fetchBody (id: number, job: HomeJob, bytes: number): void {
+      const refusal = home.findRefusal(job)
+      if (refusal !== undefined) {
+        end(id, job, refusal)
+        return
+      }
+      const body: IncomingBody = {
+        bytes,
+        targetAt: job.targetAt,
+        endAt: job.endAt,
+        parts: [],
+        request: (wanted) => { sender.add({ kind: 'pull', id, bytes: wanted }) },
+        onWhole: (whole) => {
+          bodies.delete(id)
+          run(id, { ...job, body: whole })
+        },
+        onExpired: () => { end(id, job, { kind: 'refused', reason: 'expired', waitMs: 0 }) }
+      }
+      bodies.set(id, body)
+      const fetchMs = receiver.offer(body)
+      if (fetchMs !== undefined) end(id, job, { kind: 'refused', reason: 'busy', waitMs: fetchMs })
+    }
+
+    /** Begins a request unless its sender has left meanwhile. */
+    function handleRequest (id: number, linked: LinkedJob, begin: (job: HomeJob) => void): void {
       const job: HomeJob = { ...linked, isInternal: false, arrivedAt: clock.now() }
       open.set(id, job)
       const hasLeft = (): boolean => !open.has(id)
-      const begin = (): void => {
-        home.run(job, (outcome) => {
-          open.delete(id)
-          const load = outcome.load ?? home.getLoad()
-          const homeMs = clock.now() - job.arrivedAt
-          sender.add({ kind: 'outcome', id, outcome: { ...outcome, load }, versions: getVersions(), homeMs })
-        })
-      }
       const recordLeft = (): void => { counters.count('serving_requests', 'left') }
       // Its cancellation may stand behind it in what was read at once.
       setImmediate(() => {
         if (hasLeft()) recordLeft()
-        else runUnlessLeft(hasLeft, loop, begin, recordLeft)
+        else runUnlessLeft(hasLeft, loop, () => { begin(job) }, recordLeft)
       })
     }
 
     function handleCancel (id: number): void {
       const job = open.get(id)
+      const body = bodies.get(id)
       open.delete(id)
+      bodies.delete(id)
+      if (body !== undefined) receiver.cancel(body)
       job?.cancel?.()
     }
 
+    function closeMalformed (detail: object): void {
+      log('linkMalformed', { peer, ...detail })
+      counters.count('peer_closes', 'frame-malformed')
+      socket.terminate()
+    }
+
+    /** False if the message breaks the protocol. */
+    function handleMessage (message: LinkMessage): boolean {
+      switch (message.kind) {
+        case 'run': handleRequest(message.id, message.job, (job) => { run(message.id, job) }); return true
+        case 'offer':
+          handleRequest(message.id, message.job, (job) => { fetchBody(message.id, job, message.bytes) })
+          return true
+        case 'cancel': handleCancel(message.id); return true
+        case 'part': {
+          const body = bodies.get(message.id)
+          // Parts that were on their way when the request ended.
+          return body === undefined || receiver.receive(body, message.part)
+        }
+        default: return false
+      }
+    }
+
     links.add(link)
     socket.on('message', (data: Buffer) => {
       const messages = decodeBatch(data, toMilliseconds(clock.now() - loop.getDelay()))
       if (messages === undefined) {
-        log('linkMalformed', { peer, bytes: data.length })
-        counters.count('peer_closes', 'frame-malformed')
-        socket.terminate()
+        closeMalformed({ bytes: data.length })
         return
       }
-      for (const message of messages) {
-        if (message.kind === 'run') handleRun(message.id, message.job)
-        else if (message.kind === 'cancel') handleCancel(message.id)
-      }
+      for (const message of messages) if (!handleMessage(message)) closeMalformed({ detail: `${message.kind} not expected` })
     })
     // The close that follows ends the requests of the link.
     socket.on('error', (error) => { log('linkMalformed', { peer, detail: error.message }) })
@@ -88,7 +145,10 @@
   const server = createServer((_, response) => { response.writeHead(404, { 'content-length': 0 }).end() })
   const sockets = new WebSocketServer({ ...LINK_OPTIONS, server })
   sockets.on('connection', (socket, incoming) => { acceptLink(socket, incoming.socket.remoteAddress ?? '') })
-  const timer = setInterval(() => { for (const link of links) link.sendBeat() }, BEAT_INTERVAL_MS)
+  const timer = setInterval(() => {
+    receiver.update()
+    for (const link of links) link.sendBeat()
+  }, BEAT_INTERVAL_MS)
 
   return {
     server,
--- a/packages/node/src/peers/LinkMessage.ts
+++ b/packages/node/src/peers/LinkMessage.ts
@@ -13,6 +13,12 @@
 /** What nodes tell each other about requests. `id` numbers the requests of one link. */
 export type LinkMessage =
   | { readonly kind: 'run', readonly id: number, readonly job: LinkedJob }
+  /** A request whose body of `bytes` stays at its node until it is asked for; the job's own body is empty. */
+  | { readonly kind: 'offer', readonly id: number, readonly job: LinkedJob, readonly bytes: number }
+  /** Asks for the next bytes of an offered body. */
+  | { readonly kind: 'pull', readonly id: number, readonly bytes: number }
+  /** The next bytes of an offered body. */
+  | { readonly kind: 'part', readonly id: number, readonly part: Buffer }
   /** The caller has left, or the request was placed elsewhere. */
   | { readonly kind: 'cancel', readonly id: number }
   | {
--- a/packages/node/src/peers/createBatchSender.ts
+++ b/packages/node/src/peers/createBatchSender.ts
@@ -32,7 +32,7 @@
       setImmediate(sendBatch)
     },
     remove: (id) => {
-      const index = batch.findIndex((message) => message.kind === 'run' && message.id === id)
+      const index = batch.findIndex((message) => (message.kind === 'run' || message.kind === 'offer') && message.id === id)
       if (index !== -1) batch.splice(index, 1)
       return index !== -1
     },
--- a/packages/node/src/peers/linkCodec.ts
+++ b/packages/node/src/peers/linkCodec.ts
@@ -6,15 +6,15 @@
 
 const packr = new Packr({ useRecords: false })
 
-const KIND_CODES = { run: 0, cancel: 1, answered: 2, refused: 3, lost: 4, beat: 5 } as const
+const KIND_CODES = { run: 0, cancel: 1, answered: 2, refused: 3, lost: 4, beat: 5, offer: 6, pull: 7, part: 8 } as const
 
 /** Fields in front of those of the kind. */
 type Fields = unknown[]
 
 /** Times travel as what is left of them, because the clocks of two hosts have nothing in common. */
-function encodeRun (id: number, job: LinkedJob, now: Milliseconds): Fields {
+function encodeJob (job: LinkedJob, now: Milliseconds): Fields {
   return [
-    KIND_CODES.run, id, job.service, job.route, job.priority, job.idempotent, Math.round(job.targetAt - now),
+    job.service, job.route, job.priority, job.idempotent, Math.round(job.targetAt - now),
     Math.round(job.endAt - now), job.targetLatencyMs, job.attemptId, job.callerService, job.method, job.target,
     job.headers, job.body
   ]
@@ -38,7 +38,10 @@
 
 function encodeMessage (message: LinkMessage, now: Milliseconds): Fields {
   switch (message.kind) {
-    case 'run': return encodeRun(message.id, message.job, now)
+    case 'run': return [KIND_CODES.run, message.id, ...encodeJob(message.job, now)]
+    case 'offer': return [KIND_CODES.offer, message.id, message.bytes, ...encodeJob(message.job, now)]
+    case 'pull': return [KIND_CODES.pull, message.id, message.bytes]
+    case 'part': return [KIND_CODES.part, message.id, message.part]
     case 'cancel': return [KIND_CODES.cancel, message.id]
     case 'outcome': return encodeOutcome(message)
     case 'beat': return [KIND_CODES.beat, 0]
@@ -51,17 +54,18 @@
 }
 
 const isText = (value: unknown): value is string => typeof value === 'string'
+const isSize = (value: unknown): value is number => Number.isSafeInteger(value) && Number(value) >= 0
 const isNumber = (value: unknown): value is number => typeof value === 'number' && Number.isFinite(value)
 const isHeaderList = (value: unknown): value is string[] =>
   Array.isArray(value) && value.length % 2 === 0 && value.every(isText)
 
-function decodeRun (id: number, fields: readonly unknown[], now: Milliseconds): LinkMessage | undefined {
+function decodeJob (fields: readonly unknown[], now: Milliseconds): LinkedJob | undefined {
   const [service, route, priority, idempotent, targetLeft, endLeft, targetLatencyMs, ...rest] = fields
   const [attemptId, callerService, method, target, headers, body] = rest
   if (!isText(service) || !isText(route) || !isText(attemptId) || !isText(callerService)) return undefined
   if (!isText(method) || !isText(target) || !isHeaderList(headers) || !Buffer.isBuffer(body)) return undefined
   if (!isNumber(priority) || !isNumber(targetLeft) || !isNumber(endLeft) || !isNumber(targetLatencyMs)) return undefined
-  const job = {
+  return {
     service,
     route,
     priority,
@@ -76,7 +80,6 @@
     headers,
     body
   }
-  return { kind: 'run', id, job }
 }
 
 function decodeLoad (state: unknown): ReportedLoad | undefined {
@@ -99,24 +102,40 @@
   return isNumber(second) ? { kind: 'refused', reason: first as ServingRefusal, waitMs: second, load } : undefined
 }
 
+type Decoder = (id: number, fields: readonly unknown[], now: Milliseconds) => LinkMessage | undefined
+
+function decodeRun (id: number, fields: readonly unknown[], now: Milliseconds): LinkMessage | undefined {
+  const job = decodeJob(fields, now)
+  return job === undefined ? undefined : { kind: 'run', id, job }
+}
+
+function decodeOffer (id: number, [bytes, ...fields]: readonly unknown[], now: Milliseconds): LinkMessage | undefined {
+  const job = decodeJob(fields, now)
+  return job === undefined || !isSize(bytes) ? undefined : { kind: 'offer', id, job, bytes }
+}
+
+function decodeEnd (code: number, id: number, fields: readonly unknown[]): LinkMessage | undefined {
+  const outcome = decodeOutcome(code, fields)
+  const [, versions, homeMs] = fields
+  if (outcome === undefined || !isNumber(homeMs)) return undefined
+  return { kind: 'outcome', id, outcome, versions: Array.isArray(versions) ? versions.filter(isNumber) : [], homeMs }
+}
+
+const DECODERS: ReadonlyMap<number, Decoder> = new Map<number, Decoder>([
+  [KIND_CODES.run, decodeRun],
+  [KIND_CODES.cancel, (id) => ({ kind: 'cancel', id })],
+  [KIND_CODES.beat, () => ({ kind: 'beat' })],
+  [KIND_CODES.offer, decodeOffer],
+  [KIND_CODES.pull, (id, [bytes]) => isSize(bytes) ? { kind: 'pull', id, bytes } : undefined],
+  [KIND_CODES.part, (id, [part]) => Buffer.isBuffer(part) ? { kind: 'part', id, part } : undefined],
+  ...[KIND_CODES.answered, KIND_CODES.refused, KIND_CODES.lost].map((code): [number, Decoder] =>
+    [code, (id, fields) => decodeEnd(code, id, fields)])
+])
+
 function decodeMessage (fields: unknown, now: Milliseconds): LinkMessage | undefined {
   if (!Array.isArray(fields)) return undefined
   const [code, id, ...rest] = fields as unknown[]
-  if (!isNumber(code) || !isNumber(id)) return undefined
-  switch (code) {
-    case KIND_CODES.run: return decodeRun(id, rest, now)
-    case KIND_CODES.cancel: return { kind: 'cancel', id }
-    case KIND_CODES.beat: return { kind: 'beat' }
-    case KIND_CODES.answered:
-    case KIND_CODES.refused:
-    case KIND_CODES.lost: {
-      const outcome = decodeOutcome(code, rest)
-      const versions = Array.isArray(rest[1]) ? rest[1].filter(isNumber) : []
-      if (outcome === undefined || !isNumber(rest[2])) return undefined
-      return { kind: 'outcome', id, outcome, versions, homeMs: rest[2] }
-    }
-    default: return undefined
-  }
+  return isNumber(code) && isNumber(id) ? DECODERS.get(code)?.(id, rest, now) : undefined
 }
 
 /** Messages of a frame; `now` is the time at which its bytes arrived. Undefined if any of it cannot be read. */
--- a/packages/node/tests/entry/createHomeLink.test.ts
+++ b/packages/node/tests/entry/createHomeLink.test.ts
@@ -81,6 +81,16 @@
     expect(unreachable).to.be.empty
   })
 
+  it('says that a request has not run whose body was not asked for as a whole (guards against an upload lost for nothing)', async () => {
+    send(createJob({ body: Buffer.alloc(50_000), idempotent: false }))
+    await awaitCondition('it is offered', () => received.length === 1)
+    answer({ kind: 'pull', id: 1, bytes: 30_000 })
+    await awaitCondition('a part arrived', () => received.some(({ kind }) => kind === 'part'))
+    accepted?.terminate()
+    await awaitCondition('it ended', () => outcomes.length === 1)
+    expect(outcomes[0]).to.include({ kind: 'refused', reason: 'host-unreachable' })
+  })
+
   it('refuses what no connection could carry', async () => {
     open(1)
     send(createJob())
