perf(node): one periodic timer for a node

Seven timers of 40 to 250 ms woke an idle node about 60 times a second, each for next to nothing. Now one ticker of 50 ms runs the periodic work and watches the delay of the event loop.

--- a/packages/node/src/NodeContext.ts
+++ b/packages/node/src/NodeContext.ts
@@ -1,5 +1,6 @@
 import type { Clock, NodeSettings } from '@snipenotch/contracts'
 import type { Counters, EventLog } from '@snipenotch/daemon'
+import type { Ticker } from './operations/createTicker.js'
 
 /** What every part of a node uses. */
 export interface NodeContext {
@@ -7,6 +8,7 @@
   readonly clock: Clock
   readonly log: EventLog
   readonly counters: Counters
+  readonly ticker: Ticker
   /** Random number in [0, 1). */
   readonly draw: () => number
 }
--- a/packages/node/src/bin/snipenotchNode.ts
+++ b/packages/node/src/bin/snipenotchNode.ts
@@ -4,6 +4,7 @@
 import { readFileSync } from 'node:fs'
 import { pino } from 'pino'
 import { createNode } from '../createNode.js'
+import { createTicker } from '../operations/createTicker.js'
 import { createBoundedLog } from '../operations/createBoundedLog.js'
 
 /** Lines are gathered up to this size before they are written, in bytes, so that logging never waits for its reader. */
@@ -28,8 +29,9 @@
 const settings = readSettingsFile()
 const events = createEventLog({ host: settings.host, data_centre: settings.dataCentre, log: { level: 'info' } }, destination)
 const log = createBoundedLog(events, counters, clock)
-const node = createNode({ settings, clock, counters, log, draw: Math.random })
-setInterval(() => { destination.flush() }, LOG_FLUSH_MS).unref()
+const ticker = createTicker(clock, (delay) => { counters.record('loop', delay) })
+const node = createNode({ settings, clock, counters, log, ticker, draw: Math.random })
+ticker.add(LOG_FLUSH_MS, () => { destination.flush() })
 
 function stop (): void {
   node.stop()
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -13,7 +13,6 @@
 import { probeInstance } from './home/probeInstance.js'
 import type { NodeContext } from './NodeContext.js'
 import { createLoadLog } from './operations/createLoadLog.js'
-import { createLoopWatch } from './operations/createLoopWatch.js'
 import { createReportServer } from './operations/createReportServer.js'
 import { createRolloutKeeper } from './operations/createRolloutKeeper.js'
 import { createHostHealth } from './peers/createHostHealth.js'
@@ -95,8 +94,7 @@
     isStoreConnected
   })
   const home = createHome({ context, view, instance, backend, onChange: updateRecord })
-  const loop = createLoopWatch(clock, (delay) => { counters.record('loop', delay) })
-  const homeServer = createHomeServer(context, home, loop, () => peerRows.getVersions())
+  const homeServer = createHomeServer(context, home, () => peerRows.getVersions())
   const client = createHomeClient(context, health, peerRows)
   const budgets = createResendBudgets(context, () => view.listHosts().length)
   const start = createExchange({
@@ -107,7 +105,7 @@
     finder: createCandidateFinder(context, view, health),
     placement: createPlacement(draw)
   })
-  const entry = createEntryServer({ context, view, start, budgets, loop })
+  const entry = createEntryServer({ context, view, start, budgets })
   const reports = createReportServer({
     context,
     instance,
@@ -212,7 +210,7 @@
       entry.logOpen()
       for (const follower of followers) follower.stop()
       reader.stop()
-      for (const part of [peerRows, client, health, loop, homeServer]) part.close()
+      for (const part of [peerRows, client, health, homeServer]) part.close()
       await recorder.flush(Math.min(RECORD_FLUSH_MS, Math.max(0, limitAt - clock.now())))
       log('daemonStopped', { open: entry.countOpen(), running: home.countRunning(), tookMs: Math.round(clock.now() - stoppedAt) })
     }
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -6,7 +6,6 @@
 import type { Socket } from 'node:net'
 import type { NodeContext } from '../NodeContext.js'
 import type { HomeOutcome } from '../home/HomeJob.js'
-import type { LoopWatch } from '../operations/createLoopWatch.js'
 import { runUnlessLeft } from '../operations/runUnlessLeft.js'
 import type { MeshView } from '../rows/createMeshView.js'
 import type { ExchangeResult, StartExchange } from './createExchange.js'
@@ -40,7 +39,6 @@
   readonly view: MeshView
   readonly start: StartExchange
   readonly budgets: ResendBudgets
-  readonly loop: LoopWatch
 }
 
 interface Arrival {
@@ -88,8 +86,8 @@
 }
 
 /** Creates the server for callers. */
-export function createEntryServer ({ context, view, start, budgets, loop }: EntryOptions): EntryServer {
-  const { settings, clock, log, counters, draw } = context
+export function createEntryServer ({ context, view, start, budgets }: EntryOptions): EntryServer {
+  const { settings, clock, log, counters, ticker, draw } = context
   const picker = createSplitPicker(draw)
   const ages = createAttemptAges()
   let isStopping = false
@@ -278,7 +276,7 @@
     const arrival: Arrival = {
       incoming,
       response,
-      arrivedAt: toMilliseconds(clock.now() - loop.getDelay()),
+      arrivedAt: toMilliseconds(clock.now() - ticker.getDelay()),
       attemptId: typeof header === 'string' ? header : '',
       isFirstOfConnection: !latest.has(incoming.socket)
     }
@@ -298,7 +296,7 @@
       if (size > maxBytes) sendOwn(arrival, 413, 'body-too-large')
       else {
         const hasLeft = (): boolean => incoming.socket.readableEnded || incoming.socket.destroyed
-        runUnlessLeft(hasLeft, loop, () => { handleWhole(arrival, Buffer.concat(chunks)) }, () => {
+        runUnlessLeft(hasLeft, ticker, () => { handleWhole(arrival, Buffer.concat(chunks)) }, () => {
           counters.count('serving_requests', 'left')
         })
       }
--- a/packages/node/src/entry/createHomeClient.ts
+++ b/packages/node/src/entry/createHomeClient.ts
@@ -36,7 +36,7 @@
 export function createHomeClient (
   context: NodeContext, health: Pick<HostHealth, 'markDown'>, peerRows: Pick<PeerRows, 'observe'>
 ): HomeClient {
-  const { clock, settings } = context
+  const { clock, settings, ticker } = context
   const hosts = new Map<string, HostLink>()
   /** Links that get no more requests but still have some. */
   const retired = new Set<HomeLink>()
@@ -82,14 +82,14 @@
     return false
   }
 
-  const timer = setInterval(() => {
+  const stopChecks = ticker.add(SILENCE_CHECK_MS, () => {
     for (const [host, found] of hosts) if (!checkLink(host, found)) hosts.delete(host)
     for (const link of retired) {
       if (link.countPending() > 0) continue
       link.close()
       retired.delete(link)
     }
-  }, SILENCE_CHECK_MS)
+  })
 
   return {
     send: (job, record, onOutcome) => {
@@ -98,7 +98,7 @@
       else link.send(job, onOutcome)
     },
     close: () => {
-      clearInterval(timer)
+      stopChecks()
       for (const { link } of hosts.values()) link.close()
       for (const link of retired) link.close()
     }
--- a/packages/node/src/home/createHomeServer.ts
+++ b/packages/node/src/home/createHomeServer.ts
@@ -2,7 +2,6 @@
 import { createServer, type Server } from 'node:http'
 import { type WebSocket, WebSocketServer } from 'ws'
 import type { NodeContext } from '../NodeContext.js'
-import type { LoopWatch } from '../operations/createLoopWatch.js'
 import { runUnlessLeft } from '../operations/runUnlessLeft.js'
 import { createBatchSender } from '../peers/createBatchSender.js'
 import { LINK_OPTIONS } from '../peers/LINK_OPTIONS.js'
@@ -29,7 +28,7 @@
 
 /** Creates the server; `getVersions` tells the versions of this node's rows. */
 export function createHomeServer (
-  { clock, counters, log, settings }: NodeContext, home: Home, loop: LoopWatch, getVersions: () => RowVersions
+  { clock, counters, log, settings, ticker }: NodeContext, home: Home, getVersions: () => RowVersions
 ): HomeServer {
   const links = new Set<OpenLink>()
   const receiver = createBodyReceiver(clock, settings.linkMbps)
@@ -89,7 +88,7 @@
       // Its cancellation may stand behind it in what was read at once.
       setImmediate(() => {
         if (hasLeft()) recordLeft()
-        else runUnlessLeft(hasLeft, loop, () => { begin(job) }, recordLeft)
+        else runUnlessLeft(hasLeft, ticker, () => { begin(job) }, recordLeft)
       })
     }
 
@@ -127,7 +126,7 @@
 
     links.add(link)
     socket.on('message', (data: Buffer) => {
-      const messages = decodeBatch(data, toMilliseconds(clock.now() - loop.getDelay()))
+      const messages = decodeBatch(data, toMilliseconds(clock.now() - ticker.getDelay()))
       if (messages === undefined) {
         closeMalformed({ bytes: data.length })
         return
@@ -145,16 +144,16 @@
   const server = createServer((_, response) => { response.writeHead(404, { 'content-length': 0 }).end() })
   const sockets = new WebSocketServer({ ...LINK_OPTIONS, server })
   sockets.on('connection', (socket, incoming) => { acceptLink(socket, incoming.socket.remoteAddress ?? '') })
-  const timer = setInterval(() => {
+  const stopBeats = ticker.add(BEAT_INTERVAL_MS, () => {
     receiver.update()
     for (const link of links) link.sendBeat()
-  }, BEAT_INTERVAL_MS)
+  })
 
   return {
     server,
     countBacklog: () => [...sockets.clients].reduce((sum, socket) => sum + socket.bufferedAmount, 0),
     close: () => {
-      clearInterval(timer)
+      stopBeats()
       server.close()
       for (const socket of sockets.clients) socket.terminate()
     }
--- a/packages/node/src/operations/createLoadLog.ts
+++ b/packages/node/src/operations/createLoadLog.ts
@@ -14,9 +14,9 @@
 
 /** Creates a log that has not started. */
 export function createLoadLog (
-  { counters, log }: NodeContext, entry: Pick<EntryServer, 'countOpen'>, home: Pick<Home, 'countRunning'>
+  { counters, log, ticker }: NodeContext, entry: Pick<EntryServer, 'countOpen'>, home: Pick<Home, 'countRunning'>
 ): LoadLog {
-  let timer: NodeJS.Timeout | undefined
+  let stopLines: (() => void) | undefined
   const read = (name: Parameters<typeof counters.readQuantile>[0]): number =>
     Math.round(counters.readQuantile(name, QUANTILE))
 
@@ -32,7 +32,7 @@
   }
 
   return {
-    start: () => { timer = setInterval(logLoad, PERIOD_MS) },
-    stop: () => { clearInterval(timer) }
+    start: () => { stopLines = ticker.add(PERIOD_MS, logLoad) },
+    stop: () => { stopLines?.() }
   }
 }
--- a/packages/node/src/operations/createRolloutKeeper.ts
+++ b/packages/node/src/operations/createRolloutKeeper.ts
@@ -35,10 +35,10 @@
 /** Creates the keeper of a node. */
 export function createRolloutKeeper (options: RolloutKeeperOptions): RolloutKeeper {
   const { context, view, replica, store, health, getStoreTime, onRows } = options
-  const { settings, clock, log, counters } = context
+  const { settings, clock, log, counters, ticker } = context
   /** Since when a step has been due, by service and what it would do. */
   const dueSince = new Map<string, { readonly step: string, readonly at: number }>()
-  let timer: NodeJS.Timeout | undefined
+  let stopChecks: (() => void) | undefined
   let isWriting = false
 
   function computeRank (): number {
@@ -168,10 +168,10 @@
 
   return {
     start: () => {
-      timer = setInterval(() => {
+      stopChecks = ticker.add(PERIOD_MS, () => {
         checkAll().catch((error: unknown) => { log('internalError', { error: String(error) }) })
-      }, PERIOD_MS)
+      })
     },
-    stop: () => { clearInterval(timer) }
+    stop: () => { stopChecks?.() }
   }
 }
--- a/packages/node/src/operations/runUnlessLeft.ts
+++ b/packages/node/src/operations/runUnlessLeft.ts
@@ -1,4 +1,4 @@
-import type { LoopWatch } from './createLoopWatch.js'
+import type { LoopWatch } from './createTicker.js'
 
 /** Delay of the event loop from which a request may be older than it seems, in milliseconds. */
 const MAX_TRUSTED_DELAY_MS = 30
--- a/packages/node/src/rows/createPeerRows.ts
+++ b/packages/node/src/rows/createPeerRows.ts
@@ -39,12 +39,12 @@
 
 /** Creates the exchange of rows with peers. */
 export function createPeerRows ({ context, view, replica, isStoreConnected, onRows }: PeerRowsOptions): PeerRows {
-  const { settings, clock, log, draw } = context
+  const { settings, clock, log, ticker, draw } = context
   const agent = new Agent({ keepAlive: true, maxSockets: 2 })
   let ahead: { readonly host: string, readonly since: number } | undefined
   let isFetching = false
   let askedAt = 0
-  let timer: NodeJS.Timeout | undefined
+  let stopChecks: (() => void) | undefined
 
   const getVersions = (): RowVersions => FOLLOWED_TABLES.map((table) => replica.getVersion(table))
 
@@ -93,9 +93,9 @@
       } else ahead ??= { host, since: clock.now() }
     },
     getVersions,
-    start: () => { timer = setInterval(checkPeers, PERIOD_MS) },
+    start: () => { stopChecks = ticker.add(PERIOD_MS, checkPeers) },
     close: () => {
-      clearInterval(timer)
+      stopChecks?.()
       agent.destroy()
     }
   }
--- a/packages/node/src/rows/createRowFollower.ts
+++ b/packages/node/src/rows/createRowFollower.ts
@@ -44,7 +44,7 @@
 /** Creates a follower that has not read anything yet. */
 export function createRowFollower (options: RowFollowerOptions): RowFollower {
   const { context, store, replica, table, cursors, onRows, isFollowing } = options
-  const { clock, log, counters, draw } = context
+  const { clock, log, counters, ticker, draw } = context
   const stopping = new AbortController()
   let isConnected = false
   let storeOffset: number | undefined
@@ -98,7 +98,7 @@
   async function run (): Promise<void> {
     while (!stopping.signal.aborted) {
       if (isFollowing()) {
-        await awaitPause(FOLLOWING_CHECK_MS)
+        await ticker.awaitPause(FOLLOWING_CHECK_MS)
         continue
       }
       const cursor = cursors.get(table)
--- a/packages/node/tests/createTestContext.ts
+++ b/packages/node/tests/createTestContext.ts
@@ -1,5 +1,6 @@
 import { createSystemClock, type NodeSettings } from '@snipenotch/contracts'
 import { createCounters, type EventLog } from '@snipenotch/daemon'
+import { createTicker } from '../src/operations/createTicker.js'
 import type { NodeContext } from '../src/NodeContext.js'
 
 const address = (port: number): NodeSettings['backend'] => ({ host: '127.0.0.1', port })
@@ -40,10 +41,12 @@
 export function createTestContext (given: Partial<NodeSettings> = {}): TestContext {
   const events: TestContext['events'] = []
   const log: EventLog = (name, fields = {}) => { events.push({ name, fields }) }
+  const clock = createSystemClock()
   return {
     settings: createTestSettings(given),
-    clock: createSystemClock(),
+    clock,
     counters: createCounters(),
+    ticker: createTicker(clock, () => undefined),
     draw: () => 0.5,
     log,
     events
--- a/packages/node/tests/narrowLink.test.ts
+++ b/packages/node/tests/narrowLink.test.ts
@@ -41,7 +41,7 @@
       findRefusal: () => undefined,
       getLoad: () => LOAD
     } as unknown as Home
-    homeServer = createHomeServer(context, home, { getDelay: () => 0, close: () => undefined }, () => [])
+    homeServer = createHomeServer(context, home, () => [])
     await new Promise<void>((resolve) => { homeServer.server.listen(0, '127.0.0.1', resolve) })
     link = await startNarrowLink((homeServer.server.address() as AddressInfo).port, LINK_MBPS)
     clients = Array.from({ length: 8 }, () =>
