--- a/packages/decisions/src/serving/createBodyIntake.ts
+++ b/packages/decisions/src/serving/createBodyIntake.ts
@@ -33,9 +33,14 @@
   readonly count: () => number
 }
 
-/** Bytes on the way, as time on the link in milliseconds: several round trips, and a small part of a call's target. */
-const WINDOW_MS = 15
-/** Fewest bytes on the way: two parts, so that the link carries one while the next is asked for. */
+/**
+ * Bytes on the way, as time on the link in milliseconds: above a round trip with two busy processes, so that the link does
+ * not idle, and below half of a call's target.
+ */
+const WINDOW_MS = 30
+/** Part of the window that must be free before more is asked for: each question wakes two processes. */
+const LEAST_GRANT_SHARE = 0.3
+/** Fewest bytes on the way, for the narrowest links: two parts, one on the link while the next is asked for. */
 const MIN_WINDOW_BYTES = 32_768
 /** Time without a part after which those asked for count as lost, in milliseconds: the other host is silent. */
 const STALL_MS = 300
@@ -88,7 +93,9 @@
       let room = windowBytes - countOnTheWay(now)
       for (let next = findNext(now); room > 0 && next !== undefined; next = findNext(now)) {
         const [body, progress] = next
-        const bytes = Math.min(room, body.bytes - progress.granted)
+        const missing = body.bytes - progress.granted
+        if (room < Math.min(missing, windowBytes * LEAST_GRANT_SHARE)) break
+        const bytes = Math.min(room, missing)
         progress.granted += bytes
         progress.movedAt = now
         room -= bytes
