feat(decisions): place uploads where the link is free

Each outcome now tells how long the bodies that a host fetches will take, and placement adds that for requests with large bodies alone. Test: createPlacement keeps uploads off a host whose link is behind, and other requests not.

--- a/packages/decisions/src/serving/createBodyIntake.ts
+++ b/packages/decisions/src/serving/createBodyIntake.ts
@@ -30,17 +30,19 @@
   readonly takeExpired: (now: Milliseconds) => Body[]
   /** Time until a body offered now would be here, in milliseconds. */
   readonly computeFetchMs: (body: Body) => number
+  /** Time until all bodies here are whole, in milliseconds. */
+  readonly computeBacklogMs: () => number
   readonly count: () => number
 }
 
 /**
- * Bytes on the way, as time on the link in milliseconds: above a round trip with two busy processes, so that the link does
- * not idle, and below half of a call's target.
+ * Bytes on the way, as time on the link in milliseconds: above a round trip with two busy processes, so that the link
+ * does not idle, and below half of a call's target.
  */
 const WINDOW_MS = 30
 /** Part of the window that must be free before more is asked for: each question wakes two processes. */
 const LEAST_GRANT_SHARE = 0.3
-/** Fewest bytes on the way, for the narrowest links: two parts, one on the link while the next is asked for. */
+/** Fewest bytes on the way: on the narrowest links, one part travels while the next is asked for. */
 const MIN_WINDOW_BYTES = 32_768
 /** Time without a part after which those asked for count as lost, in milliseconds: the other host is silent. */
 const STALL_MS = 300
@@ -123,6 +125,11 @@
       for (const [body, { arrived }] of bodies) if (body.targetAt <= targetAt) ahead += body.bytes - arrived
       return ahead / bytesPerMs
     },
+    computeBacklogMs: () => {
+      let bytes = 0
+      for (const [body, { arrived }] of bodies) bytes += body.bytes - arrived
+      return bytes / bytesPerMs
+    },
     count: () => bodies.size
   }
 }
--- a/packages/decisions/src/serving/createPlacement.ts
+++ b/packages/decisions/src/serving/createPlacement.ts
@@ -7,6 +7,8 @@
   readonly serviceMs: number
   /** Share of its answers that failed lately, 0 to 1. */
   readonly failureShare: number
+  /** Time until a large body offered now would begin to arrive, in milliseconds. */
+  readonly fetchMs: number
 }
 
 /** A host that could run a request. */
@@ -20,11 +22,13 @@
 /** What a request asks of its host. */
 export interface PlacementRequest {
   readonly targetLatencyMs: number
+  /** Its body is large, so the host has to fetch it. */
+  readonly hasLargeBody: boolean
 }
 
 /**
- * Chooses the host of each request by its expected time. Answers slow, failing and cold backend servers, and bursts
- * that fill the near data centre.
+ * Chooses the host of each request by its expected time. Answers slow, failing and cold backend servers, bursts that
+ * fill the near data centre, and uploads that wait for the link of one host while that of another is free.
  */
 export interface Placement {
   readonly choose: (
@@ -49,6 +53,7 @@
   slots: number
   serviceMs: number
   failureShare: number
+  fetchMs: number
   avoidUntil: Milliseconds
 }
 
@@ -81,7 +86,14 @@
     if (found === undefined) {
       const zero = 0 as Milliseconds
       found = {
-        inFlight: 0, othersLoad: 0, reportedAt: zero, slots: 0, serviceMs: 0, failureShare: 0, avoidUntil: zero
+        inFlight: 0,
+        othersLoad: 0,
+        reportedAt: zero,
+        slots: 0,
+        serviceMs: 0,
+        failureShare: 0,
+        fetchMs: 0,
+        avoidUntil: zero
       }
       hosts.set(host, found)
     }
@@ -101,7 +113,8 @@
     const waitMs = Math.max(0, load + 1 - slots) / slots * serviceMs
     const use = Math.min(1, load / slots)
     const failureMs = state.failureShare * judgement * request.targetLatencyMs * 2
-    return waitMs + serviceMs * (1 + FULL_SLOWDOWN * use * use) + failureMs + candidate.distanceMs
+    const fetchMs = request.hasLargeBody ? state.fetchMs * freshness : 0
+    return waitMs + fetchMs + serviceMs * (1 + FULL_SLOWDOWN * use * use) + failureMs + candidate.distanceMs
   }
 
   /**
@@ -123,6 +136,7 @@
     state.slots = load.slots
     state.serviceMs = load.serviceMs
     state.failureShare = load.failureShare
+    state.fetchMs = load.fetchMs
   }
 
   return {
--- a/packages/decisions/tests/serving/createBodyIntake.test.ts
+++ b/packages/decisions/tests/serving/createBodyIntake.test.ts
@@ -34,7 +34,8 @@
   for (let now = 0; now < 8000; now++) {
     const time = toMilliseconds(now)
     for (const { body } of arrivals.filter(({ at }) => at === now)) intake.add(body)
-    for (let room = linkMbps * 125, next = link[0]; room > 0 && next !== undefined && next.from <= now; next = link[0]) {
+    let room = linkMbps * 125
+    for (let next = link[0]; room > 0 && next !== undefined && next.from <= now; next = link[0]) {
       const bytes = Math.min(room, next.bytes)
       room -= bytes
       next.bytes -= bytes
--- a/packages/decisions/tests/serving/createPlacement.test.ts
+++ b/packages/decisions/tests/serving/createPlacement.test.ts
@@ -2,9 +2,9 @@
 import { expect } from 'chai'
 import { createPlacement, type Placement, type PlacementCandidate } from '../../src/serving/createPlacement.js'
 
-const REQUEST = { targetLatencyMs: 200 }
+const REQUEST = { targetLatencyMs: 200, hasLargeBody: false }
 const candidate = (host: string, distanceMs = 0): PlacementCandidate => ({ host, slots: 8, distanceMs })
-const IDLE = { load: 0, slots: 8, serviceMs: 60, failureShare: 0 }
+const IDLE = { load: 0, slots: 8, serviceMs: 60, failureShare: 0, fetchMs: 0 }
 
 /** Repeatable numbers in [0, 1). */
 function createDraw (): () => number {
@@ -16,11 +16,11 @@
 }
 
 function countChoices (
-  placement: Placement, candidates: readonly PlacementCandidate[], now: number
+  placement: Placement, candidates: readonly PlacementCandidate[], now: number, request = REQUEST
 ): Record<string, number> {
   const counts: Record<string, number> = {}
   for (let index = 0; index < 1000; index++) {
-    const host = placement.choose(candidates, REQUEST, toMilliseconds(now))?.host ?? ''
+    const host = placement.choose(candidates, request, toMilliseconds(now))?.host ?? ''
     counts[host] = (counts[host] ?? 0) + 1
   }
   return counts
@@ -46,6 +46,16 @@
     expect(countChoices(placement, [candidate('good'), candidate('grey')], 110).grey ?? 0).to.be.lessThan(20)
   })
 
+  it('keeps uploads off a host whose link is behind, and other requests not (guards against uploads that wait for one link)', () => {
+    const placement = createPlacement(createDraw())
+    report(placement, 'free', IDLE, 100)
+    report(placement, 'behind', { ...IDLE, fetchMs: 300 }, 100)
+    const candidates = [candidate('free'), candidate('behind')]
+    const upload = { ...REQUEST, hasLargeBody: true }
+    expect(countChoices(placement, candidates, 110, upload).behind ?? 0).to.be.lessThan(20)
+    expect(countChoices(placement, candidates, 110).behind ?? 0).to.be.greaterThan(400)
+  })
+
   it('spills to another data centre when the near server is full, and not before', () => {
     const placement = createPlacement(createDraw())
     const candidates = [candidate('near'), candidate('far', 20)]
--- a/packages/decisions/tests/serving/replayLoad.ts
+++ b/packages/decisions/tests/serving/replayLoad.ts
@@ -116,7 +116,7 @@
   const getLimits = (server: ReplayServer, now: number): GateLimits =>
     ({ slots: server.slots, coldPerSecond: server.coldPerSecond?.(now), closed: undefined, mayStart: true })
   const report = (gate: HomeGate<Job>, server: ReplayServer, now: number) =>
-    ({ ...gate.getLoad(getLimits(server, now)), failureShare: 0 })
+    ({ ...gate.getLoad(getLimits(server, now)), failureShare: 0, fetchMs: 0 })
 
   function begin (state: (typeof states)[number], job: Job, now: number): void {
     state.running.push({ job, started: now, endsAt: now + job.work * state.server.slowness(now) })
@@ -145,7 +145,7 @@
     let waitMs = Infinity
     for (let busy = 0; open.length > 0 && busy < MAX_BUSY_REFUSALS; busy++) {
       const candidates = open.map(({ server }) => ({ host: server.host, slots: server.slots, distanceMs: 0 }))
-      const chosen = placement.choose(candidates, job, now)
+      const chosen = placement.choose(candidates, { ...job, hasLargeBody: false }, now)
       const state = open.find(({ server }) => server.host === chosen?.host)
       if (state === undefined) break
       placement.recordSend(state.server.host)
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -3,6 +3,7 @@
 import type { NodeContext } from '../NodeContext.js'
 import type { Home } from '../home/createHome.js'
 import { FIRST_FAILURE_STATUS, type HomeJob, type HomeOutcome } from '../home/HomeJob.js'
+import { LARGE_BODY_BYTES } from '../peers/LinkMessage.js'
 import type { Candidate, CandidateFinder } from './createCandidateFinder.js'
 import type { HomeClient } from './createHomeClient.js'
 import type { ResendBudgets } from './createResendBudgets.js'
@@ -182,7 +183,8 @@
       if (candidates.some(({ host }) => host === settings.host)) {
         placement.recordLoad(settings.host, home.getLoad(), clock.now())
       }
-      const chosen = placement.choose(candidates, route, clock.now())
+      const asked = { targetLatencyMs: route.targetLatencyMs, hasLargeBody: bytes > LARGE_BODY_BYTES }
+      const chosen = placement.choose(candidates, asked, clock.now())
       const candidate = candidates.find(({ host }) => host === chosen?.host)
       if (candidate === undefined) {
         refuse()
--- a/packages/node/src/entry/createHomeLink.ts
+++ b/packages/node/src/entry/createHomeLink.ts
@@ -5,7 +5,7 @@
 import { createBatchSender } from '../peers/createBatchSender.js'
 import { LINK_OPTIONS } from '../peers/LINK_OPTIONS.js'
 import { decodeBatch } from '../peers/linkCodec.js'
-import type { LinkMessage, RowVersions } from '../peers/LinkMessage.js'
+import { LARGE_BODY_BYTES, type LinkMessage, type RowVersions } from '../peers/LinkMessage.js'
 
 /** Connection to the node beside one backend server; carries many requests at once. */
 export interface HomeLink {
@@ -36,12 +36,6 @@
 /** Time to connect to another host, in milliseconds: over a hundred times the way between data centres. */
 const CONNECT_TIMEOUT_MS = 400
 
-/**
- * Bodies above this size, in bytes, are offered and sent as the other node asks for them, so that they do not fill the
- * link in front of other requests; they travel in parts of this size.
- */
-const PART_BYTES = 16_384
-
 interface Pending {
   readonly sentAt: number
   /** Bytes of the body that have been sent. */
@@ -86,8 +80,8 @@
     if (found === undefined) return
     const { body } = found.job
     const end = Math.min(body.length, found.sentBytes + bytes)
-    for (let start = found.sentBytes; start < end; start += PART_BYTES) {
-      sender.add({ kind: 'part', id, part: body.subarray(start, Math.min(end, start + PART_BYTES)) })
+    for (let start = found.sentBytes; start < end; start += LARGE_BODY_BYTES) {
+      sender.add({ kind: 'part', id, part: body.subarray(start, Math.min(end, start + LARGE_BODY_BYTES)) })
     }
     found.sentBytes = end
   }
@@ -148,14 +142,14 @@
       const id = nextId++
       if (pending.size === 0) heardAt = clock.now()
       const bytes = job.body.length
-      const isOffered = bytes > PART_BYTES
+      const isOffered = bytes > LARGE_BODY_BYTES
       pending.set(id, { sentAt: clock.now(), sentBytes: isOffered ? 0 : bytes, job, onOutcome })
       job.cancel = () => { cancel(id) }
       sender.add(isOffered ? { kind: 'offer', id, job: { ...job, body: NO_BODY }, bytes } : { kind: 'run', id, job })
     },
     countPending: () => pending.size,
     countPendingBytes: () =>
-      [...pending.values()].reduce((sum, { job }) => sum + Math.min(PART_BYTES, job.body.length), 0),
+      [...pending.values()].reduce((sum, { job }) => sum + Math.min(LARGE_BODY_BYTES, job.body.length), 0),
     countBacklog: () => socket.bufferedAmount,
     getHeardAt: () => heardAt,
     giveUp: () => {
--- a/packages/node/src/home/createBodyReceiver.ts
+++ b/packages/node/src/home/createBodyReceiver.ts
@@ -20,6 +20,8 @@
   readonly cancel: (body: IncomingBody) => void
   /** Drops what is late and asks for more; called at intervals, as other nodes may be silent. */
   readonly update: () => void
+  /** Time until all bodies here are whole, in milliseconds. */
+  readonly getBacklogMs: () => number
   readonly count: () => number
 }
 
@@ -57,6 +59,7 @@
       intake.remove(body)
       update()
     },
+    getBacklogMs: () => intake.computeBacklogMs(),
     count: () => intake.count()
   }
 }
--- a/packages/node/src/home/createHomeServer.ts
+++ b/packages/node/src/home/createHomeServer.ts
@@ -45,7 +45,7 @@
       bodies.delete(id)
       const known = outcome.load ?? home.getLoad()
       // Requests whose bodies are on their way will need slots.
-      const load = { ...known, load: known.load + receiver.count() }
+      const load = { ...known, load: known.load + receiver.count(), fetchMs: receiver.getBacklogMs() }
       const homeMs = clock.now() - job.arrivedAt
       sender.add({ kind: 'outcome', id, outcome: { ...outcome, load }, versions: getVersions(), homeMs })
     }
--- a/packages/node/src/peers/LinkMessage.ts
+++ b/packages/node/src/peers/LinkMessage.ts
@@ -1,5 +1,11 @@
 import type { HomeJob, HomeOutcome } from '../home/HomeJob.js'
 
+/**
+ * Bodies above this size, in bytes, are offered and sent as the other node asks for them, so that they do not fill the
+ * link in front of other requests; they travel in parts of this size.
+ */
+export const LARGE_BODY_BYTES = 16_384
+
 /** Versions of a node's copies of the tables, by which peers notice that they are behind. */
 export type RowVersions = readonly number[]
 
--- a/packages/node/src/peers/linkCodec.ts
+++ b/packages/node/src/peers/linkCodec.ts
@@ -26,7 +26,10 @@
   const { load } = outcome
   const state = load === undefined
     ? null
-    : [load.load, computeRounded(load.slots, 10), Math.round(load.serviceMs), computeRounded(load.failureShare, 100)]
+    : [
+        load.load, computeRounded(load.slots, 10), Math.round(load.serviceMs), computeRounded(load.failureShare, 100),
+        Math.round(load.fetchMs)
+      ]
   const common = [id, state, versions, Math.round(homeMs)]
   switch (outcome.kind) {
     case 'answered':
@@ -84,10 +87,10 @@
 
 function decodeLoad (state: unknown): ReportedLoad | undefined {
   if (!Array.isArray(state) || !state.every(isNumber)) return undefined
-  const [load, slots, serviceMs, failureShare] = state
+  const [load, slots, serviceMs, failureShare, fetchMs] = state
   if (load === undefined || slots === undefined) return undefined
-  if (serviceMs === undefined || failureShare === undefined) return undefined
-  return { load, slots, serviceMs, failureShare }
+  if (serviceMs === undefined || failureShare === undefined || fetchMs === undefined) return undefined
+  return { load, slots, serviceMs, failureShare, fetchMs }
 }
 
 function decodeOutcome (code: number, fields: readonly unknown[]): HomeOutcome | undefined {
--- a/packages/node/tests/narrowLink.test.ts
+++ b/packages/node/tests/narrowLink.test.ts
@@ -11,7 +11,7 @@
 import { type NarrowLink, startNarrowLink } from './startNarrowLink.js'
 
 const LINK_MBPS = 12
-const LOAD = { load: 0, slots: 6, serviceMs: 20, failureShare: 0 }
+const LOAD = { load: 0, slots: 6, serviceMs: 20, failureShare: 0, fetchMs: 0 }
 const BODY_BYTES = 100_000
 /** Target latency of a call between services there, in milliseconds. */
 const CALL_TARGET_MS = 107
--- a/packages/node/tests/peers/linkCodec.test.ts
+++ b/packages/node/tests/peers/linkCodec.test.ts
@@ -20,7 +20,7 @@
   headers: ['X-Own', 'kept'],
   body: Buffer.from('payload')
 }
-const LOAD = { load: 7, slots: 8, serviceMs: 61, failureShare: 0.25 }
+const LOAD = { load: 7, slots: 8, serviceMs: 61, failureShare: 0.25, fetchMs: 140 }
 const VERSIONS = [12, 340]
 const MESSAGES: LinkMessage[] = [
   { kind: 'cancel', id: 4 },
