perf(node): signs of life only on links that are quiet

A home node with an open request on a link sent a sign of life each 150 ms, nearly one for each request, as requests take 100 to 250 ms; each wakes two processes, on machines with 0.27 of a core.

--- a/packages/node/src/home/createHomeServer.ts
+++ b/packages/node/src/home/createHomeServer.ts
@@ -11,8 +11,13 @@
 import { createBodyReceiver, type IncomingBody } from './createBodyReceiver.js'
 import type { HomeJob, HomeOutcome } from './HomeJob.js'
 
-/** Time between two signs of life on a link with requests that wait or run, in milliseconds. */
-export const BEAT_INTERVAL_MS = 150
+/**
+ * Time without a message on a link with open requests after which a sign of life is sent, in milliseconds: most
+ * requests end before it, and each sign wakes two processes.
+ */
+export const BEAT_INTERVAL_MS = 200
+/** Time between two looks at the links, in milliseconds. */
+const CHECK_PERIOD_MS = 50
 
 /** Takes requests of other nodes for the backend server beside this one. */
 export interface HomeServer {
@@ -28,7 +33,8 @@
 
 /** Creates the server; `getVersions` tells the versions of this node's rows. */
 export function createHomeServer (
-  { clock, counters, log, settings, ticker }: NodeContext, home: Home, getVersions: () => RowVersions
+  { clock, counters, log, settings, ticker }: NodeContext, home: Pick<Home, 'run' | 'findRefusal' | 'getLoad'>,
+  getVersions: () => RowVersions
 ): HomeServer {
   const links = new Set<OpenLink>()
   const receiver = createBodyReceiver(clock, settings.linkMbps)
@@ -38,7 +44,18 @@
     const open = new Map<number, HomeJob>()
     /** Bodies that are being fetched, of open requests. */
     const bodies = new Map<number, IncomingBody>()
-    const link: OpenLink = { sendBeat: () => { if (open.size > 0) sender.add({ kind: 'beat' }) } }
+    /** Time of the latest message, or of the first request that is open since. */
+    let quietSince = clock.now()
+    const link: OpenLink = {
+      sendBeat: () => {
+        if (open.size > 0 && clock.now() - quietSince >= BEAT_INTERVAL_MS) send({ kind: 'beat' })
+      }
+    }
+
+    function send (message: LinkMessage): void {
+      quietSince = clock.now()
+      sender.add(message)
+    }
 
     function end (id: number, job: HomeJob, outcome: HomeOutcome): void {
       open.delete(id)
@@ -47,7 +64,7 @@
       // Requests whose bodies are on their way will need slots.
       const load = { ...known, load: known.load + receiver.count(), fetchMs: receiver.getBacklogMs() }
       const homeMs = clock.now() - job.arrivedAt
-      sender.add({ kind: 'outcome', id, outcome: { ...outcome, load }, versions: getVersions(), homeMs })
+      send({ kind: 'outcome', id, outcome: { ...outcome, load }, versions: getVersions(), homeMs })
     }
 
     function run (id: number, job: HomeJob): void {
@@ -67,7 +84,7 @@
         targetAt: job.targetAt,
         endAt: job.endAt,
         parts: [],
-        request: (wanted) => { sender.add({ kind: 'pull', id, bytes: wanted }) },
+        request: (wanted) => { send({ kind: 'pull', id, bytes: wanted }) },
         onWhole: (whole) => {
           bodies.delete(id)
           run(id, { ...job, body: whole })
@@ -82,6 +99,7 @@
     /** Begins a request unless its sender has left meanwhile. */
     function handleRequest (id: number, linked: LinkedJob, begin: (job: HomeJob) => void): void {
       const job: HomeJob = { ...linked, isInternal: false, arrivedAt: clock.now() }
+      if (open.size === 0) quietSince = job.arrivedAt
       open.set(id, job)
       const hasLeft = (): boolean => !open.has(id)
       const recordLeft = (): void => { counters.count('serving_requests', 'left') }
@@ -144,7 +162,7 @@
   const server = createServer((_, response) => { response.writeHead(404, { 'content-length': 0 }).end() })
   const sockets = new WebSocketServer({ ...LINK_OPTIONS, server })
   sockets.on('connection', (socket, incoming) => { acceptLink(socket, incoming.socket.remoteAddress ?? '') })
-  const stopBeats = ticker.add(BEAT_INTERVAL_MS, () => {
+  const stopBeats = ticker.add(CHECK_PERIOD_MS, () => {
     receiver.update()
     for (const link of links) link.sendBeat()
   })
