fix(node): answer what is open when the grace period ends

Cause: a process that ends drops what is open, as if all of it were running at a backend server; what waits for its place has not run, and its caller may send it elsewhere.

A job's cancellation now tells whether it certainly has not run: then the answer is 503 stopping, otherwise 504 stopping, 450 ms before the end of the grace period. A home node that stops gives the requests whose bodies it has not fetched back at once. Test: stopping answers what is open at the end of the grace period; before, both connections were cut.

--- a/packages/decisions/src/serving/createBodyIntake.ts
+++ b/packages/decisions/src/serving/createBodyIntake.ts
@@ -28,6 +28,8 @@
   readonly remove: (body: Body) => void
   /** Removes bodies whose time is over. */
   readonly takeExpired: (now: Milliseconds) => Body[]
+  /** Removes all bodies. */
+  readonly takeAll: () => Body[]
   /** Time until a body offered now would be here, in milliseconds. */
   readonly computeFetchMs: (body: Body) => number
   /** Time until all bodies here are whole, in milliseconds. */
@@ -120,6 +122,11 @@
       for (const body of expired) bodies.delete(body)
       return expired
     },
+    takeAll: () => {
+      const all = [...bodies.keys()]
+      bodies.clear()
+      return all
+    },
     computeFetchMs: ({ bytes, targetAt }) => {
       let ahead = bytes
       for (const [body, { arrived }] of bodies) if (body.targetAt <= targetAt) ahead += body.bytes - arrived
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -41,6 +41,8 @@
 const HOME_LINGER_MS = 1700
 /** End of the grace period in which requests are no longer awaited, in milliseconds: time for the process to end. */
 const EXIT_RESERVE_MS = 300
+/** Time for sending what is answered because the grace period ends, in milliseconds. */
+const LAST_ANSWERS_MS = 150
 /** Time between two looks at whether all requests have ended, in milliseconds. */
 const STOP_POLL_MS = 25
 /** Time for removing the record of a host whose backend server has left, in milliseconds. */
@@ -202,12 +204,14 @@
       await awaitEnd(() => false, Math.min(limitAt, stoppedAt + HOME_LINGER_MS))
       home.stop()
       home.update()
+      homeServer.stop()
       await awaitEnd(() => false, Math.min(limitAt, stoppedAt + LINGER_MS))
       entry.server.close()
       const isIdle = (): boolean =>
         entry.countOpen() === 0 && home.countRunning() === 0 && homeServer.countBacklog() === 0
+      await awaitEnd(isIdle, limitAt - LAST_ANSWERS_MS)
+      entry.endOpen()
       await awaitEnd(isIdle, limitAt)
-      entry.logOpen()
       for (const follower of followers) follower.stop()
       reader.stop()
       for (const part of [peerRows, client, health, homeServer]) part.close()
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -17,8 +17,8 @@
   /** Ends kept connections with the next answer. */
   readonly stop: () => void
   readonly countOpen: () => number
-  /** Logs the requests that are still open, because the process ends. */
-  readonly logOpen: () => void
+  /** Answers the requests that are still open, because the process ends. */
+  readonly endOpen: () => void
   /** Limits of the configuration in force apply to new connections. */
   readonly updateLimits: () => void
 }
@@ -51,6 +51,8 @@
   route?: string
   /** Host that has the request now. */
   getHost?: () => string | undefined
+  /** Ends a request that was placed, because the process ends. */
+  end?: () => void
 }
 
 /** Remaining time that the caller names, in milliseconds. */
@@ -241,6 +243,11 @@
       exchange.cancel()
       fail(arrival, route, 504, 'deadline')
     }, endAt + END_GRACE_MS - clock.now())
+    arrival.end = () => {
+      if (!endOnce()) return
+      if (exchange.cancel()) refuse(arrival, route, 'stopping', 0, 0)
+      else fail(arrival, route, 504, 'stopping')
+    }
     listenLeft(arrival, () => {
       if (!endOnce()) return
       logUnanswered(arrival, !isClosedByCaller(arrival))
@@ -327,7 +334,12 @@
     server,
     stop: () => { isStopping = true },
     countOpen: () => openArrivals.size,
-    logOpen: () => { for (const arrival of openArrivals) logUnanswered(arrival, true) },
+    endOpen: () => {
+      for (const arrival of [...openArrivals]) {
+        if (arrival.end !== undefined) arrival.end()
+        else refuse(arrival, undefined, 'stopping', 0, 0)
+      }
+    },
     updateLimits: () => {
       const limits = view.getConfiguration()?.limits
       if (limits !== undefined) server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -54,7 +54,8 @@
 
 /** A request on its way; `cancel` ends it because the caller has left or its time is over. */
 export interface Exchange {
-  readonly cancel: () => void
+  /** True if the request has certainly not run and will not. */
+  readonly cancel: () => boolean
   /** Host that has the request now; undefined between two tries. */
   readonly getHost: () => string | undefined
 }
@@ -207,8 +208,9 @@
       const cancel = job.cancel
       if (cancel === undefined) return
       job.cancel = () => {
-        cancel()
+        const isNotRun = cancel()
         placement.recordEnd(candidate.host, undefined, clock.now())
+        return isNotRun
       }
     }
 
@@ -216,7 +218,7 @@
     return {
       cancel: () => {
         isCancelled = true
-        current?.cancel?.()
+        return (current?.cancel?.() ?? current === undefined) && tries === 0
       },
       getHost: () => currentHost
     }
--- a/packages/node/src/entry/createHomeLink.ts
+++ b/packages/node/src/entry/createHomeLink.ts
@@ -70,9 +70,12 @@
     found.onOutcome(outcome)
   }
 
-  function cancel (id: number): void {
+  function cancel (id: number): boolean {
+    const found = pending.get(id)
     pending.delete(id)
-    if (!sender.remove(id)) sender.add({ kind: 'cancel', id })
+    if (sender.remove(id)) return true
+    sender.add({ kind: 'cancel', id })
+    return found !== undefined && found.sentBytes < found.job.body.length
   }
 
   function sendParts (id: number, bytes: number): void {
@@ -144,7 +147,7 @@
       const bytes = job.body.length
       const isOffered = bytes > LARGE_BODY_BYTES
       pending.set(id, { sentAt: clock.now(), sentBytes: isOffered ? 0 : bytes, job, onOutcome })
-      job.cancel = () => { cancel(id) }
+      job.cancel = () => cancel(id)
       sender.add(isOffered ? { kind: 'offer', id, job: { ...job, body: NO_BODY }, bytes } : { kind: 'run', id, job })
     },
     countPending: () => pending.size,
--- a/packages/node/src/home/HomeJob.ts
+++ b/packages/node/src/home/HomeJob.ts
@@ -19,8 +19,11 @@
   readonly arrivedAt: Milliseconds
   /** Takes the right to send the request elsewhere, though its outcome here is unknown; false if it must wait. */
   readonly mayMove?: () => boolean
-  /** Set by whoever runs the job; ends the job because its caller has left. */
-  cancel?: () => void
+  /**
+   * Set by whoever runs the job; ends it because its caller has left or this process stops. True if it certainly has
+   * not run and will not.
+   */
+  cancel?: () => boolean
 }
 
 /** How a job ended at the node of its backend server. */
--- a/packages/node/src/home/createBodyReceiver.ts
+++ b/packages/node/src/home/createBodyReceiver.ts
@@ -7,8 +7,8 @@
   /** Asks the other node for the next bytes. */
   readonly request: (bytes: number) => void
   readonly onWhole: (body: Buffer) => void
-  /** The request's time is over, and it has not run. */
-  readonly onExpired: () => void
+  /** The body is not wanted any more, and the request has not run. */
+  readonly onDropped: (reason: 'expired' | 'stopping') => void
 }
 
 /** Fetches the bodies that other nodes offer, at the pace of the own link. */
@@ -18,6 +18,8 @@
   /** Takes a part; false if it was not asked for. */
   readonly receive: (body: IncomingBody, part: Buffer) => boolean
   readonly cancel: (body: IncomingBody) => void
+  /** Drops all bodies, because this process stops. */
+  readonly stop: () => void
   /** Drops what is late and asks for more; called at intervals, as other nodes may be silent. */
   readonly update: () => void
   /** Time until all bodies here are whole, in milliseconds. */
@@ -34,7 +36,7 @@
 
   function update (): void {
     const now = clock.now()
-    for (const body of intake.takeExpired(now)) body.onExpired()
+    for (const body of intake.takeExpired(now)) body.onDropped('expired')
     for (const { body, bytes } of intake.takeGrants(now)) body.request(bytes)
   }
 
@@ -59,6 +61,7 @@
       intake.remove(body)
       update()
     },
+    stop: () => { for (const body of intake.takeAll()) body.onDropped('stopping') },
     getBacklogMs: () => intake.computeBacklogMs(),
     count: () => intake.count()
   }
--- a/packages/node/src/home/createHome.ts
+++ b/packages/node/src/home/createHome.ts
@@ -167,10 +167,11 @@
     job.cancel = () => {
       // Work that must run at most once is left to end: its effect would be unknown otherwise.
       outcomes.delete(job)
-      if (!job.idempotent) return
+      if (!job.idempotent) return false
       call.abort()
       gate.finish(job, undefined)
       update()
+      return false
     }
   }
 
@@ -225,8 +226,8 @@
       return
     }
     job.cancel = () => {
-      gate.cancel(job)
       outcomes.delete(job)
+      return gate.cancel(job)
     }
     schedule(limits)
   }
--- a/packages/node/src/home/createHomeServer.ts
+++ b/packages/node/src/home/createHomeServer.ts
@@ -22,6 +22,8 @@
 /** Takes requests of other nodes for the backend server beside this one. */
 export interface HomeServer {
   readonly server: Server
+  /** Gives back the requests whose bodies have not arrived, because this process stops. */
+  readonly stop: () => void
   /** Bytes of outcomes that wait to be sent. */
   readonly countBacklog: () => number
   readonly close: () => void
@@ -89,7 +91,7 @@
           bodies.delete(id)
           run(id, { ...job, body: whole })
         },
-        onExpired: () => { end(id, job, { kind: 'refused', reason: 'expired', waitMs: 0 }) }
+        onDropped: (reason) => { end(id, job, { kind: 'refused', reason, waitMs: 0 }) }
       }
       bodies.set(id, body)
       const fetchMs = receiver.offer(body)
@@ -169,6 +171,7 @@
 
   return {
     server,
+    stop: receiver.stop,
     countBacklog: () => [...sockets.clients].reduce((sum, socket) => sum + socket.bufferedAmount, 0),
     close: () => {
       stopBeats()
--- a/packages/node/tests/home/createHomeServer.test.ts
+++ b/packages/node/tests/home/createHomeServer.test.ts
@@ -66,6 +66,15 @@
     expect(running).to.be.empty
   })
 
+  it('gives back what it has not fetched when it stops (guards against uploads that wait for a process that ends)', async () => {
+    send({ kind: 'offer', id: 1, job: createLongJob(), bytes: 50_000 })
+    await awaitCondition('the body is asked for', () => count('pull') === 1)
+    server.stop()
+    await awaitCondition('it is given back', () => count('outcome') === 1)
+    const outcome = received.find((message) => message.kind === 'outcome')?.outcome
+    expect(outcome).to.include({ kind: 'refused', reason: 'stopping' })
+  })
+
   it('closes the link on a part that was not asked for, and ignores parts of a request that has ended', async () => {
     send({ kind: 'part', id: 7, part: Buffer.alloc(10) })
     send({ kind: 'offer', id: 1, job: createLongJob(), bytes: 50_000 })
--- a/packages/node/tests/stopping.test.ts
+++ b/packages/node/tests/stopping.test.ts
@@ -64,6 +64,20 @@
     await stopped
   })
 
+  it('answers what is open at the end of the grace period (guards against an upload that is cut while it waits)', async () => {
+    const running = send(entry.settings.callers.port, '/parts/running', { [HEADERS.remainingMs]: '60000' })
+    const socket = connect(entry.settings.callers.port, '127.0.0.1')
+    let received = ''
+    socket.on('data', (chunk) => { received += chunk.toString() })
+    socket.write('POST /parts/upload HTTP/1.1\r\nHost: a.example\r\nContent-Length: 100000\r\n\r\nbegin')
+    await awaitCondition('it runs', () => held.length === 1)
+    const stopped = entry.node.stop()
+    expect((await running).status).to.equal(504)
+    await stopped
+    await awaitCondition('the other is answered', () => received.includes('\r\n\r\n'))
+    expect(received).to.match(/^HTTP\/1.1 503 /)
+  })
+
   it('awaits an answer that comes late in the grace period (guards against a request cut by a process that ends early)', async () => {
     const answer = send(entry.settings.callers.port, '/parts/late', { [HEADERS.remainingMs]: '60000' })
     await awaitCondition('it runs', () => held.length === 1)
