fix(decisions): ask for whole bytes of a body

The window is rounded down. Test: createBodyIntake asks for whole bytes whatever the bandwidth; it failed before at 22 x 0.7 Mbit/s.

--- a/packages/decisions/src/serving/createBodyIntake.ts
+++ b/packages/decisions/src/serving/createBodyIntake.ts
@@ -61,7 +61,7 @@
 export function createBodyIntake<Body extends OfferedBody> (linkMbps: number): BodyIntake<Body> {
   const bodies = new Map<Body, Progress>()
   const bytesPerMs = linkMbps > 0 ? linkMbps * BYTES_PER_MS_AT_1_MBPS : Infinity
-  const windowBytes = Math.max(MIN_WINDOW_BYTES, bytesPerMs * WINDOW_MS)
+  const windowBytes = Math.max(MIN_WINDOW_BYTES, Math.floor(bytesPerMs * WINDOW_MS))
 
   function countOnTheWay (now: Milliseconds): number {
     let bytes = 0
--- a/packages/decisions/tests/serving/createBodyIntake.test.ts
+++ b/packages/decisions/tests/serving/createBodyIntake.test.ts
@@ -75,6 +75,14 @@
     expect(Math.max(...wholeAt.values())).to.be.at.most(10 * 280_000 / (22 * 125) * 1.1)
   })
 
+  it('asks for whole bytes whatever the bandwidth (guards against a question that the other host cannot read)', () => {
+    for (const linkMbps of [0, 8.4, 22 * 0.7, 140, 1000]) {
+      const intake = createBodyIntake<OfferedBody>(linkMbps)
+      intake.add(offer(1_700_000, 5000))
+      for (const { bytes } of intake.takeGrants(toMilliseconds(0))) expect(bytes % 1, `${linkMbps} Mbit/s`).to.equal(0)
+    }
+  })
+
   it('goes on with others while a host is silent, and drops its body at the end of its time', () => {
     const intake = createBodyIntake<OfferedBody>(LINK_MBPS)
     const [silent, other] = [offer(60_000, 500, 1000), offer(10_000, 800, 2000)]
