test(soak): large bodies, and answers that a stopping node loses

The soak had bodies of a few bytes, so nothing was offered or fetched in parts, and a request that ran and ended without an answer was no finding. Now a tenth of the orders have 60 KB, and a request that ran counts as lost if its connection ends without an answer, its caller has not left, and its node was neither killed nor paused.

--- a/packages/node/tests/soak/createLedger.ts
+++ b/packages/node/tests/soak/createLedger.ts
@@ -15,6 +15,8 @@
   readonly recordAnswer: (id: string, answer: { status: number, echoedId: string, body: string }) => void
   /** The request ended without an answer. */
   readonly recordEnd: (id: string) => void
+  /** The connection of a request ended without an answer, though its node was at most told to stop. */
+  readonly recordCut: (id: string) => void
   readonly recordBroken: (promise: string, detail: string) => void
   /** Broken promises so far; at the end also those that only the whole record shows. */
   readonly listBroken: (isOver: boolean) => string[]
@@ -62,6 +64,7 @@
       open.delete(id)
       answers.none = (answers.none ?? 0) + 1
     },
+    recordCut: (id) => { if (runs.has(id)) recordBroken('lost', `${id} ran and its caller got no answer`) },
     recordBroken,
     listBroken: (isOver) => {
       if (!isOver) return [...broken]
--- a/packages/node/tests/soak/runSoak.ts
+++ b/packages/node/tests/soak/runSoak.ts
@@ -31,6 +31,9 @@
 const REQUEST_INTERVAL_MS = 12
 /** Share of callers that leave before their answer. */
 const LEAVING_SHARE = 0.05
+/** Share of requests with a body that other nodes have to ask for, and its bytes. */
+const LARGE_SHARE = 0.1
+const LARGE_BYTES = 60_000
 /** Time for which callers wait, in milliseconds, and the time beyond it until a request counts as held for ever. */
 const CALLER_TIME_MS = 1500
 const END_SLACK_MS = 3000
@@ -96,11 +99,18 @@
 function sendOne (ledger: Ledger, agent: Agent, host: SoakHost, serial: number, draw: () => number): Promise<number> {
   const { service, mayRepeat } = SERVICES[draw() < 0.5 ? 0 : 1]
   const id = `soak-${serial}`
-  const body = mayRepeat ? '' : `order ${serial}`
+  const body = mayRepeat ? '' : `order ${serial}${draw() < LARGE_SHARE ? 'x'.repeat(LARGE_BYTES) : ''}`
+  const breaks = host.countBreaks()
   ledger.recordSent({ id, service, mayRepeat, body })
   return new Promise((resolve) => {
+    let hasLeft = false
+    const leave = (): void => {
+      hasLeft = true
+      outgoing.destroy()
+    }
     const end = (): void => {
       ledger.recordEnd(id)
+      if (!hasLeft && host.countBreaks() === breaks) ledger.recordCut(id)
       resolve(0)
     }
     const outgoing = request({
@@ -124,8 +134,8 @@
     })
     outgoing.on('error', end)
     outgoing.end(body)
-    if (draw() < LEAVING_SHARE) setTimeout(() => { outgoing.destroy() }, draw() * 60)
-    setTimeout(() => { outgoing.destroy() }, CALLER_TIME_MS + END_SLACK_MS).unref()
+    if (draw() < LEAVING_SHARE) setTimeout(leave, draw() * 60)
+    setTimeout(leave, CALLER_TIME_MS + END_SLACK_MS).unref()
   })
 }
 
--- a/packages/node/tests/soak/startSoakHost.ts
+++ b/packages/node/tests/soak/startSoakHost.ts
@@ -16,6 +16,8 @@
   readonly storeProxy: FaultProxy
   readonly backendProxy: FaultProxy
   readonly isRunning: () => boolean
+  /** Times that the node was killed or paused: what is open then may get no answer. */
+  readonly countBreaks: () => number
   /** Sends a signal to the node; one that ends it is followed by a restart after `restartMs`. */
   readonly signal: (name: NodeJS.Signals, restartMs?: number) => void
   /** Lets the backend server leave and, after its time to drain, come back as a new run. */
@@ -42,6 +44,8 @@
 const DRAIN_MS = 2000
 /** Share of answers that are lost after the request ran. */
 const LOST_ANSWER_SHARE = 0.02
+/** Signals that a node cannot prepare for. */
+const BREAKS: ReadonlySet<NodeJS.Signals> = new Set(['SIGKILL', 'SIGSTOP'])
 const KILLS: ReadonlySet<NodeJS.Signals> = new Set(['SIGKILL', 'SIGTERM'])
 const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
 
@@ -54,6 +58,7 @@
   let leavingAckedAt: number | undefined
   let state: 'serving' | 'draining' = 'serving'
   let isStopped = false
+  let breaks = 0
   const getInstance = (): string => `i-${host}-${run}`
 
   function handleRequest (incoming: IncomingMessage, response: ServerResponse, body: string): void {
@@ -155,10 +160,12 @@
     storeProxy,
     backendProxy,
     isRunning: () => node !== undefined,
+    countBreaks: () => breaks,
     signal: (name, restartMs = 0) => {
       const target = node
       if (target === undefined) return
       target.child.kill(name)
+      if (BREAKS.has(name)) breaks += 1
       if (!KILLS.has(name)) return
       target.exited.then(() => { setTimeout(startNode, restartMs) }, () => undefined)
     },
