fix(decisions): notice a backend server that hangs before its requests end

If the mean age of the requests that run is more than twice the average time, it stands for the average: in the load that other nodes see, and in the wait that a new request is refused for. Test: createHomeGate tells of a server that hangs before any of its requests ends; it told 40 ms for 800 before.

--- a/packages/decisions/src/serving/createHomeGate.ts
+++ b/packages/decisions/src/serving/createHomeGate.ts
@@ -66,7 +66,7 @@
   readonly finish: (job: Job, durationMs: number | undefined) => void
   /** Delay after which `takeReady` or `takeExpired` may have something to do; undefined if nothing waits. */
   readonly computeDelay: (limits: GateLimits, now: Milliseconds) => number | undefined
-  readonly getLoad: (limits: GateLimits) => GateLoad
+  readonly getLoad: (limits: GateLimits, now: Milliseconds) => GateLoad
   readonly countRunning: () => number
   readonly countWaiting: () => number
   /** Forgets the times of an earlier run of the backend server. */
@@ -90,6 +90,8 @@
 const MIN_TARGET_SHARE_LEFT = 0.1
 /** Share of the target latency that a request waits at most once it cannot meet its target: one slot ends meanwhile. */
 const MAX_LATE_WAIT_SHARE = 0.03
+/** Mean age of running requests, as a multiple of the average time, from which a backend server counts as hanging. */
+const HANGING_FACTOR = 2
 /** Shortest pause between two looks at the queue, in milliseconds. */
 const MIN_DELAY_MS = 2
 
@@ -105,7 +107,8 @@
   const times = createServiceTimes()
   const sends = createRateWindow()
   let waiting: Job[] = []
-  let running = 0
+  /** Running requests with the times of their start. */
+  const running = new Map<Job, Milliseconds>()
 
   const getServiceMs = (job: Job): number => times.get(job.route, job.targetLatencyMs)
   const isAttainable = (job: Job, now: Milliseconds): boolean => now + getServiceMs(job) <= job.targetAt
@@ -138,23 +141,36 @@
   }
 
   function hasRoom (limits: GateLimits, now: Milliseconds): boolean {
-    if (running >= limits.slots) return false
+    if (running.size >= limits.slots) return false
     return limits.coldPerSecond === undefined || sends.count(now) < limits.coldPerSecond
   }
 
+  /**
+   * Average time, or the mean age of the requests that run, if that is far above it: a backend server that hangs ends
+   * nothing, so that its average stays what it was.
+   */
+  function computeServiceMs (now: Milliseconds): number | undefined {
+    const average = times.getAverage()
+    if (average === undefined || running.size === 0) return average
+    let age = 0
+    for (const startedAt of running.values()) age += now - startedAt
+    const meanAge = age / running.size
+    return meanAge > average * HANGING_FACTOR ? meanAge : average
+  }
+
   function computeWait (job: Job, limits: GateLimits, now: Milliseconds): number {
     let ahead = 0
     for (const other of waiting) if (!isBefore(job, other, now)) ahead += 1
-    const average = times.getAverage() ?? getServiceMs(job)
-    const isSlotFree = running < limits.slots && ahead === 0
+    const average = computeServiceMs(now) ?? getServiceMs(job)
+    const isSlotFree = running.size < limits.slots && ahead === 0
     const slotWait = isSlotFree ? 0 : (ahead + 1) * average / Math.max(1, limits.slots)
     if (limits.coldPerSecond === undefined) return slotWait
     const rateWait = sends.computeDelay(limits.coldPerSecond, now) + ahead * 1000 / Math.max(1, limits.coldPerSecond)
     return Math.max(slotWait, rateWait)
   }
 
-  function begin (now: Milliseconds): void {
-    running += 1
+  function begin (job: Job, now: Milliseconds): void {
+    running.set(job, now)
     sends.record(now)
   }
 
@@ -174,7 +190,7 @@
       const refusal = findRefusal(job, limits, now)
       if (refusal !== undefined) return refusal
       if (isFree(limits, now)) {
-        begin(now)
+        begin(job, now)
         return { kind: 'start' }
       }
       waiting.push(job)
@@ -185,7 +201,7 @@
       while (limits.mayStart && waiting.length > 0 && hasRoom(limits, now)) {
         const best = waiting.reduce((first, job) => isBefore(job, first, now) ? job : first)
         waiting.splice(waiting.indexOf(best), 1)
-        begin(now)
+        begin(best, now)
         ready.push(best)
       }
       return ready
@@ -206,7 +222,7 @@
       return index !== -1
     },
     finish: (job, durationMs) => {
-      running -= 1
+      running.delete(job)
       if (durationMs !== undefined) times.record(job.route, durationMs)
     },
     computeDelay: (limits, now) => {
@@ -215,14 +231,14 @@
       const rate = limits.coldPerSecond === undefined ? Infinity : sends.computeDelay(limits.coldPerSecond, now)
       return Math.max(MIN_DELAY_MS, Math.min(expiry, rate === 0 ? Infinity : rate))
     },
-    getLoad: (limits) => {
-      const serviceMs = times.getAverage() ?? 0
+    getLoad: (limits, now) => {
+      const serviceMs = computeServiceMs(now) ?? 0
       const coldSlots = limits.coldPerSecond === undefined || serviceMs === 0
         ? limits.slots
         : Math.max(1, limits.coldPerSecond * serviceMs / 1000)
-      return { load: running + waiting.length, slots: Math.min(limits.slots, coldSlots), serviceMs }
+      return { load: running.size + waiting.length, slots: Math.min(limits.slots, coldSlots), serviceMs }
     },
-    countRunning: () => running,
+    countRunning: () => running.size,
     countWaiting: () => waiting.length,
     resetTimes: () => { times.reset() }
   }
--- a/packages/decisions/tests/serving/createHomeGate.test.ts
+++ b/packages/decisions/tests/serving/createHomeGate.test.ts
@@ -56,6 +56,17 @@
     }), { numRuns: 20 })
   })
 
+  it('tells of a server that hangs before any of its requests ends (guards against a hung server that gets a full share)', () => {
+    const gate = createHomeGate<NamedJob>()
+    const first = job('first', 0)
+    gate.submit(first, OPEN, toMilliseconds(0))
+    gate.finish(first, 40)
+    for (const name of ['a', 'b', 'c']) gate.submit(job(name, 100, { endAt: toMilliseconds(5000) }), OPEN, toMilliseconds(100))
+    expect(gate.getLoad(OPEN, toMilliseconds(120)).serviceMs).to.equal(40)
+    expect(gate.getLoad(OPEN, toMilliseconds(900)).serviceMs).to.equal(800)
+    expect(gate.submit(job('next', 900), OPEN, toMilliseconds(900)).kind).to.equal('refuse')
+  })
+
   it('keeps the rate of a cold server in every second (guards against a cold server that is overrun when it returns)', () => {
     const gate = createHomeGate<NamedJob>()
     const cold: GateLimits = { ...OPEN, slots: 100, coldPerSecond: 10 }
--- a/packages/decisions/tests/serving/replayLoad.ts
+++ b/packages/decisions/tests/serving/replayLoad.ts
@@ -115,8 +115,8 @@
   }))
   const getLimits = (server: ReplayServer, now: number): GateLimits =>
     ({ slots: server.slots, coldPerSecond: server.coldPerSecond?.(now), closed: undefined, mayStart: true })
-  const report = (gate: HomeGate<Job>, server: ReplayServer, now: number) =>
-    ({ ...gate.getLoad(getLimits(server, now)), failureShare: 0, fetchMs: 0 })
+  const report = (gate: HomeGate<Job>, server: ReplayServer, now: Milliseconds) =>
+    ({ ...gate.getLoad(getLimits(server, now), now), failureShare: 0, fetchMs: 0 })
 
   function begin (state: (typeof states)[number], job: Job, now: number): void {
     state.running.push({ job, started: now, endsAt: now + job.work * state.server.slowness(now) })
@@ -128,12 +128,12 @@
       const { gate, server } = state
       for (const { job, started } of state.running.filter(({ endsAt }) => endsAt <= now)) {
         gate.finish(job, now - started)
-        placement.recordEnd(server.host, report(gate, server, now), time)
+        placement.recordEnd(server.host, report(gate, server, time), time)
         recordAnswer(tally, job, now)
       }
       state.running = state.running.filter(({ endsAt }) => endsAt > now)
       for (const job of gate.takeExpired(time)) {
-        placement.recordEnd(server.host, report(gate, server, now), time)
+        placement.recordEnd(server.host, report(gate, server, time), time)
         refuse(job, 0, time)
       }
       for (const job of gate.takeReady(getLimits(server, now), time)) begin(state, job, now)
--- a/packages/node/src/home/createHome.ts
+++ b/packages/node/src/home/createHome.ts
@@ -104,7 +104,7 @@
   }
 
   function getLoad (): ReportedLoad {
-    return { ...gate.getLoad(computeLimits()), failureShare, fetchMs: 0 }
+    return { ...gate.getLoad(computeLimits(), clock.now()), failureShare, fetchMs: 0 }
   }
 
   function end (job: HomeJob, outcome: HomeOutcome, backendMs?: number): void {
