fix(decisions): keep a request whose body has been fetched

The gate takes a slot or a place in the queue for such a request as long as its deadline allows; requests that can meet their target still go first. Test: createHomeGate lets a request wait to its deadline whose body has been fetched; the rule is new. The load patterns do not change.

--- a/packages/decisions/src/serving/createHomeGate.ts
+++ b/packages/decisions/src/serving/createHomeGate.ts
@@ -9,6 +9,8 @@
   readonly priority: number
   /** A backend server makes the request on behalf of one that it runs. */
   readonly isInternal: boolean
+  /** Its large body was fetched from another host, and would have to travel again to a third. */
+  readonly isFetched: boolean
   /** An answer after this point is worth little. */
   readonly targetAt: Milliseconds
   /** An answer after this point is worth nothing. */
@@ -128,11 +130,11 @@
   /**
    * A request waits as long as it can then still meet its target: a longer queue would make all of them late and serve
    * no more. One that cannot meet it even at once takes what is left, as it would keep others from their target. A call
-   * of a running request waits within its deadline.
+   * of a running request waits within its deadline, and so does a request whose body has been fetched.
    */
   function computeLongestWait (job: Job, now: Milliseconds): number {
     const serviceMs = getServiceMs(job)
-    if (!job.isInternal) {
+    if (!job.isInternal && !job.isFetched) {
       return isAttainable(job, now)
         ? job.targetAt - now - serviceMs * TARGET_TIME_SHARE
         : job.targetLatencyMs * MAX_LATE_WAIT_SHARE
--- a/packages/decisions/tests/serving/createHomeGate.test.ts
+++ b/packages/decisions/tests/serving/createHomeGate.test.ts
@@ -13,6 +13,7 @@
   route: 'r',
   priority: 1,
   isInternal: false,
+  isFetched: false,
   targetLatencyMs: 200,
   targetAt: toMilliseconds(now + 200),
   endAt: toMilliseconds(now + 1000),
@@ -56,6 +57,14 @@
     }), { numRuns: 20 })
   })
 
+  it('lets a request wait to its deadline whose body has been fetched (guards against uploads that travel again and again)', () => {
+    const gate = createHomeGate<NamedJob>()
+    for (const name of ['a', 'b', 'c']) gate.submit(job(name, 0), OPEN, toMilliseconds(0))
+    const late = { targetAt: toMilliseconds(0) }
+    expect(gate.submit(job('small', 1, late), OPEN, toMilliseconds(1)).kind).to.equal('refuse')
+    expect(gate.submit(job('upload', 1, { ...late, isFetched: true }), OPEN, toMilliseconds(1)).kind).to.equal('wait')
+  })
+
   it('tells of a server that hangs before any of its requests ends (guards against a hung server that gets a full share)', () => {
     const gate = createHomeGate<NamedJob>()
     const first = job('first', 0)
--- a/packages/decisions/tests/serving/replayLoad.ts
+++ b/packages/decisions/tests/serving/replayLoad.ts
@@ -87,6 +87,7 @@
     route: 'r',
     priority: 1,
     isInternal: false,
+    isFetched: false,
     targetLatencyMs: load.targetMs,
     targetAt: toMilliseconds(targetFrom + load.targetMs),
     endAt: toMilliseconds(firstAt + load.deadlineMs),
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -109,6 +109,7 @@
         service,
         callerService: settings.service,
         isInternal: false,
+        isFetched: false,
         route: route.name,
         priority: route.priority,
         idempotent: route.idempotent,
--- a/packages/node/src/home/createHomeServer.ts
+++ b/packages/node/src/home/createHomeServer.ts
@@ -89,7 +89,7 @@
         request: (wanted) => { send({ kind: 'pull', id, bytes: wanted }) },
         onWhole: (whole) => {
           bodies.delete(id)
-          run(id, { ...job, body: whole })
+          run(id, { ...job, body: whole, isFetched: true })
         },
         onDropped: (reason) => { end(id, job, { kind: 'refused', reason, waitMs: 0 }) }
       }
@@ -100,7 +100,7 @@
 
     /** Begins a request unless its sender has left meanwhile. */
     function handleRequest (id: number, linked: LinkedJob, begin: (job: HomeJob) => void): void {
-      const job: HomeJob = { ...linked, isInternal: false, arrivedAt: clock.now() }
+      const job: HomeJob = { ...linked, isInternal: false, isFetched: false, arrivedAt: clock.now() }
       if (open.size === 0) quietSince = job.arrivedAt
       open.set(id, job)
       const hasLeft = (): boolean => !open.has(id)
--- a/packages/node/tests/createJob.ts
+++ b/packages/node/tests/createJob.ts
@@ -18,6 +18,7 @@
     headers: [],
     body: Buffer.alloc(0),
     isInternal: false,
+    isFetched: false,
     arrivedAt: toMilliseconds(0),
     ...given
   }
