fix(node): end answers without end, and calls past their deadline

A backend server in trouble may send bytes that are no answer without end, or nothing at all. A body without end was gathered until the memory of the node was used up, and a request that must run at most once was never given up, so its slot was never free again.

An answer above 8 MB ends its call as answer-endless; any call ends 300 ms past its deadline with its connection. Heads without end were bounded already, by Node. Tests: six cases of createBackendCaller; five of them waited in vain before.

--- a/packages/contracts/src/mesh/servingReasons.ts
+++ b/packages/contracts/src/mesh/servingReasons.ts
@@ -31,6 +31,8 @@
   | 'answer-truncated'
   | 'answer-mismatched'
   | 'answer-unsigned'
+  /** Longer than any answer that a backend server is expected to give. */
+  | 'answer-endless'
   | 'host-silent'
   | 'duplicate-attempt'
   | 'deadline'
--- a/packages/node/src/home/createBackendCaller.ts
+++ b/packages/node/src/home/createBackendCaller.ts
@@ -35,6 +35,18 @@
 /** Connections kept, above any number of slots in use; the backend server accepts far more. */
 const MAX_CONNECTIONS = 64
 
+/** Largest answer in bytes: one for each slot fits into the memory of the smallest machines. */
+const MAX_ANSWER_BYTES = 8_388_608
+/** Time past a request's deadline after which a call ends, in milliseconds: one way, and a pause of a busy process. */
+const OVERDUE_MS = 300
+/** Time between two looks for overdue calls, in milliseconds. */
+const OVERDUE_CHECK_MS = 100
+
+interface OpenCall {
+  readonly endsAt: number
+  readonly end: () => void
+}
+
 const SET_HERE: ReadonlySet<string> = new Set([HEADERS.remainingMs, HEADERS.targetInstance, 'content-length'])
 
 function composeHeaders (job: HomeJob, instance: string, remainingMs: number): string[] {
@@ -75,8 +87,14 @@
 }
 
 /** Creates the caller of the backend server at the address in the settings. */
-export function createBackendCaller ({ settings, counters }: NodeContext): BackendCaller {
+export function createBackendCaller ({ settings, clock, counters, ticker }: NodeContext): BackendCaller {
   const agent = new GuardedAgent(MAX_CONNECTIONS, IDLE_LIMIT_MS)
+  const calls = new Set<OpenCall>()
+
+  const stopChecks = ticker.add(OVERDUE_CHECK_MS, () => {
+    const now = clock.now()
+    for (const call of calls) if (now >= call.endsAt) call.end()
+  })
 
   function send (
     job: HomeJob, instance: string, remainingMs: number, onResult: (result: BackendResult) => void
@@ -88,6 +106,7 @@
     function end (result: BackendResult): void {
       if (isDone) return
       isDone = true
+      calls.delete(open)
       clearTimeout(connectTimer)
       if (result.kind === 'lost') counters.count('serving_losses', result.reason)
       onResult(result)
@@ -101,6 +120,17 @@
       path: job.target,
       headers: composeHeaders(job, instance, remainingMs)
     })
+    /** Ends the call, as the rest of the answer is not wanted. */
+    function failCall (reason: ServingLoss, detail: string): void {
+      end({ kind: 'lost', reason, detail })
+      outgoing.destroy()
+    }
+
+    const open: OpenCall = {
+      endsAt: clock.now() + remainingMs + OVERDUE_MS,
+      end: () => { failCall('deadline', 'no whole answer by the deadline') }
+    }
+    calls.add(open)
     outgoing.on('socket', (socket) => {
       if (!socket.connecting) {
         isConnected = true
@@ -123,15 +153,19 @@
     outgoing.on('response', (incoming) => {
       const fault = findFault(job, incoming)
       if (fault !== undefined) {
-        end({ kind: 'lost', reason: fault, detail: `status ${incoming.statusCode ?? 0}` })
-        outgoing.destroy()
+        failCall(fault, `status ${incoming.statusCode ?? 0}`)
         return
       }
       const chunks: Buffer[] = []
       const { socket } = incoming
       let isWhole = isFramed(incoming)
       if (!isWhole) socket.prependOnceListener('end', () => { isWhole = isStillConnected(socket) })
-      incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
+      let bytes = 0
+      incoming.on('data', (chunk: Buffer) => {
+        bytes += chunk.length
+        if (bytes > MAX_ANSWER_BYTES) failCall('answer-endless', `more than ${MAX_ANSWER_BYTES} bytes`)
+        else chunks.push(chunk)
+      })
       incoming.on('error', (error) => { end({ kind: 'lost', reason: 'answer-truncated', detail: error.message }) })
       incoming.on('end', () => {
         if (!incoming.complete || !isWhole) {
@@ -152,11 +186,18 @@
     return {
       abort: () => {
         isDone = true
+        calls.delete(open)
         clearTimeout(connectTimer)
         outgoing.destroy()
       }
     }
   }
 
-  return { call: send, close: () => { agent.destroy() } }
+  return {
+    call: send,
+    close: () => {
+      stopChecks()
+      agent.destroy()
+    }
+  }
 }
--- a/packages/node/tests/home/createBackendCaller.test.ts
+++ b/packages/node/tests/home/createBackendCaller.test.ts
@@ -5,6 +5,7 @@
 import { type BackendCaller, type BackendResult, createBackendCaller } from '../../src/home/createBackendCaller.js'
 import type { HomeJob } from '../../src/home/HomeJob.js'
 import { createTestContext } from '../createTestContext.js'
+import { awaitCondition } from '../startTestMesh.js'
 
 const job = (attemptId: string, given: Partial<HomeJob> = {}): HomeJob => ({
   attemptId,
@@ -29,6 +30,16 @@
 const head = (attemptId: string, more: string): string =>
   `HTTP/1.1 200 OK\r\n${HEADERS.attemptId}: ${attemptId}\r\n${HEADERS.signature}: s\r\n${more}\r\n`
 
+/** Writes `first`, then `more` again and again until the connection is closed. */
+function sendOn (socket: Socket, first: string, more: string): void {
+  socket.write(first)
+  const sendMore = (): void => {
+    while (!socket.destroyed && socket.write(more));
+  }
+  socket.on('drain', sendMore)
+  sendMore()
+}
+
 describe('createBackendCaller', () => {
   let server: Server
   let caller: BackendCaller
@@ -104,6 +115,32 @@
     })
   }
 
+  const endless: Array<[string, (socket: Socket) => void, string]> = [
+    ['a head without end', (socket) => { sendOn(socket, 'HTTP/1.1 200 OK\r\n', 'X-More: more\r\n'.repeat(100)) }, 'connection-lost'],
+    ['an interim head without end', (socket) => { sendOn(socket, '', 'HTTP/1.1 100 Continue\r\n\r\n') }, 'deadline'],
+    ['a body without end', (socket) => { sendOn(socket, head('a', ''), 'x'.repeat(65_536)) }, 'answer-endless'],
+    ['a chunked body without end', (socket) => {
+      sendOn(socket, head('a', 'Transfer-Encoding: chunked\r\n'), `10000\r\n${'x'.repeat(65_536)}\r\n`)
+    }, 'answer-endless'],
+    ['a slow body without end', (socket) => {
+      socket.write(head('a', ''))
+      const timer = setInterval(() => { socket.write('x') }, 20)
+      socket.on('close', () => { clearInterval(timer) })
+    }, 'deadline'],
+    ['silence', () => undefined, 'deadline']
+  ]
+  for (const [title, send, reason] of endless) {
+    it(`ends ${title}, for requests that must run at most once too (guards against a slot that is never free)`, async () => {
+      let isClosed = false
+      handle = (socket) => {
+        socket.on('close', () => { isClosed = true })
+        send(socket)
+      }
+      expect(await call(job('a', { method: 'POST', idempotent: false }))).to.include({ kind: 'lost', reason })
+      await awaitCondition('the connection is closed', () => isClosed)
+    })
+  }
+
   it('drops a connection on which bytes arrive behind an answer (guards against a late answer taken for the next)', async () => {
     handle = (socket, text) => {
       const id = /attempt-id: (\w+)/i.exec(text)?.[1] ?? ''
