fix(decisions): leave the link to others while a host is silent or slow

A body that was asked for and does not come is not asked for again until its next part; while others wait, one body has half of the window at most; a body that can no longer be whole in time is dropped at once instead of at its deadline. Tests: three of createBodyIntake; the former one on silent hosts skipped from 100 to 900 ms and had a body of one window, and is replaced by one with two silent hosts, bodies of eight windows and each millisecond played.

--- a/packages/decisions/src/serving/createBodyIntake.ts
+++ b/packages/decisions/src/serving/createBodyIntake.ts
@@ -26,7 +26,7 @@
   /** Notes the arrival of a part; undefined if it was not asked for. */
   readonly recordArrival: (body: Body, bytes: number, now: Milliseconds) => 'part' | 'whole' | undefined
   readonly remove: (body: Body) => void
-  /** Removes bodies whose time is over. */
+  /** Removes bodies that can no longer be whole before their time is over. */
   readonly takeExpired: (now: Milliseconds) => Body[]
   /** Removes all bodies. */
   readonly takeAll: () => Body[]
@@ -46,14 +46,21 @@
 const LEAST_GRANT_SHARE = 0.3
 /** Fewest bytes on the way: on the narrowest links, one part travels while the next is asked for. */
 const MIN_WINDOW_BYTES = 32_768
-/** Time without a part after which those asked for count as lost, in milliseconds: the other host is silent. */
-const STALL_MS = 300
+/**
+ * Time without a part after which a body that was asked for leaves the link to others until its next part, in milliseconds:
+ * several times that of a part and of two busy processes.
+ */
+const STALL_MS = 100
+/** Part of the window that one body may have while others wait, so that a slow host does not hold all of it. */
+const SHARE_OF_ONE = 0.5
+/** Least that one body may have on the way, in bytes: a part. */
+const LEAST_PART_BYTES = 16_384
 const BYTES_PER_MS_AT_1_MBPS = 125
 
 interface Progress {
   granted: number
   arrived: number
-  /** Time of the latest grant or arrival. */
+  /** Time of the latest arrival, or of the grant after which the first part is awaited. */
   movedAt: Milliseconds
 }
 
@@ -63,10 +70,13 @@
   const bytesPerMs = linkMbps > 0 ? linkMbps * BYTES_PER_MS_AT_1_MBPS : Infinity
   const windowBytes = Math.max(MIN_WINDOW_BYTES, Math.floor(bytesPerMs * WINDOW_MS))
 
+  const isStalled = ({ granted, arrived, movedAt }: Progress, now: Milliseconds): boolean =>
+    granted > arrived && now - movedAt >= STALL_MS
+
   function countOnTheWay (now: Milliseconds): number {
     let bytes = 0
-    for (const { granted, arrived, movedAt } of bodies.values()) {
-      if (now - movedAt < STALL_MS) bytes += granted - arrived
+    for (const progress of bodies.values()) {
+      if (!isStalled(progress, now)) bytes += progress.granted - progress.arrived
     }
     return bytes
   }
@@ -75,33 +85,27 @@
     now + (body.bytes - arrived) / bytesPerMs <= body.targetAt
 
   /** What can still meet its target first, then the earlier target: one after the other, all are early. */
-  function findNext (now: Milliseconds): [Body, Progress] | undefined {
-    let best: [Body, Progress] | undefined
-    let isBestAttainable = false
-    for (const [body, progress] of bodies) {
-      if (progress.granted >= body.bytes) continue
-      const isThisAttainable = isAttainable(body, progress, now)
-      const isBefore = best === undefined ||
-        (isThisAttainable === isBestAttainable ? body.targetAt < best[0].targetAt : isThisAttainable)
-      if (!isBefore) continue
-      best = [body, progress]
-      isBestAttainable = isThisAttainable
-    }
-    return best
+  function listWanted (now: Milliseconds): Array<[Body, Progress]> {
+    const wanted = [...bodies].filter(([body, progress]) => progress.granted < body.bytes && !isStalled(progress, now))
+    return wanted.sort(([left, leftProgress], [right, rightProgress]) =>
+      Number(isAttainable(right, rightProgress, now)) - Number(isAttainable(left, leftProgress, now)) ||
+      left.targetAt - right.targetAt)
   }
 
   return {
     add: (body) => { bodies.set(body, { granted: 0, arrived: 0, movedAt: 0 as Milliseconds }) },
     takeGrants: (now) => {
       const grants: Array<BodyGrant<Body>> = []
+      const wanted = listWanted(now)
+      const mostOfOne = wanted.length > 1 ? Math.max(LEAST_PART_BYTES, Math.floor(windowBytes * SHARE_OF_ONE)) : Infinity
       let room = windowBytes - countOnTheWay(now)
-      for (let next = findNext(now); room > 0 && next !== undefined; next = findNext(now)) {
-        const [body, progress] = next
+      for (const [body, progress] of wanted) {
         const missing = body.bytes - progress.granted
-        if (room < Math.min(missing, windowBytes * LEAST_GRANT_SHARE)) break
-        const bytes = Math.min(room, missing)
+        const onTheWay = progress.granted - progress.arrived
+        const bytes = Math.min(room, missing, mostOfOne - onTheWay)
+        if (bytes < Math.min(missing, Math.min(windowBytes, mostOfOne) * LEAST_GRANT_SHARE)) continue
+        if (onTheWay === 0) progress.movedAt = now
         progress.granted += bytes
-        progress.movedAt = now
         room -= bytes
         grants.push({ body, bytes })
       }
@@ -118,9 +122,9 @@
     },
     remove: (body) => { bodies.delete(body) },
     takeExpired: (now) => {
-      const expired = [...bodies.keys()].filter(({ endAt }) => endAt <= now)
-      for (const body of expired) bodies.delete(body)
-      return expired
+      const expired = [...bodies].filter(([body, { arrived }]) => now + (body.bytes - arrived) / bytesPerMs >= body.endAt)
+      for (const [body] of expired) bodies.delete(body)
+      return expired.map(([body]) => body)
     },
     takeAll: () => {
       const all = [...bodies.keys()]
--- a/packages/decisions/tests/serving/createBodyIntake.test.ts
+++ b/packages/decisions/tests/serving/createBodyIntake.test.ts
@@ -83,17 +83,40 @@
     }
   })
 
-  it('goes on with others while a host is silent, and drops its body at the end of its time', () => {
+  it('goes on with others while hosts are silent (guards against a paused host that stops all uploads)', () => {
     const intake = createBodyIntake<OfferedBody>(LINK_MBPS)
-    const [silent, other] = [offer(60_000, 500, 1000), offer(10_000, 800, 2000)]
-    intake.add(silent)
-    expect(intake.takeGrants(toMilliseconds(0))).to.deep.equal([{ body: silent, bytes: 45_000 }])
-    intake.add(other)
-    expect(intake.takeGrants(toMilliseconds(100))).to.deep.equal([])
-    const later = intake.takeGrants(toMilliseconds(900))
-    expect(later.some(({ body }) => body === other)).to.equal(true)
-    expect(intake.takeExpired(toMilliseconds(1000))).to.deep.equal([silent])
-    expect(intake.recordArrival(silent, 10, toMilliseconds(1001))).to.equal(undefined)
+    const silent = [offer(360_000, 2000, 4000), offer(360_000, 2001, 4000)]
+    for (const body of silent) intake.add(body)
+    expect(intake.takeGrants(toMilliseconds(0)).map(({ body }) => body)).to.deep.equal(silent)
+    const others = Array.from({ length: 5 }, (_, index) => offer(60_000, 3000 + index, 6000))
+    for (const body of others) intake.add(body)
+    const wholeAt: number[] = []
+    for (let now = 1; now < 1000; now++) {
+      for (const { body, bytes } of intake.takeGrants(toMilliseconds(now))) {
+        if (silent.includes(body)) throw new Error('asked again')
+        if (intake.recordArrival(body, bytes, toMilliseconds(now)) === 'whole') wholeAt.push(now)
+      }
+    }
+    expect(wholeAt).to.have.length(5)
+    expect(intake.recordArrival(silent[0] as OfferedBody, 16_384, toMilliseconds(1000))).to.equal('part')
+    expect(intake.takeGrants(toMilliseconds(1000)).map(({ body }) => body)).to.deep.equal([silent[0]])
+  })
+
+  it('lets a slow host hold a part of the window at most (guards against one slow link that holds up all others)', () => {
+    const intake = createBodyIntake<OfferedBody>(LINK_MBPS)
+    const [slow, other] = [offer(360_000, 2000), offer(60_000, 3000)]
+    for (const body of [slow, other]) intake.add(body)
+    const grants = intake.takeGrants(toMilliseconds(0))
+    expect(grants).to.deep.equal([{ body: slow, bytes: 22_500 }, { body: other, bytes: 22_500 }])
+  })
+
+  it('drops a body that can no longer be whole in time', () => {
+    const intake = createBodyIntake<OfferedBody>(LINK_MBPS)
+    const body = offer(60_000, 500, 1000)
+    intake.add(body)
+    expect(intake.takeExpired(toMilliseconds(959))).to.deep.equal([])
+    expect(intake.takeExpired(toMilliseconds(960))).to.deep.equal([body])
+    expect(intake.recordArrival(body, 10, toMilliseconds(961))).to.equal(undefined)
   })
 
   it('never asks for more than a body has, and takes no part beyond what it asked for', () => {
