fix(decisions): judge a hanging server by the routes that run on it

Found by review: one upload of 500 ms among calls of 18 ms made its host look as if it hung, so that others avoided its free slots. The age of the running requests is now compared with what their own routes take. Test: createHomeGate takes a long request among short ones for what it is. The load patterns do not change.

--- a/packages/decisions/src/serving/createHomeGate.ts
+++ b/packages/decisions/src/serving/createHomeGate.ts
@@ -92,7 +92,7 @@
 const MIN_TARGET_SHARE_LEFT = 0.1
 /** Share of the target latency that a request waits at most once it cannot meet its target: one slot ends meanwhile. */
 const MAX_LATE_WAIT_SHARE = 0.03
-/** Mean age of running requests, as a multiple of the average time, from which a backend server counts as hanging. */
+/** Age of the running requests, as a multiple of their expected times, from which a backend server counts as hanging. */
 const HANGING_FACTOR = 2
 /** Shortest pause between two looks at the queue, in milliseconds. */
 const MIN_DELAY_MS = 2
@@ -148,16 +148,19 @@
   }
 
   /**
-   * Average time, or the mean age of the requests that run, if that is far above it: a backend server that hangs ends
-   * nothing, so that its average stays what it was.
+   * Average time, or more if the requests that run are far older than requests of their routes become: a backend server
+   * that hangs ends nothing, so that its average stays what it was.
    */
   function computeServiceMs (now: Milliseconds): number | undefined {
     const average = times.getAverage()
     if (average === undefined || running.size === 0) return average
     let age = 0
-    for (const startedAt of running.values()) age += now - startedAt
-    const meanAge = age / running.size
-    return meanAge > average * HANGING_FACTOR ? meanAge : average
+    let expected = 0
+    for (const [job, startedAt] of running) {
+      age += now - startedAt
+      expected += getServiceMs(job)
+    }
+    return age > expected * HANGING_FACTOR ? average * age / expected : average
   }
 
   function computeWait (job: Job, limits: GateLimits, now: Milliseconds): number {
--- a/packages/decisions/tests/serving/createHomeGate.test.ts
+++ b/packages/decisions/tests/serving/createHomeGate.test.ts
@@ -76,6 +76,19 @@
     expect(gate.submit(job('next', 900), OPEN, toMilliseconds(900)).kind).to.equal('refuse')
   })
 
+  it('takes a long request among short ones for what it is (guards against a host avoided for a single upload)', () => {
+    const gate = createHomeGate<NamedJob>()
+    const upload = { route: 'upload', targetLatencyMs: 600 }
+    for (let index = 0; index < 20; index++) {
+      const short = job('short', 0)
+      gate.submit(short, OPEN, toMilliseconds(0))
+      gate.finish(short, 18)
+    }
+    const average = gate.getLoad(OPEN, toMilliseconds(0)).serviceMs
+    gate.submit(job('long', 0, { ...upload, endAt: toMilliseconds(5000) }), OPEN, toMilliseconds(0))
+    expect(gate.getLoad(OPEN, toMilliseconds(300)).serviceMs).to.equal(average)
+  })
+
   it('keeps the rate of a cold server in every second (guards against a cold server that is overrun when it returns)', () => {
     const gate = createHomeGate<NamedJob>()
     const cold: GateLimits = { ...OPEN, slots: 100, coldPerSecond: 10 }
