--- a/packages/decisions/src/serving/createBodyIntake.ts
+++ b/packages/decisions/src/serving/createBodyIntake.ts
@@ -47,8 +47,8 @@
 /** Fewest bytes on the way: on the narrowest links, one part travels while the next is asked for. */
 const MIN_WINDOW_BYTES = 32_768
 /**
- * Time without a part after which a body that was asked for leaves the link to others until its next part, in milliseconds:
- * several times that of a part and of two busy processes.
+ * Time without a part after which a body that was asked for leaves the link to others until its next part, in
+ * milliseconds: several times that of a part and of two busy processes.
  */
 const STALL_MS = 100
 /** Part of the window that one body may have while others wait, so that a slow host does not hold all of it. */
@@ -86,7 +86,8 @@
 
   /** What can still meet its target first, then the earlier target: one after the other, all are early. */
   function listWanted (now: Milliseconds): Array<[Body, Progress]> {
-    const wanted = [...bodies].filter(([body, progress]) => progress.granted < body.bytes && !isStalled(progress, now))
+    const wanted = [...bodies].filter(([body, progress]) =>
+      progress.granted < body.bytes && !isStalled(progress, now))
     return wanted.sort(([left, leftProgress], [right, rightProgress]) =>
       Number(isAttainable(right, rightProgress, now)) - Number(isAttainable(left, leftProgress, now)) ||
       left.targetAt - right.targetAt)
@@ -97,7 +98,8 @@
     takeGrants: (now) => {
       const grants: Array<BodyGrant<Body>> = []
       const wanted = listWanted(now)
-      const mostOfOne = wanted.length > 1 ? Math.max(LEAST_PART_BYTES, Math.floor(windowBytes * SHARE_OF_ONE)) : Infinity
+      const share = Math.max(LEAST_PART_BYTES, Math.floor(windowBytes * SHARE_OF_ONE))
+      const mostOfOne = wanted.length > 1 ? share : Infinity
       let room = windowBytes - countOnTheWay(now)
       for (const [body, progress] of wanted) {
         const missing = body.bytes - progress.granted
@@ -122,7 +124,8 @@
     },
     remove: (body) => { bodies.delete(body) },
     takeExpired: (now) => {
-      const expired = [...bodies].filter(([body, { arrived }]) => now + (body.bytes - arrived) / bytesPerMs >= body.endAt)
+      const expired = [...bodies].filter(([body, { arrived }]) =>
+        now + (body.bytes - arrived) / bytesPerMs >= body.endAt)
       for (const [body] of expired) bodies.delete(body)
       return expired.map(([body]) => body)
     },
--- a/packages/decisions/src/serving/createHomeGate.ts
+++ b/packages/decisions/src/serving/createHomeGate.ts
@@ -92,7 +92,7 @@
 const MIN_TARGET_SHARE_LEFT = 0.1
 /** Share of the target latency that a request waits at most once it cannot meet its target: one slot ends meanwhile. */
 const MAX_LATE_WAIT_SHARE = 0.03
-/** Age of the running requests, as a multiple of their expected times, from which a backend server counts as hanging. */
+/** Age of the running requests, as a multiple of their expected times, from which a backend server seems to hang. */
 const HANGING_FACTOR = 2
 /** Shortest pause between two looks at the queue, in milliseconds. */
 const MIN_DELAY_MS = 2
