fix(node): give the load of the own host back when a caller leaves

The exchange itself gives the load back. Test: createExchange gives the load of the own host back when a caller leaves; it failed before.

--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -201,25 +201,17 @@
       const handle = (outcome: HomeOutcome): void => { handleOutcome(candidate, outcome) }
       if (candidate.host === settings.host) home.run(job, handle)
       else client.send(job, candidate.record, handle)
-      releaseOnCancel(job, candidate)
-    }
-
-    /** A cancelled job has no outcome, so its load is given back here. */
-    function releaseOnCancel (job: HomeJob, candidate: Candidate): void {
-      const cancel = job.cancel
-      if (cancel === undefined) return
-      job.cancel = () => {
-        const isNotRun = cancel()
-        placement.recordEnd(candidate.host, undefined, clock.now())
-        return isNotRun
-      }
     }
 
     place()
     return {
       cancel: () => {
+        if (isCancelled || current === undefined) return tries === 0
         isCancelled = true
-        return (current?.cancel?.() ?? current === undefined) && tries === 0
+        const isNotRun = current.cancel?.() ?? false
+        // A cancelled job has no outcome, so its load is given back here.
+        if (currentHost !== undefined) placement.recordEnd(currentHost, undefined, clock.now())
+        return isNotRun && tries === 0
       },
       getHost: () => currentHost
     }
