fix(node): give back requests whose bodies would be fetched for nothing

Found by review: whether a request would be taken was asked at its offer alone, so the bodies of requests for a backend server that has begun to leave went on crossing its host's link, and the requests were refused only then. Their bodies are now dropped at the next look, and the requests given back with the reason.

--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -204,7 +204,6 @@
       await awaitEnd(() => false, Math.min(limitAt, stoppedAt + HOME_LINGER_MS))
       home.stop()
       home.update()
-      homeServer.stop()
       await awaitEnd(() => false, Math.min(limitAt, stoppedAt + LINGER_MS))
       entry.server.close()
       const isIdle = (): boolean =>
--- a/packages/node/src/home/createBodyReceiver.ts
+++ b/packages/node/src/home/createBodyReceiver.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@snipenotch/contracts'
+import type { Clock, ServingRefusal } from '@snipenotch/contracts'
 import { createBodyIntake, type OfferedBody } from '@snipenotch/decisions'
 
 /** A body that another node holds for a request, with what has arrived of it. */
@@ -8,7 +8,7 @@
   readonly request: (bytes: number) => void
   readonly onWhole: (body: Buffer) => void
   /** The body is not wanted any more, and the request has not run. */
-  readonly onDropped: (reason: 'expired' | 'stopping') => void
+  readonly onDropped: (reason: ServingRefusal) => void
 }
 
 /** Fetches the bodies that other nodes offer, at the pace of the own link. */
@@ -18,8 +18,8 @@
   /** Takes a part; false if it was not asked for. */
   readonly receive: (body: IncomingBody, part: Buffer) => boolean
   readonly cancel: (body: IncomingBody) => void
-  /** Drops all bodies, because this process stops. */
-  readonly stop: () => void
+  /** Drops all bodies, because their requests would not be taken. */
+  readonly dropAll: (reason: ServingRefusal) => void
   /** Drops what is late and asks for more; called at intervals, as other nodes may be silent. */
   readonly update: () => void
   /** Time until all bodies here are whole, in milliseconds. */
@@ -61,7 +61,7 @@
       intake.remove(body)
       update()
     },
-    stop: () => { for (const body of intake.takeAll()) body.onDropped('stopping') },
+    dropAll: (reason) => { for (const body of intake.takeAll()) body.onDropped(reason) },
     getBacklogMs: () => intake.computeBacklogMs(),
     count: () => intake.count()
   }
--- a/packages/node/src/home/createHome.ts
+++ b/packages/node/src/home/createHome.ts
@@ -13,6 +13,8 @@
   readonly run: (job: HomeJob, onOutcome: (outcome: HomeOutcome) => void) => void
   /** The outcome of a job that would be refused now; undefined if it would be taken. */
   readonly findRefusal: (job: HomeJob) => Extract<HomeOutcome, { kind: 'refused' }> | undefined
+  /** Why no request would be taken now; undefined while some would. */
+  readonly getClosed: () => ServingRefusal | undefined
   /** Looks at the queue again because the limits may have changed. */
   readonly update: () => void
   readonly getLoad: () => ReportedLoad
@@ -240,6 +242,7 @@
       counters.count('serving_refusals', refusal.reason)
       return { kind: 'refused', reason: refusal.reason, waitMs: refusal.waitMs }
     },
+    getClosed: findClosed,
     update,
     getLoad,
     countRunning: () => gate.countRunning() + gate.countWaiting(),
--- a/packages/node/src/home/createHomeServer.ts
+++ b/packages/node/src/home/createHomeServer.ts
@@ -22,8 +22,6 @@
 /** Takes requests of other nodes for the backend server beside this one. */
 export interface HomeServer {
   readonly server: Server
-  /** Gives back the requests whose bodies have not arrived, because this process stops. */
-  readonly stop: () => void
   /** Bytes of outcomes that wait to be sent. */
   readonly countBacklog: () => number
   readonly close: () => void
@@ -35,7 +33,7 @@
 
 /** Creates the server; `getVersions` tells the versions of this node's rows. */
 export function createHomeServer (
-  { clock, counters, log, settings, ticker }: NodeContext, home: Pick<Home, 'run' | 'findRefusal' | 'getLoad'>,
+  { clock, counters, log, settings, ticker }: NodeContext, home: Pick<Home, 'run' | 'findRefusal' | 'getClosed' | 'getLoad'>,
   getVersions: () => RowVersions
 ): HomeServer {
   const links = new Set<OpenLink>()
@@ -165,13 +163,14 @@
   const sockets = new WebSocketServer({ ...LINK_OPTIONS, server })
   sockets.on('connection', (socket, incoming) => { acceptLink(socket, incoming.socket.remoteAddress ?? '') })
   const stopBeats = ticker.add(CHECK_PERIOD_MS, () => {
+    const closed = home.getClosed()
+    if (closed !== undefined) receiver.dropAll(closed)
     receiver.update()
     for (const link of links) link.sendBeat()
   })
 
   return {
     server,
-    stop: receiver.stop,
     countBacklog: () => [...sockets.clients].reduce((sum, socket) => sum + socket.bufferedAmount, 0),
     close: () => {
       stopBeats()
