fix(node): look at each request of a connection that cannot be read on, and begin none at the end

Bytes that are no request made Node write its own 400 in place of the first open answer and end the connection, with the requests before them at backend servers. Now the open requests are answered, and the connection ends behind them; alone on a connection such bytes get 400 or 431 as before. And a request whose last bytes arrived within a turn of its 503 at the end of the grace period could still be begun: nothing is begun any more, and nothing that has been answered.

Tests: createNode answers the requests before bytes that are none failed before. stopping answers what is open at the end now sends the rest of the body after the 503; the turn in which the fault acted is too short for it to have failed.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -82,6 +82,7 @@
   readerLost: { number: 825, level: 'warn', text: 'host that reads the store for this one brought nothing; another one is chosen' },
   linkMalformed: { number: 823, level: 'warn', text: 'frame between nodes unreadable; its connection was closed' },
   requestCut: { number: 826, level: 'warn', text: 'connection closed here before the answer' },
+  callerMalformed: { number: 828, level: 'warn', text: 'bytes of a caller are no request; its connection ends behind the open answers' },
   nodeLoad: { number: 827, level: 'info', text: 'load of this node' },
   linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
--- a/packages/contracts/src/mesh/servingReasons.ts
+++ b/packages/contracts/src/mesh/servingReasons.ts
@@ -24,6 +24,8 @@
   /** Too much waits already to be sent to the host. */
   | 'link-full'
   | 'body-too-large'
+  /** The bytes of a caller are no request. */
+  | 'malformed'
 
 /** Why it is not known whether a request ran, or why its answer cannot be used. */
 export type ServingLoss =
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -62,6 +62,9 @@
   return Number.isFinite(value) && value >= 0 ? value : fallback
 }
 
+/** Code of the parser for a connection that its caller closes in the midst of a request. */
+const CLOSED_IN_MIDST = 'HPE_INVALID_EOF_STATE'
+
 const formatDuration = (duration: number | undefined): number | undefined =>
   duration === undefined ? undefined : Math.round(duration)
 
@@ -93,12 +96,17 @@
   const picker = createSplitPicker(draw)
   const ages = createAttemptAges()
   let isStopping = false
+  /** Nothing is begun any more. */
+  let isEnding = false
   const openArrivals = new Set<Arrival>()
   /** Latest request of each connection. */
   const latest = new WeakMap<Socket, Arrival>()
   /** Connections whose last answer has been composed; what arrives on them is not read. */
   const closing = new WeakSet<Socket>()
 
+  const countOpenOf = (socket: Socket): number =>
+    [...openArrivals].filter(({ incoming }) => incoming.socket === socket).length
+
   function send (arrival: Arrival, status: number, headers: readonly string[], body: Buffer): void {
     const { incoming, response } = arrival
     if (response.destroyed || response.headersSent) return
@@ -256,7 +264,13 @@
   }
 
   function handleWhole (arrival: Arrival, body: Buffer): void {
-    const { incoming } = arrival
+    const { incoming, response } = arrival
+    // It was answered before its body was whole.
+    if (response.headersSent) return
+    if (isEnding) {
+      refuse(arrival, undefined, 'stopping', 0, 0)
+      return
+    }
     if (view.getConfiguration() === undefined) {
       refuse(arrival, undefined, 'no-configuration', NO_CONFIGURATION_WAIT_MS, 0)
       return
@@ -290,7 +304,11 @@
     latest.set(incoming.socket, arrival)
     counters.count('serving_requests', 'received')
     openArrivals.add(arrival)
-    listenLeft(arrival, () => { openArrivals.delete(arrival) })
+    listenLeft(arrival, () => {
+      openArrivals.delete(arrival)
+      // A connection that cannot be read on ends behind its last answer.
+      if (closing.has(incoming.socket) && countOpenOf(incoming.socket) === 0) incoming.socket.destroySoon()
+    })
     const maxBytes = view.getConfiguration()?.limits.maxBodyBytes ?? Infinity
     const chunks: Buffer[] = []
     let size = 0
@@ -324,6 +342,21 @@
     socket.once('close', () => { sockets.delete(socket) })
   })
 
+  // Node's own answer would be taken for that of the first request that is open on the connection.
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+    const { code = '' } = error
+    if (!code.startsWith('HPE_') || code === CLOSED_IN_MIDST || !socket.writable) {
+      socket.destroy()
+      return
+    }
+    counters.count('serving_refusals', 'malformed')
+    log('callerMalformed', { code, open: countOpenOf(socket) })
+    closing.add(socket)
+    if (countOpenOf(socket) > 0) return
+    const status = code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
+    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+  })
+
   // Called when the server closes. Node's own method takes a connection for idle while its answer is still being sent.
   server.closeIdleConnections = () => {
     const busy = new Set([...openArrivals].map(({ incoming }) => incoming.socket))
@@ -335,6 +368,7 @@
     stop: () => { isStopping = true },
     countOpen: () => openArrivals.size,
     endOpen: () => {
+      isEnding = true
       for (const arrival of [...openArrivals]) {
         if (arrival.end !== undefined) arrival.end()
         else refuse(arrival, undefined, 'stopping', 0, 0)
--- a/packages/node/tests/createNode.test.ts
+++ b/packages/node/tests/createNode.test.ts
@@ -163,6 +163,38 @@
     expect((await send(entry.settings.callers.port, '/parts/1')).status).to.equal(200)
   })
 
+  it('answers the requests before bytes that are none (guards against answers lost by a malformed request behind them)', async () => {
+    const held: Array<() => void> = []
+    home.backend.handle = (incoming, response) => { held.push(() => { answerSigned(incoming, response, 'whole') }) }
+    const socket = connect(entry.settings.callers.port, '127.0.0.1')
+    let received = ''
+    let isEnded = false
+    socket.on('data', (chunk) => { received += chunk.toString() })
+    socket.on('close', () => { isEnded = true })
+    socket.write(`GET /parts/1 HTTP/1.1\r\nHost: a.example\r\n${HEADERS.attemptId}: first\r\n\r\n`)
+    socket.write('no request at all\r\n\r\n')
+    await awaitCondition('the first runs', () => held.length === 1)
+    await awaitCondition('the rest is read', () => entry.context.events.some(({ name }) => name === 'callerMalformed'))
+    held[0]?.()
+    await awaitCondition('the connection ends', () => isEnded)
+    expect(received).to.match(/^HTTP\/1.1 200 /).and.match(/whole$/)
+  })
+
+  it('answers malformed requests alone on their connection, and drops what their callers cut', async () => {
+    const status = (text: string, isCut: boolean): Promise<string> => new Promise((resolve) => {
+      const socket = connect(entry.settings.callers.port, '127.0.0.1')
+      let received = ''
+      socket.on('data', (chunk) => { received += chunk.toString() })
+      socket.on('close', () => { resolve(received.slice(9, 12)) })
+      if (isCut) socket.end(text)
+      else socket.write(text)
+    })
+    expect(await status('no request at all\r\n\r\n', false)).to.equal('400')
+    expect(await status(`GET / HTTP/1.1\r\nX: ${'x'.repeat(70_000)}\r\n\r\n`, false)).to.equal('431')
+    expect(await status('POST /parts/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 10\r\n\r\nhalf', true)).to.equal('')
+    expect(home.backend.seen).to.be.empty
+  })
+
   it('rejects a body above the limit and malformed requests between nodes', async () => {
     const large = 'x'.repeat(100_001)
     expect((await send(entry.settings.callers.port, '/parts/1', {}, { method: 'POST', body: large })).status).to.equal(413)
--- a/packages/node/tests/stopping.test.ts
+++ b/packages/node/tests/stopping.test.ts
@@ -73,9 +73,13 @@
     await awaitCondition('it runs', () => held.length === 1)
     const stopped = entry.node.stop()
     expect((await running).status).to.equal(504)
-    await stopped
     await awaitCondition('the other is answered', () => received.includes('\r\n\r\n'))
     expect(received).to.match(/^HTTP\/1.1 503 /)
+    // Nothing runs that was told that it will not.
+    socket.write('x'.repeat(99_995))
+    await awaitPause(100)
+    expect(held).to.have.length(1)
+    await stopped
   })
 
   it('awaits an answer that comes late in the grace period (guards against a request cut by a process that ends early)', async () => {
