fix(daemon): count the answers under way on a connection

Found by review: a caller with two requests on one connection, one answered and one running, that then sent bytes that are no request got a refusal in place of the second answer, as the connection was remembered as idle after the first. Answers under way are counted now. Test: createRequestServer closes it also when another request of the connection has been answered; it failed before.

--- a/packages/daemon/src/requests/createRequestServer.ts
+++ b/packages/daemon/src/requests/createRequestServer.ts
@@ -20,8 +20,9 @@
   context: NodeContext, listener: RequestListener,
   responseClass?: typeof ServerResponse<IncomingMessage>
 ): Server {
-  /** Connections with an answer under way: bytes of a refusal would be taken for a part of it. */
-  const answering = new WeakSet<Duplex>()
+  /** Answers under way on each connection: bytes of a refusal would be taken for a part of them. */
+  const answering = new WeakMap<Duplex, number>()
+  const countAnswering = (socket: Duplex): number => answering.get(socket) ?? 0
   const server = createServer({
     maxHeaderSize: context.settings.requests.max_head_bytes,
     headersTimeout: HEAD_TIMEOUT_MS,
@@ -32,8 +33,8 @@
     ...(responseClass === undefined ? {} : { ServerResponse: responseClass })
   }, (incoming, outgoing) => {
     const { socket } = incoming
-    answering.add(socket)
-    outgoing.on('finish', () => answering.delete(socket))
+    answering.set(socket, countAnswering(socket) + 1)
+    outgoing.on('finish', () => answering.set(socket, countAnswering(socket) - 1))
     listener(incoming, outgoing)
   })
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
@@ -42,7 +43,7 @@
       context.counters.count('refusals', HEAD_MALFORMED)
       context.log('requestHeadMalformed', { code: error.code ?? error.message })
     }
-    if (isReset || !socket.writable || answering.has(socket)) socket.destroy()
+    if (isReset || !socket.writable || countAnswering(socket) > 0) socket.destroy()
     else socket.end(BAD_REQUEST)
   })
   return server
--- a/packages/daemon/tests/requests/createRequestServer.test.ts
+++ b/packages/daemon/tests/requests/createRequestServer.test.ts
@@ -49,4 +49,24 @@
     await awaitThat('the connection closes', () => closed)
     expect(answer).to.equal('')
   })
+  it('closes it also when another request of the connection has been answered (guards against one answer taken for all)', async () => {
+    const mesh = createTestMesh()
+    let seen = 0
+    const node = await startNode(mesh, 'a', await startHttp((_incoming, outgoing) => {
+      seen += 1
+      if (seen === 1) outgoing.end('first')
+    }))
+    const [host = '', port = ''] = node.requests.split(':')
+    let answer = ''
+    let closed = false
+    const request = 'GET /clocks HTTP/1.1\r\nhost: a\r\n\r\n'
+    const socket = connect(Number(port), host, () => { socket.write(request + request) })
+    socket.on('data', (chunk) => { answer += chunk.toString() })
+    socket.on('error', () => undefined)
+    socket.on('close', () => { closed = true })
+    await awaitThat('the second runs and the first is answered', () => seen === 2 && answer.includes('first'))
+    socket.write('garbage\r\n\r\n')
+    await awaitThat('the connection closes', () => closed)
+    expect(answer.match(/HTTP\/1\.1 /g)).to.have.length(1)
+  })
 })
