--- a/packages/node/src/entry/createHomeClient.ts
+++ b/packages/node/src/entry/createHomeClient.ts
@@ -1,6 +1,6 @@
 import type { HostRecord } from '@snipenotch/contracts'
 import type { NodeContext } from '../NodeContext.js'
-import { BEAT_INTERVAL_MS } from '../home/createHomeServer.js'
+import { BEAT_INTERVAL_MS } from '../home/acceptLink.js'
 import type { HomeJob, HomeOutcome } from '../home/HomeJob.js'
 import { computeTransferMs } from '../peers/computeTransferMs.js'
 import type { HostHealth } from '../peers/createHostHealth.js'
--- a/packages/node/src/home/createHomeServer.ts
+++ b/packages/node/src/home/createHomeServer.ts
@@ -1,21 +1,12 @@
-import { toMilliseconds } from '@snipenotch/contracts'
 import { createServer, type Server } from 'node:http'
-import { type WebSocket, WebSocketServer } from 'ws'
+import { WebSocketServer } from 'ws'
 import type { NodeContext } from '../NodeContext.js'
-import { runUnlessLeft } from '../operations/runUnlessLeft.js'
-import { createBatchSender } from '../peers/createBatchSender.js'
 import { LINK_OPTIONS } from '../peers/LINK_OPTIONS.js'
-import { decodeBatch } from '../peers/linkCodec.js'
-import type { LinkedJob, LinkMessage, RowVersions } from '../peers/LinkMessage.js'
+import type { RowVersions } from '../peers/LinkMessage.js'
+import { type AcceptedLink, acceptLink } from './acceptLink.js'
+import { createBodyReceiver } from './createBodyReceiver.js'
 import type { Home } from './createHome.js'
-import { createBodyReceiver, type IncomingBody } from './createBodyReceiver.js'
-import type { HomeJob, HomeOutcome } from './HomeJob.js'
 
-/**
- * Time without a message on a link with open requests after which a sign of life is sent, in milliseconds: most
- * requests end before it, and each sign wakes two processes.
- */
-export const BEAT_INTERVAL_MS = 200
 /** Time between two looks at the links, in milliseconds. */
 const CHECK_PERIOD_MS = 50
 
@@ -27,141 +18,24 @@
   readonly close: () => void
 }
 
-interface OpenLink {
-  readonly sendBeat: () => void
-}
-
 /** Creates the server; `getVersions` tells the versions of this node's rows. */
 export function createHomeServer (
-  { clock, counters, log, settings, ticker }: NodeContext, home: Pick<Home, 'run' | 'findRefusal' | 'getClosed' | 'getLoad'>,
+  context: NodeContext, home: Pick<Home, 'run' | 'findRefusal' | 'getClosed' | 'getLoad'>,
   getVersions: () => RowVersions
 ): HomeServer {
-  const links = new Set<OpenLink>()
+  const { clock, settings, ticker } = context
+  const links = new Set<AcceptedLink>()
   const receiver = createBodyReceiver(clock, settings.linkMbps)
 
-  function acceptLink (socket: WebSocket, peer: string): void {
-    const sender = createBatchSender(socket, clock)
-    const open = new Map<number, HomeJob>()
-    /** Bodies that are being fetched, of open requests. */
-    const bodies = new Map<number, IncomingBody>()
-    /** Time of the latest message, or of the first request that is open since. */
-    let quietSince = clock.now()
-    const link: OpenLink = {
-      sendBeat: () => {
-        if (open.size > 0 && clock.now() - quietSince >= BEAT_INTERVAL_MS) send({ kind: 'beat' })
-      }
-    }
-
-    function send (message: LinkMessage): void {
-      quietSince = clock.now()
-      sender.add(message)
-    }
-
-    function end (id: number, job: HomeJob, outcome: HomeOutcome): void {
-      open.delete(id)
-      bodies.delete(id)
-      const known = outcome.load ?? home.getLoad()
-      // Requests whose bodies are on their way will need slots.
-      const load = { ...known, load: known.load + receiver.count(), fetchMs: receiver.getBacklogMs() }
-      const homeMs = clock.now() - job.arrivedAt
-      send({ kind: 'outcome', id, outcome: { ...outcome, load }, versions: getVersions(), homeMs })
-    }
-
-    function run (id: number, job: HomeJob): void {
-      open.set(id, job)
-      home.run(job, (outcome) => { end(id, job, outcome) })
-    }
-
-    /** Asks for the body of a request that would be taken now. */
-    function fetchBody (id: number, job: HomeJob, bytes: number): void {
-      const refusal = home.findRefusal(job)
-      if (refusal !== undefined) {
-        end(id, job, refusal)
-        return
-      }
-      const body: IncomingBody = {
-        bytes,
-        targetAt: job.targetAt,
-        endAt: job.endAt,
-        parts: [],
-        request: (wanted) => { send({ kind: 'pull', id, bytes: wanted }) },
-        onWhole: (whole) => {
-          bodies.delete(id)
-          run(id, { ...job, body: whole, isFetched: true })
-        },
-        onDropped: (reason) => { end(id, job, { kind: 'refused', reason, waitMs: 0 }) }
-      }
-      bodies.set(id, body)
-      const fetchMs = receiver.offer(body)
-      if (fetchMs !== undefined) end(id, job, { kind: 'refused', reason: 'busy', waitMs: fetchMs })
-    }
-
-    /** Begins a request unless its sender has left meanwhile. */
-    function handleRequest (id: number, linked: LinkedJob, begin: (job: HomeJob) => void): void {
-      const job: HomeJob = { ...linked, isInternal: false, isFetched: false, arrivedAt: clock.now() }
-      if (open.size === 0) quietSince = job.arrivedAt
-      open.set(id, job)
-      const hasLeft = (): boolean => !open.has(id)
-      const recordLeft = (): void => { counters.count('serving_requests', 'left') }
-      // Its cancellation may stand behind it in what was read at once.
-      setImmediate(() => {
-        if (hasLeft()) recordLeft()
-        else runUnlessLeft(hasLeft, ticker, () => { begin(job) }, recordLeft)
-      })
-    }
-
-    function handleCancel (id: number): void {
-      const job = open.get(id)
-      const body = bodies.get(id)
-      open.delete(id)
-      bodies.delete(id)
-      if (body !== undefined) receiver.cancel(body)
-      job?.cancel?.()
-    }
-
-    function closeMalformed (detail: object): void {
-      log('linkMalformed', { peer, ...detail })
-      counters.count('peer_closes', 'frame-malformed')
-      socket.terminate()
-    }
-
-    /** False if the message breaks the protocol. */
-    function handleMessage (message: LinkMessage): boolean {
-      switch (message.kind) {
-        case 'run': handleRequest(message.id, message.job, (job) => { run(message.id, job) }); return true
-        case 'offer':
-          handleRequest(message.id, message.job, (job) => { fetchBody(message.id, job, message.bytes) })
-          return true
-        case 'cancel': handleCancel(message.id); return true
-        case 'part': {
-          const body = bodies.get(message.id)
-          // Parts that were on their way when the request ended.
-          return body === undefined || receiver.receive(body, message.part)
-        }
-        default: return false
-      }
-    }
-
-    links.add(link)
-    socket.on('message', (data: Buffer) => {
-      const messages = decodeBatch(data, toMilliseconds(clock.now() - ticker.getDelay()))
-      if (messages === undefined) {
-        closeMalformed({ bytes: data.length })
-        return
-      }
-      for (const message of messages) if (!handleMessage(message)) closeMalformed({ detail: `${message.kind} not expected` })
-    })
-    // The close that follows ends the requests of the link.
-    socket.on('error', (error) => { log('linkMalformed', { peer, detail: error.message }) })
-    socket.on('close', () => {
-      links.delete(link)
-      for (const id of [...open.keys()]) handleCancel(id)
-    })
-  }
-
   const server = createServer((_, response) => { response.writeHead(404, { 'content-length': 0 }).end() })
   const sockets = new WebSocketServer({ ...LINK_OPTIONS, server })
-  sockets.on('connection', (socket, incoming) => { acceptLink(socket, incoming.socket.remoteAddress ?? '') })
+  sockets.on('connection', (socket, incoming) => {
+    const peer = incoming.socket.remoteAddress ?? ''
+    const link = acceptLink({
+      context, home, receiver, getVersions, socket, peer, onClose: () => { links.delete(link) }
+    })
+    links.add(link)
+  })
   const stopBeats = ticker.add(CHECK_PERIOD_MS, () => {
     const closed = home.getClosed()
     if (closed !== undefined) receiver.dropAll(closed)
