--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -83,6 +83,7 @@
   linkMalformed: { number: 823, level: 'warn', text: 'frame between nodes unreadable; its connection was closed' },
   requestCut: { number: 826, level: 'warn', text: 'connection closed here before the answer' },
   callerMalformed: { number: 828, level: 'warn', text: 'bytes of a caller are no request; its connection ends behind the open answers' },
+  coldChanged: { number: 829, level: 'info', text: 'backend server is cold, or warm again' },
   nodeLoad: { number: 827, level: 'info', text: 'load of this node' },
   linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
--- a/packages/daemon/src/observability/createCounters.ts
+++ b/packages/daemon/src/observability/createCounters.ts
@@ -30,10 +30,11 @@
 export type CounterName = keyof CounterLabels
 
 /**
- * Latency histograms: the whole time at the entry node, the wait for a slot, the backend server's own time, the time in
- * which a request's body arrives, the way to another node and back, and the delay of the event loop.
+ * Latency histograms: the whole time at the entry node, the wait for a slot, the time until a started request has a
+ * connection, the backend server's own time, the time in which a request's body arrives, the way to another node and
+ * back, and the delay of the event loop.
  */
-export type HistogramName = 'request' | 'queue' | 'backend' | 'body' | 'transit' | 'loop'
+export type HistogramName = 'request' | 'queue' | 'dispatch' | 'backend' | 'body' | 'transit' | 'loop'
 
 export interface Counters {
   readonly count: <Name extends CounterName>(name: Name, label: CounterLabels[Name], amount?: number) => void
--- a/packages/decisions/src/serving/createHomeGate.ts
+++ b/packages/decisions/src/serving/createHomeGate.ts
@@ -71,6 +71,8 @@
   readonly getLoad: (limits: GateLimits, now: Milliseconds) => GateLoad
   readonly countRunning: () => number
   readonly countWaiting: () => number
+  /** Requests started in the last second. */
+  readonly countSends: (now: Milliseconds) => number
   /** Forgets the times of an earlier run of the backend server. */
   readonly resetTimes: () => void
 }
@@ -245,6 +247,7 @@
     },
     countRunning: () => running.size,
     countWaiting: () => waiting.length,
+    countSends: (now) => sends.count(now),
     resetTimes: () => { times.reset() }
   }
 }
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -111,6 +111,7 @@
   const reports = createReportServer({
     context,
     instance,
+    countSends: home.countSends,
     onChange: () => {
       updateRecord()
       home.update()
--- a/packages/node/src/home/createBackendCaller.ts
+++ b/packages/node/src/home/createBackendCaller.ts
@@ -102,6 +102,7 @@
     let isConnected = false
     let isDone = false
     let connectTimer: NodeJS.Timeout | undefined
+    const startedAt = clock.now()
 
     function end (result: BackendResult): void {
       if (isDone) return
@@ -127,13 +128,18 @@
     }
 
     const open: OpenCall = {
-      endsAt: clock.now() + remainingMs + OVERDUE_MS,
+      endsAt: startedAt + remainingMs + OVERDUE_MS,
       end: () => { failCall('deadline', 'no whole answer by the deadline') }
     }
     calls.add(open)
+    function recordConnected (): void {
+      isConnected = true
+      counters.record('dispatch', clock.now() - startedAt)
+    }
+
     outgoing.on('socket', (socket) => {
       if (!socket.connecting) {
-        isConnected = true
+        recordConnected()
         return
       }
       connectTimer = setTimeout(() => {
@@ -141,7 +147,7 @@
         outgoing.destroy()
       }, CONNECT_TIMEOUT_MS)
       socket.once('connect', () => {
-        isConnected = true
+        recordConnected()
         clearTimeout(connectTimer)
       })
     })
--- a/packages/node/src/home/createHome.ts
+++ b/packages/node/src/home/createHome.ts
@@ -19,6 +19,8 @@
   readonly update: () => void
   readonly getLoad: () => ReportedLoad
   readonly countRunning: () => number
+  /** Requests sent to the backend server in the last second. */
+  readonly countSends: () => number
   /** Refuses all new requests from now on. */
   readonly stop: () => void
   readonly isVersionCut: () => boolean
@@ -246,6 +248,7 @@
     update,
     getLoad,
     countRunning: () => gate.countRunning() + gate.countWaiting(),
+    countSends: () => gate.countSends(clock.now()),
     stop: () => { isStopping = true },
     isVersionCut: () => cut.isCut()
   }
--- a/packages/node/src/operations/createLoadLog.ts
+++ b/packages/node/src/operations/createLoadLog.ts
@@ -27,7 +27,8 @@
       loopMs: read('loop'),
       transitMs: read('transit'),
       bodyMs: read('body'),
-      queueMs: read('queue')
+      queueMs: read('queue'),
+      dispatchMs: read('dispatch')
     })
   }
 
--- a/packages/node/src/operations/createReportServer.ts
+++ b/packages/node/src/operations/createReportServer.ts
@@ -7,6 +7,8 @@
 export interface ReportServerOptions {
   readonly context: NodeContext
   readonly instance: InstanceState
+  /** Requests sent to the backend server in the last second. */
+  readonly countSends: () => number
   /** Called after a report or a leave that told something new. */
   readonly onChange: () => void
 }
@@ -25,7 +27,7 @@
 }
 
 /** Creates the server for the status reports of the backend server beside the node. */
-export function createReportServer ({ context, instance, onChange }: ReportServerOptions): Server {
+export function createReportServer ({ context, instance, countSends, onChange }: ReportServerOptions): Server {
   const { settings, clock, log } = context
 
   function describe (): string {
@@ -53,8 +55,15 @@
       log('reportUnreadable', { detail: 'from another service or address', found: { service, address, instance: name } })
       return 400
     }
-    if (instance.applyReport(report.value, clock.now())) notifyChange(before)
-    else log('reportOutdated', { instance: name, sequence, known: instance.getRun()?.sequence })
+    const now = clock.now()
+    const wasCold = instance.getColdUntil() > now
+    if (instance.applyReport(report.value, now)) {
+      if ((instance.getColdUntil() > now) !== wasCold) {
+        const { coldMs } = report.value
+        log('coldChanged', { source: 'report', coldMs, sends: countSends(), instance: name, sequence })
+      }
+      notifyChange(before)
+    } else log('reportOutdated', { instance: name, sequence, known: instance.getRun()?.sequence })
     return 200
   }
 
