--- /dev/null
+++ b/packages/node/tests/coldReturn.test.ts
@@ -0,0 +1,111 @@
+import { toMilliseconds } from '@snipenotch/contracts'
+import { HEADERS } from '@snipenotch/platform'
+import { expect } from 'chai'
+import { WebSocket } from 'ws'
+import { composeConfiguration } from '../../../platform/tests/composeWire.js'
+import { encodeBatch } from '../src/peers/linkCodec.js'
+import { createJob } from './createJob.js'
+import { answerSigned, awaitCondition, send, startTestMesh, type TestHost, type TestMesh } from './startTestMesh.js'
+
+/** Requests that the backend server may get in any second while it is cold: 20 x 1.5, and 5 more. */
+const COLD_BOUND = 35
+/** Requests a second that it is said to bear. */
+const STATED_RATE = 20
+const COLD_MS = 3000
+const REQUESTS = 400
+
+describe('coldReturn', () => {
+  let mesh: TestMesh
+  let entry: TestHost
+  let home: TestHost
+  let arrivals: number[]
+
+  beforeEach(async () => {
+    mesh = await startTestMesh()
+    entry = await mesh.startHost('katowice-1', 'clocks', { dataCentre: 'katowice' })
+    home = await mesh.startHost('krakow-1', 'parts')
+    await mesh.putOperatorRow('config', composeConfiguration(1, ['clocks', 'parts']))
+    await entry.report()
+    await home.report()
+    arrivals = []
+    home.backend.handle = (incoming, response) => {
+      arrivals.push(performance.now())
+      answerSigned(incoming, response, 'answer')
+    }
+    await awaitServed()
+    // The process is past its first second, and its backend server is known to be warm.
+    await new Promise((resolve) => { setTimeout(resolve, 1500) })
+    await home.report()
+    arrivals.length = 0
+  })
+  afterEach(() => mesh.close())
+
+  async function awaitServed (): Promise<void> {
+    await awaitCondition('it is served', async () =>
+      (await send(entry.settings.callers.port, '/parts/1')).status === 200)
+  }
+
+  async function press (): Promise<void> {
+    const open: Array<Promise<unknown>> = []
+    for (let index = 0; index < REQUESTS; index++) {
+      open.push(send(entry.settings.callers.port, '/parts/1').catch((error: unknown) => error))
+      await new Promise((resolve) => { setTimeout(resolve, 3) })
+    }
+    await Promise.all(open)
+  }
+
+  const countMost = (): number =>
+    Math.max(0, ...arrivals.map((from) => arrivals.filter((at) => at >= from && at < from + 1000).length))
+
+  it('is not flooded when its data centre is taken back (guards against a warm state from before an evacuation)', async () => {
+    await mesh.putOperatorRow('evacuate/krakow', {})
+    await awaitCondition('it is refused', async () => (await send(entry.settings.callers.port, '/parts/1')).status === 503)
+    home.backend.coldMs = COLD_MS
+    arrivals.length = 0
+    await mesh.putOperatorRow('evacuate/krakow', undefined)
+    await awaitServed()
+    await press()
+    expect(countMost()).to.be.at.most(COLD_BOUND)
+    expect(arrivals.length).to.be.at.least(STATED_RATE)
+  })
+
+  it('is not flooded when it starts again behind kept connections (guards against a warm state from before a restart)', async () => {
+    home.backend.handle = (incoming) => {
+      home.backend.coldMs = COLD_MS
+      home.backend.handle = (later, response) => {
+        arrivals.push(performance.now())
+        answerSigned(later, response, 'answer')
+      }
+      incoming.socket.destroy()
+    }
+    await send(entry.settings.callers.port, '/parts/1').catch((error: unknown) => error)
+    await press()
+    expect(countMost()).to.be.at.most(COLD_BOUND)
+    expect(arrivals.length).to.be.at.least(STATED_RATE)
+  })
+
+  it('is not flooded by a node without a configuration (guards against a limit that is missing while it is not known)', async () => {
+    mesh.store.fault = 'refuse'
+    const alone = await mesh.startHost('krakow-2', 'parts')
+    alone.backend.handle = (incoming, response) => {
+      arrivals.push(performance.now())
+      answerSigned(incoming, response, 'answer')
+    }
+    await alone.report({ coldMs: COLD_MS })
+    const socket = new WebSocket(`ws://127.0.0.1:${alone.settings.requests.port}/`)
+    await new Promise((resolve) => { socket.once('open', resolve) })
+    for (let id = 1; id <= REQUESTS; id++) {
+      const now = alone.context.clock.now()
+      const job = createJob({
+        attemptId: `id-${id}`,
+        headers: ['Host', 'a.example', HEADERS.attemptId, `id-${id}`],
+        targetAt: toMilliseconds(now + 200),
+        endAt: toMilliseconds(now + 1500)
+      })
+      socket.send(encodeBatch([{ kind: 'run', id, job }], now))
+      await new Promise((resolve) => { setTimeout(resolve, 3) })
+    }
+    socket.terminate()
+    expect(countMost()).to.be.within(1, COLD_BOUND)
+  })
+})
--- a/packages/node/tests/startTestMesh.ts
+++ b/packages/node/tests/startTestMesh.ts
@@ -19,6 +19,8 @@
 export interface TestBackend {
   readonly port: number
   readonly seen: SeenRequest[]
+  /** Time for which it says that it stays cold, in milliseconds; its health answers do not tell at 0. */
+  coldMs: number
   handle: (incoming: IncomingMessage, response: ServerResponse) => void
   readonly close: () => void
 }
@@ -75,7 +77,8 @@
     incoming.on('end', () => {
       const { method = '', url = '', headers } = incoming
       if (url === HEALTH_PATH) {
-        response.writeHead(200, { [HEADERS.instance]: `i-${name}`, 'Content-Length': 0 }).end()
+        const cold = backend.coldMs > 0 ? { [HEADERS.coldMs]: String(backend.coldMs) } : {}
+        response.writeHead(200, { [HEADERS.instance]: `i-${name}`, 'Content-Length': 0, ...cold }).end()
         return
       }
       seen.push({ method, url, headers, body: Buffer.concat(chunks).toString() })
@@ -86,6 +89,7 @@
   const backend: TestBackend = {
     port: (server.address() as AddressInfo).port,
     seen,
+    coldMs: 0,
     handle: (incoming, response) => { answerSigned(incoming, response, name) },
     close: () => {
       server.closeAllConnections()
