fix(node): limit a cold backend server whose rate is not known

Cause: the rate of a cold server is part of the configuration, and a node without one took it for a server without limit. Other data centres know the host's record and send to it before its node has a configuration; the node takes their requests, since it needs none to pass them on.

Now a rate that was never told counts as one request a second, and the last rate stays known if a later configuration drops the service. Refusing everything without a configuration was weighed: it would turn away the requests of a warm server whose node restarts in an outage.

--- a/packages/node/src/home/createHome.ts
+++ b/packages/node/src/home/createHome.ts
@@ -1,4 +1,4 @@
-import type { ServingRefusal } from '@snipenotch/contracts'
+import type { Milliseconds, ServingRefusal } from '@snipenotch/contracts'
 import {
   createHomeGate, createRouteCallers, createVersionCut, type GateLimits, type InstanceState, type ReportedLoad
 } from '@snipenotch/decisions'
@@ -30,6 +30,8 @@
 const DRAIN_START_SHARE = 0.6
 /** Part of the bound on the rate of a cold backend server that is used; the rest covers connections that open late. */
 const COLD_BOUND_SHARE = 0.97
+/** Requests that a cold backend server gets in a second while no configuration has told how many it bears. */
+const UNKNOWN_COLD_PER_SECOND = 1
 /** Weight of a new answer in the share of failures. */
 const FAILURE_WEIGHT = 0.08
 /** Identifiers remembered so that a request that must run at most once is never sent twice. */
@@ -63,6 +65,7 @@
   let isStopping = false
   let failureShare = 0
   let judgedRun = ''
+  let coldPerSecond: number | undefined
   let timer: NodeJS.Timeout | undefined
 
   /** Evidence belongs to one run of the backend server. */
@@ -88,20 +91,24 @@
     return cut.isCut() ? 'version-cut' : undefined
   }
 
+  function computeColdLimit (now: Milliseconds): number | undefined {
+    coldPerSecond = view.getService(settings.service)?.coldPerSecond ?? coldPerSecond
+    // The operator states no limit.
+    if (instance.getColdUntil() <= now || coldPerSecond === 0) return undefined
+    if (coldPerSecond === undefined) return UNKNOWN_COLD_PER_SECOND
+    return Math.floor(coldPerSecond * settings.coldOvershoot * COLD_BOUND_SHARE)
+  }
+
   function computeLimits (): GateLimits {
     resetForNewRun()
     const now = clock.now()
-    const isCold = instance.getColdUntil() > now
-    const coldPerSecond = view.getService(settings.service)?.coldPerSecond
     const leavingSince = instance.getLeavingSince()
     const closed = findClosed()
     const isLeavingSlowly = leavingSince !== undefined && now < leavingSince + settings.drainMs * DRAIN_START_SHARE
     const mayFinishQueue = closed === 'stopping' || closed === 'evacuated' || isLeavingSlowly
     return {
       slots: instance.getRun()?.slots ?? 1,
-      coldPerSecond: isCold && coldPerSecond !== undefined && coldPerSecond > 0
-        ? Math.floor(coldPerSecond * settings.coldOvershoot * COLD_BOUND_SHARE)
-        : undefined,
+      coldPerSecond: computeColdLimit(now),
       closed,
       mayStart: closed === undefined || mayFinishQueue
     }
