fix(decisions): keep the limit of a cold backend server where requests arrive

What callers would see: a server that crashes again under the burst that its node let through.

Cause: sends were counted where they are decided. A whole second's allowance (61 of 63) went out at once, 50 ms were kept for the way, and a process that is held up delays the end of one burst into the next. A new process began with an empty window beside the sends of its predecessor.

Now sends are spaced so that the limit holds with any hold-up of 100 ms, a sixteenth of it may go at once, and nothing goes in the first second of a process.

The test of the gate asserted exactly the limit by the time of decision. It is replaced by one that asserts the limit by the time of arrival, under hold-ups, and at least the rate that the server is said to bear.

--- a/packages/decisions/src/serving/createHomeGate.ts
+++ b/packages/decisions/src/serving/createHomeGate.ts
@@ -1,5 +1,5 @@
 import { type Milliseconds, type ServingRefusal } from '@snipenotch/contracts'
-import { createRateWindow } from './createRateWindow.js'
+import { computeColdInterval, createColdPacer, type ColdLimit } from './createColdPacer.js'
 import { createServiceTimes } from './createServiceTimes.js'
 
 /** A request that asks for a slot of the backend server. */
@@ -30,8 +30,8 @@
 /** Limits in force at a moment. */
 export interface GateLimits {
   readonly slots: number
-  /** Sends allowed in a second while the backend server is cold; undefined while it is warm. */
-  readonly coldPerSecond: number | undefined
+  /** Limit while the backend server is or may be cold; undefined while it is warm. */
+  readonly cold: ColdLimit | undefined
   /** Why no request may be taken; undefined while the gate is open. */
   readonly closed: ServingRefusal | undefined
   /** Requests that already wait may still start. */
@@ -106,10 +106,10 @@
   return endAt - now < targetLatencyMs * MIN_TARGET_SHARE_LEFT
 }
 
-/** Creates a gate without requests. */
-export function createHomeGate<Job extends GateJob> (): HomeGate<Job> {
+/** Creates a gate without requests, which starts none on a cold backend server before `quietUntil`. */
+export function createHomeGate<Job extends GateJob> (quietUntil?: Milliseconds): HomeGate<Job> {
   const times = createServiceTimes()
-  const sends = createRateWindow()
+  const pacer = createColdPacer(quietUntil)
   let waiting: Job[] = []
   /** Running requests with the times of their start. */
   const running = new Map<Job, Milliseconds>()
@@ -146,7 +146,7 @@
 
   function hasRoom (limits: GateLimits, now: Milliseconds): boolean {
     if (running.size >= limits.slots) return false
-    return limits.coldPerSecond === undefined || sends.count(now) < limits.coldPerSecond
+    return limits.cold === undefined || pacer.computeDelay(limits.cold, now) === 0
   }
 
   /**
@@ -171,14 +171,14 @@
     const average = computeServiceMs(now) ?? getServiceMs(job)
     const isSlotFree = running.size < limits.slots && ahead === 0
     const slotWait = isSlotFree ? 0 : (ahead + 1) * average / Math.max(1, limits.slots)
-    if (limits.coldPerSecond === undefined) return slotWait
-    const rateWait = sends.computeDelay(limits.coldPerSecond, now) + ahead * 1000 / Math.max(1, limits.coldPerSecond)
-    return Math.max(slotWait, rateWait)
+    if (limits.cold === undefined) return slotWait
+    const paceWait = pacer.computeDelay(limits.cold, now) + ahead * computeColdInterval(limits.cold.perSecond)
+    return Math.max(slotWait, paceWait)
   }
 
-  function begin (job: Job, now: Milliseconds): void {
+  function begin (job: Job, limits: GateLimits, now: Milliseconds): void {
     running.set(job, now)
-    sends.record(now)
+    pacer.record(limits.cold, now)
   }
 
   const isFree = (limits: GateLimits, now: Milliseconds): boolean => waiting.length === 0 && hasRoom(limits, now)
@@ -197,7 +197,7 @@
       const refusal = findRefusal(job, limits, now)
       if (refusal !== undefined) return refusal
       if (isFree(limits, now)) {
-        begin(job, now)
+        begin(job, limits, now)
         return { kind: 'start' }
       }
       waiting.push(job)
@@ -208,7 +208,7 @@
       while (limits.mayStart && waiting.length > 0 && hasRoom(limits, now)) {
         const best = waiting.reduce((first, job) => isBefore(job, first, now) ? job : first)
         waiting.splice(waiting.indexOf(best), 1)
-        begin(best, now)
+        begin(best, limits, now)
         ready.push(best)
       }
       return ready
@@ -235,19 +235,19 @@
     computeDelay: (limits, now) => {
       if (waiting.length === 0) return undefined
       const expiry = Math.min(...waiting.map((job) => job.endAt - getServiceMs(job) * MIN_TIME_LEFT_SHARE - now))
-      const rate = limits.coldPerSecond === undefined ? Infinity : sends.computeDelay(limits.coldPerSecond, now)
-      return Math.max(MIN_DELAY_MS, Math.min(expiry, rate === 0 ? Infinity : rate))
+      const pace = limits.cold === undefined ? 0 : pacer.computeDelay(limits.cold, now)
+      return Math.max(MIN_DELAY_MS, Math.min(expiry, pace === 0 ? Infinity : pace))
     },
     getLoad: (limits, now) => {
       const serviceMs = computeServiceMs(now) ?? 0
-      const coldSlots = limits.coldPerSecond === undefined || serviceMs === 0
+      const coldSlots = limits.cold === undefined || serviceMs === 0
         ? limits.slots
-        : Math.max(1, limits.coldPerSecond * serviceMs / 1000)
+        : Math.max(1, serviceMs / computeColdInterval(limits.cold.perSecond))
       return { load: running.size + waiting.length, slots: Math.min(limits.slots, coldSlots), serviceMs }
     },
     countRunning: () => running.size,
     countWaiting: () => waiting.length,
-    countSends: (now) => sends.count(now),
+    countSends: (now) => pacer.countSends(now),
     resetTimes: () => { times.reset() }
   }
 }
--- a/packages/decisions/tests/serving/createHomeGate.test.ts
+++ b/packages/decisions/tests/serving/createHomeGate.test.ts
@@ -2,9 +2,9 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { createHomeGate, type GateJob, type GateLimits } from '../../src/serving/createHomeGate.js'
-import { RATE_WINDOW_MS } from '../../src/serving/createRateWindow.js'
+import { HOLD_UP_MS } from '../../src/serving/createColdPacer.js'
 
-const OPEN: GateLimits = { slots: 3, coldPerSecond: undefined, closed: undefined, mayStart: true }
+const OPEN: GateLimits = { slots: 3, cold: undefined, closed: undefined, mayStart: true }
 
 interface NamedJob extends GateJob { readonly name: string }
 
@@ -89,26 +89,34 @@
     expect(gate.getLoad(OPEN, toMilliseconds(300)).serviceMs).to.equal(average)
   })
 
-  it('keeps the rate of a cold server in every second (guards against a cold server that is overrun when it returns)', () => {
-    const gate = createHomeGate<NamedJob>()
-    const cold: GateLimits = { ...OPEN, slots: 100, coldPerSecond: 10 }
-    const sends: number[] = []
-    for (let now = 0; now < 5000; now++) {
-      const time = toMilliseconds(now)
-      gate.takeExpired(time)
-      for (const ready of gate.takeReady(cold, time)) {
-        sends.push(now)
-        gate.finish(ready, 20)
+  it('keeps the rate of a cold server where requests arrive (guards against FAILBACK: two bursts that meet in a second)', () => {
+    const bound = 63
+    const cold: GateLimits = { ...OPEN, slots: 12, cold: { perSecond: bound, since: toMilliseconds(0) } }
+    const holdUps = fc.array(fc.integer({ min: 0, max: HOLD_UP_MS }), { minLength: 50, maxLength: 50 })
+    fc.assert(fc.property(holdUps, (found) => {
+      const gate = createHomeGate<NamedJob>()
+      const arrivals: number[] = []
+      const ends: Array<{ at: number, job: NamedJob }> = []
+      // Sends keep their order: what is held up holds up what is behind it.
+      const begin = (started: NamedJob, now: number): void => {
+        const heldUp = now + (found[arrivals.length % found.length] ?? 0)
+        arrivals.push(Math.max(heldUp, arrivals.at(-1) ?? 0))
+        ends.push({ at: now + 40, job: started })
       }
-      if (now % 10 !== 0) continue
-      const arriving = job(String(now), now)
-      if (gate.submit(arriving, cold, time).kind !== 'start') continue
-      sends.push(now)
-      gate.finish(arriving, 20)
-    }
-    const most = Math.max(...sends.map((from) => sends.filter((at) => at >= from && at < from + 1000).length))
-    expect(most).to.equal(10)
-    expect(sends.length).to.be.at.least(Math.floor(5000 / RATE_WINDOW_MS) * 10)
+      for (let now = 0; now < 5000; now++) {
+        const time = toMilliseconds(now)
+        while ((ends[0]?.at ?? Infinity) <= now) gate.finish(ends.shift()?.job as NamedJob, 40)
+        gate.takeExpired(time)
+        for (const ready of gate.takeReady(cold, time)) begin(ready, now)
+        if (now % 3 !== 0) continue
+        const arriving = job(String(now), now)
+        if (gate.submit(arriving, cold, time).kind === 'start') begin(arriving, now)
+      }
+      const most = Math.max(...arrivals.map((from) => arrivals.filter((at) => at >= from && at < from + 1000).length))
+      expect(most).to.be.at.most(bound)
+      // 42 a second is what the server is said to bear.
+      expect(arrivals.length).to.be.at.least(42 * 5)
+    }), { numRuns: 50 })
   })
 
   function fillSlots (gate: ReturnType<typeof createHomeGate<NamedJob>>): NamedJob[] {
--- a/packages/decisions/tests/serving/replayLoad.ts
+++ b/packages/decisions/tests/serving/replayLoad.ts
@@ -1,5 +1,6 @@
 import { type Milliseconds, toMilliseconds } from '@snipenotch/contracts'
 import { computeRetryAfter } from '../../src/serving/computeRetryAfter.js'
+import type { ColdLimit } from '../../src/serving/createColdPacer.js'
 import { createHomeGate, type GateJob, type GateLimits, type HomeGate } from '../../src/serving/createHomeGate.js'
 import { createPlacement } from '../../src/serving/createPlacement.js'
 
@@ -114,8 +115,12 @@
   const states = load.servers.map((server) => ({
     server, gate: createHomeGate<Job>(), running: [] as Run[]
   }))
+  function getColdLimit (server: ReplayServer, now: number): ColdLimit | undefined {
+    const perSecond = server.coldPerSecond?.(now)
+    return perSecond === undefined ? undefined : { perSecond, since: toMilliseconds(0) }
+  }
   const getLimits = (server: ReplayServer, now: number): GateLimits =>
-    ({ slots: server.slots, coldPerSecond: server.coldPerSecond?.(now), closed: undefined, mayStart: true })
+    ({ slots: server.slots, cold: getColdLimit(server, now), closed: undefined, mayStart: true })
   const report = (gate: HomeGate<Job>, server: ReplayServer, now: Milliseconds) =>
     ({ ...gate.getLoad(getLimits(server, now), now), failureShare: 0, fetchMs: 0 })
 
--- a/packages/node/src/home/createHome.ts
+++ b/packages/node/src/home/createHome.ts
@@ -1,6 +1,7 @@
-import type { Milliseconds, ServingRefusal } from '@snipenotch/contracts'
+import { addMilliseconds, type Milliseconds, type ServingRefusal, toMilliseconds } from '@snipenotch/contracts'
 import {
-  createHomeGate, createRouteCallers, createVersionCut, type GateLimits, type InstanceState, type ReportedLoad
+  type ColdLimit, createHomeGate, createRouteCallers, createVersionCut, type GateLimits, type InstanceState,
+  type ReportedLoad
 } from '@snipenotch/decisions'
 import type { NodeContext } from '../NodeContext.js'
 import type { MeshView } from '../rows/createMeshView.js'
@@ -28,8 +29,11 @@
 
 /** Part of the time between the acknowledgement of a leave and its bound in which waiting requests may still start. */
 const DRAIN_START_SHARE = 0.6
-/** Part of the bound on the rate of a cold backend server that is used; the rest covers connections that open late. */
-const COLD_BOUND_SHARE = 0.97
+/**
+ * Time after the start of this process in which nothing is sent to a cold backend server, in milliseconds: an earlier
+ * process may have sent all that it bears in a second.
+ */
+const COLD_QUIET_MS = 1000
 /** Requests that a cold backend server gets in a second while no configuration has told how many it bears. */
 const UNKNOWN_COLD_PER_SECOND = 1
 /** Weight of a new answer in the share of failures. */
@@ -57,7 +61,7 @@
 /** Creates the gate of a node. */
 export function createHome ({ context, view, instance, backend, onChange }: HomeOptions): Home {
   const { settings, clock, log, counters } = context
-  const gate = createHomeGate<HomeJob>()
+  const gate = createHomeGate<HomeJob>(addMilliseconds(clock.now(), COLD_QUIET_MS))
   const cut = createVersionCut()
   const callers = createRouteCallers(view.getHostShare)
   const outcomes = new Map<HomeJob, (outcome: HomeOutcome) => void>()
@@ -91,12 +95,12 @@
     return cut.isCut() ? 'version-cut' : undefined
   }
 
-  function computeColdLimit (now: Milliseconds): number | undefined {
+  function computeColdLimit (now: Milliseconds): ColdLimit | undefined {
     coldPerSecond = view.getService(settings.service)?.coldPerSecond ?? coldPerSecond
     // The operator states no limit.
     if (instance.getColdUntil() <= now || coldPerSecond === 0) return undefined
-    if (coldPerSecond === undefined) return UNKNOWN_COLD_PER_SECOND
-    return Math.floor(coldPerSecond * settings.coldOvershoot * COLD_BOUND_SHARE)
+    const perSecond = coldPerSecond === undefined ? UNKNOWN_COLD_PER_SECOND : coldPerSecond * settings.coldOvershoot
+    return { perSecond, since: toMilliseconds(0) }
   }
 
   function computeLimits (): GateLimits {
@@ -108,7 +112,7 @@
     const mayFinishQueue = closed === 'stopping' || closed === 'evacuated' || isLeavingSlowly
     return {
       slots: instance.getRun()?.slots ?? 1,
-      coldPerSecond: computeColdLimit(now),
+      cold: computeColdLimit(now),
       closed,
       mayStart: closed === undefined || mayFinishQueue
     }
