fix(node): doubt the cold state of a backend server after what may have changed it

What callers would see: a server that has just returned crashes again under their requests.

Cause: the gate took the last report for the present state. A report is up to its interval old, and may be held up for seconds; meanwhile the server may have started again behind kept connections, under its own id, or turned cold while it got nothing.

Now the state is in doubt when the gate opens again after any reason that closed it, after a request whose loss may be a restart, and after three missing reports. A server in doubt gets what a cold one bears, and is asked by a health probe at once, each 50 ms at most. The answer to a probe sent after the doubt ends it, or the second report, or the first of a new run. Within a run a stated cold time is never shortened by a report that was on its way.

Weighed: taking evacuations alone as the special case; it leaves restarts and held-up reports open. A doubt on lost connections without a probe would hold a warm server at a third of its load for half a report interval.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -84,6 +84,7 @@
   requestCut: { number: 826, level: 'warn', text: 'connection closed here before the answer' },
   callerMalformed: { number: 828, level: 'warn', text: 'bytes of a caller are no request; its connection ends behind the open answers' },
   coldChanged: { number: 829, level: 'info', text: 'backend server is cold, or warm again' },
+  coldDoubted: { number: 830, level: 'info', text: 'backend server may have turned cold unseen; it is asked, and gets what a cold one bears' },
   nodeLoad: { number: 827, level: 'info', text: 'load of this node' },
   linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
--- a/packages/decisions/src/serving/createInstanceState.ts
+++ b/packages/decisions/src/serving/createInstanceState.ts
@@ -10,6 +10,13 @@
   readonly state: 'serving' | 'draining' | 'gone'
 }
 
+/** What a backend server says in answer to a health probe. */
+export interface ProbedState {
+  readonly instance: string
+  /** Time for which it stays cold, in milliseconds. */
+  readonly coldMs: number
+}
+
 /** What the node knows of the backend server beside it. */
 export interface InstanceState {
   /** Takes a report; false if it is older than what is known. */
@@ -23,21 +30,40 @@
    * if a report has arrived meanwhile.
    */
   readonly resume: (run: InstanceRun, coldMs: number, now: Milliseconds) => boolean
+  /** Notes that it may have turned cold or started again since it was last heard of. */
+  readonly doubt: (now: Milliseconds) => void
+  /** Takes what it says of itself in answer to a health probe that was sent at `askedAt`. */
+  readonly applyProbe: (probed: ProbedState, askedAt: Milliseconds, now: Milliseconds) => void
   readonly getRun: () => InstanceRun | undefined
   /** The backend server may take requests, as far as its own reports tell. */
   readonly isServing: () => boolean
   readonly isDown: () => boolean
-  /** End of the cold phase. */
+  /** End of the cold phase that it has stated. */
   readonly getColdUntil: () => Milliseconds
+  /** Nothing that it said tells whether it is warm now. */
+  readonly isDoubted: (now: Milliseconds) => boolean
+  /** Earliest moment from which it may be cold; undefined while it is known to be warm. */
+  readonly getColdSince: (now: Milliseconds) => Milliseconds | undefined
   /** Time at which its leaving was acknowledged; undefined while it stays. */
   readonly getLeavingSince: () => Milliseconds | undefined
 }
 
-/** Creates the state of a backend server that has not reported yet. */
-export function createInstanceState (): InstanceState {
+/** Reports after which a doubt ends: the first one may have been sent before it arose and held up. */
+const REPORTS_TO_TRUST = 2
+
+/**
+ * Creates the state of a backend server that has not reported yet. What it says of itself tells whether it is warm for
+ * `trustMs` milliseconds.
+ */
+export function createInstanceState (trustMs = Infinity): InstanceState {
   let run: InstanceRun | undefined
   let isFresh = false
   let coldUntil = toMilliseconds(0)
+  /** Start of the cold phase, as early as it may have been. */
+  let coldSince = toMilliseconds(0)
+  let heardAt = toMilliseconds(0)
+  let doubtedAt: Milliseconds | undefined
+  let reportsSinceDoubt = 0
   let leavingSince: Milliseconds | undefined
 
   /** Reports cross and arrive late; those of an earlier run, or earlier in the same run, tell nothing new. */
@@ -47,6 +73,19 @@
     return instance === run.instance && sequence <= run.sequence
   }
 
+  function getDoubtedAt (now: Milliseconds): Milliseconds | undefined {
+    if (doubtedAt !== undefined) return doubtedAt
+    return now - heardAt > trustMs ? addMilliseconds(heardAt, trustMs) : undefined
+  }
+
+  function applyColdTime (coldMs: number, now: Milliseconds): void {
+    const wasCold = coldUntil > now
+    if (coldMs > 0 && !wasCold) coldSince = getDoubtedAt(now) ?? heardAt
+    // What was on its way when the cold phase began does not end it.
+    coldUntil = toMilliseconds(Math.max(coldUntil, now + coldMs))
+    heardAt = now
+  }
+
   return {
     applyReport: (report, now) => {
       const { instance, startedAt, sequence, version, slots } = report
@@ -57,7 +96,10 @@
       else if (!isSameRun || leavingSince === undefined) leavingSince = now
       const state = isSameRun && run?.state === 'gone' ? 'gone' : report.state
       run = { instance, startedAt, sequence, version, slots, state }
-      coldUntil = addMilliseconds(now, report.coldMs)
+      if (!isSameRun) coldUntil = now
+      applyColdTime(report.coldMs, now)
+      reportsSinceDoubt += 1
+      if (!isSameRun || reportsSinceDoubt >= REPORTS_TO_TRUST) doubtedAt = undefined
       isFresh = true
       return true
     },
@@ -73,13 +115,24 @@
       if (run !== undefined) return false
       run = earlier
       isFresh = true
-      coldUntil = addMilliseconds(now, coldMs)
+      applyColdTime(coldMs, now)
       return true
     },
+    doubt: (now) => {
+      doubtedAt = now
+      reportsSinceDoubt = 0
+    },
+    applyProbe: ({ instance, coldMs }, askedAt, now) => {
+      if (instance !== run?.instance) return
+      applyColdTime(coldMs, now)
+      if (doubtedAt !== undefined && askedAt >= doubtedAt) doubtedAt = undefined
+    },
     getRun: () => run,
     isServing: () => isFresh && run?.state === 'serving',
     isDown: () => run !== undefined && !isFresh,
     getColdUntil: () => coldUntil,
+    isDoubted: (now) => getDoubtedAt(now) !== undefined,
+    getColdSince: (now) => coldUntil > now ? coldSince : getDoubtedAt(now),
     getLeavingSince: () => leavingSince
   }
 }
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -9,6 +9,7 @@
 import { createResendBudgets } from './entry/createResendBudgets.js'
 import { createBackendCaller } from './home/createBackendCaller.js'
 import { createHome } from './home/createHome.js'
+import { createColdWatch } from './home/createColdWatch.js'
 import { createHomeServer } from './home/createHomeServer.js'
 import { probeInstance } from './home/probeInstance.js'
 import type { NodeContext } from './NodeContext.js'
@@ -43,6 +44,8 @@
 const EXIT_RESERVE_MS = 300
 /** Time for sending what is answered because the grace period ends, in milliseconds. */
 const LAST_ANSWERS_MS = 150
+/** Status reports that may be missing until the backend server is asked. */
+const REPORTS_OF_TRUST = 3
 /** Time between two looks at whether all requests have ended, in milliseconds. */
 const STOP_POLL_MS = 25
 /** Time for removing the record of a host whose backend server has left, in milliseconds. */
@@ -60,7 +63,7 @@
   const { settings, clock, log, counters, draw } = context
   const store = createStoreClient(settings.store)
   const replica = createReplica()
-  const instance = createInstanceState()
+  const instance = createInstanceState(settings.reportIntervalMs * REPORTS_OF_TRUST)
   const backend = createBackendCaller(context)
   const health = createHostHealth(context, { getHost: (host) => view.getHost(host) })
   const view = createMeshView(context, () => {
@@ -95,7 +98,16 @@
     onRows: applyRows,
     isStoreConnected
   })
-  const home = createHome({ context, view, instance, backend, onChange: updateRecord })
+  const home = createHome({
+    context, view, instance, backend, onChange: updateRecord, onDoubt: () => { coldWatch.update() }
+  })
+  const coldWatch = createColdWatch({
+    context,
+    instance,
+    getHealthPath: () => view.getService(settings.service)?.healthPath,
+    countSends: home.countSends,
+    onChange: home.update
+  })
   const homeServer = createHomeServer(context, home, () => peerRows.getVersions())
   const client = createHomeClient(context, health, peerRows)
   const budgets = createResendBudgets(context, () => view.listHosts().length)
@@ -214,7 +226,7 @@
       await awaitEnd(isIdle, limitAt)
       for (const follower of followers) follower.stop()
       reader.stop()
-      for (const part of [peerRows, client, health, homeServer]) part.close()
+      for (const part of [peerRows, client, health, coldWatch, homeServer]) part.close()
       await recorder.flush(Math.min(RECORD_FLUSH_MS, Math.max(0, limitAt - clock.now())))
       log('daemonStopped', { open: entry.countOpen(), running: home.countRunning(), tookMs: Math.round(clock.now() - stoppedAt) })
     }
--- /dev/null
+++ b/packages/node/src/home/createColdWatch.ts
@@ -0,0 +1,66 @@
+import type { InstanceState } from '@snipenotch/decisions'
+import type { NodeContext } from '../NodeContext.js'
+import { probeColdState } from './probeInstance.js'
+
+/** Asks the backend server whether it is cold while nothing else tells. */
+export interface ColdWatch {
+  /** Asks at once if there is a doubt. */
+  readonly update: () => void
+  readonly close: () => void
+}
+
+export interface ColdWatchOptions {
+  readonly context: NodeContext
+  readonly instance: InstanceState
+  /** Path of health probes; undefined while the configuration is not known. */
+  readonly getHealthPath: () => string | undefined
+  /** Requests sent to the backend server in the last second. */
+  readonly countSends: () => number
+  /** Called after an answer. */
+  readonly onChange: () => void
+}
+
+/** Time between two probes at least, in milliseconds. */
+const PROBE_INTERVAL_MS = 50
+
+/** Creates a watch that looks for doubts at intervals. */
+export function createColdWatch (options: ColdWatchOptions): ColdWatch {
+  const { context: { settings, clock, log, ticker }, instance, getHealthPath, countSends, onChange } = options
+  let isAsking = false
+  let isClosed = false
+  let askedAt = -Infinity
+
+  async function probe (path: string): Promise<void> {
+    const sentAt = clock.now()
+    const probed = await probeColdState(settings.backend, path)
+    const now = clock.now()
+    if (isClosed || probed === undefined) return
+    const wasCold = instance.getColdUntil() > now
+    instance.applyProbe(probed, sentAt, now)
+    if ((instance.getColdUntil() > now) !== wasCold) {
+      log('coldChanged', { source: 'probe', coldMs: probed.coldMs, sends: countSends(), instance: probed.instance })
+    }
+    onChange()
+  }
+
+  function update (): void {
+    const now = clock.now()
+    const path = getHealthPath()
+    if (isAsking || isClosed || path === undefined || now - askedAt < PROBE_INTERVAL_MS) return
+    if (!instance.isServing() || !instance.isDoubted(now)) return
+    isAsking = true
+    askedAt = now
+    probe(path)
+      .catch((error: unknown) => { log('internalError', { error: String(error) }) })
+      .finally(() => { isAsking = false })
+  }
+
+  const stopLooks = ticker.add(PROBE_INTERVAL_MS, update)
+  return {
+    update,
+    close: () => {
+      isClosed = true
+      stopLooks()
+    }
+  }
+}
--- a/packages/node/src/home/createHome.ts
+++ b/packages/node/src/home/createHome.ts
@@ -1,4 +1,4 @@
-import { addMilliseconds, type Milliseconds, type ServingRefusal, toMilliseconds } from '@snipenotch/contracts'
+import { addMilliseconds, type Milliseconds, type ServingLoss, type ServingRefusal } from '@snipenotch/contracts'
 import {
   type ColdLimit, createHomeGate, createRouteCallers, createVersionCut, type GateLimits, type InstanceState,
   type ReportedLoad
@@ -41,6 +41,9 @@
 /** Identifiers remembered so that a request that must run at most once is never sent twice. */
 const MAX_ATTEMPTS_KEPT = 5000
 
+/** Losses by which a backend server that ends, or starts again, shows itself. */
+const RESTART_LOSSES: ReadonlySet<ServingLoss> = new Set(['connection-lost', 'answer-truncated', 'deadline'])
+
 export interface HomeOptions {
   readonly context: NodeContext
   readonly view: MeshView
@@ -48,6 +51,8 @@
   readonly backend: BackendCaller
   /** Called when the backend server refuses connections or a version is cut. */
   readonly onChange: () => void
+  /** Called when the backend server may have turned cold unseen. */
+  readonly onDoubt: () => void
 }
 
 function toOutcome (result: BackendResult): HomeOutcome {
@@ -59,7 +64,7 @@
 }
 
 /** Creates the gate of a node. */
-export function createHome ({ context, view, instance, backend, onChange }: HomeOptions): Home {
+export function createHome ({ context, view, instance, backend, onChange, onDoubt }: HomeOptions): Home {
   const { settings, clock, log, counters } = context
   const gate = createHomeGate<HomeJob>(addMilliseconds(clock.now(), COLD_QUIET_MS))
   const cut = createVersionCut()
@@ -69,6 +74,8 @@
   let isStopping = false
   let failureShare = 0
   let judgedRun = ''
+  /** The gate was closed at the latest look. */
+  let wasClosed = true
   let coldPerSecond: number | undefined
   let timer: NodeJS.Timeout | undefined
 
@@ -95,12 +102,20 @@
     return cut.isCut() ? 'version-cut' : undefined
   }
 
+  function recordDoubt (reason: 'reopened' | ServingLoss): void {
+    const now = clock.now()
+    if (!instance.isDoubted(now)) log('coldDoubted', { reason, sends: gate.countSends(now), instance: instance.getRun()?.instance })
+    instance.doubt(now)
+    onDoubt()
+  }
+
   function computeColdLimit (now: Milliseconds): ColdLimit | undefined {
     coldPerSecond = view.getService(settings.service)?.coldPerSecond ?? coldPerSecond
+    const since = instance.getColdSince(now)
     // The operator states no limit.
-    if (instance.getColdUntil() <= now || coldPerSecond === 0) return undefined
+    if (since === undefined || coldPerSecond === 0) return undefined
     const perSecond = coldPerSecond === undefined ? UNKNOWN_COLD_PER_SECOND : coldPerSecond * settings.coldOvershoot
-    return { perSecond, since: toMilliseconds(0) }
+    return { perSecond, since }
   }
 
   function computeLimits (): GateLimits {
@@ -108,6 +123,9 @@
     const now = clock.now()
     const leavingSince = instance.getLeavingSince()
     const closed = findClosed()
+    // What it said while it got no requests does not tell how it is now.
+    if (wasClosed && closed === undefined) recordDoubt('reopened')
+    wasClosed = closed !== undefined
     const isLeavingSlowly = leavingSince !== undefined && now < leavingSince + settings.drainMs * DRAIN_START_SHARE
     const mayFinishQueue = closed === 'stopping' || closed === 'evacuated' || isLeavingSlowly
     return {
@@ -152,7 +170,7 @@
     const version = instance.getRun()?.version
     const rollout = view.getRelease(settings.service)?.rollout
     if (rollout?.state !== 'running' || rollout.to !== version) return
-    const isCold = instance.getColdUntil() > clock.now()
+    const isCold = instance.getColdSince(clock.now()) !== undefined
     const { route, targetLatencyMs } = job
     // A cold backend server is slow whatever its version.
     if (!cut.record({ route, failed, durationMs: isCold ? 0 : durationMs, targetLatencyMs })) return
@@ -174,6 +192,7 @@
         instance.markDown(clock.now())
         onChange()
       } else {
+        if (result.kind === 'lost' && RESTART_LOSSES.has(result.reason)) recordDoubt(result.reason)
         recordAnswer(job, result.kind === 'lost' || result.notRun || result.status >= FIRST_FAILURE_STATUS, durationMs)
       }
       end(job, toOutcome(result), durationMs)
--- a/packages/node/src/home/probeInstance.ts
+++ b/packages/node/src/home/probeInstance.ts
@@ -1,33 +1,41 @@
 import { HEADERS } from '@snipenotch/platform'
-import { request } from 'node:http'
+import type { ProbedState } from '@snipenotch/decisions'
+import { type IncomingMessage, request } from 'node:http'
 import type { HostAddress } from '@snipenotch/contracts'
 
-/** What a healthy backend server says of itself. */
-export interface ProbedInstance {
-  readonly instance: string
-  /** Time for which it stays cold, in milliseconds. */
-  readonly coldMs: number
-}
-
 /** Time for the answer, in milliseconds: below the time between two status reports, which tell more. */
 const PROBE_TIMEOUT_MS = 700
 
-/** Asks the backend server whether it is healthy; undefined if it is not, or does not answer in time. */
-export function probeInstance ({ host, port }: HostAddress, path: string): Promise<ProbedInstance | undefined> {
+/** Head of the answer to a health probe; undefined if none comes in time. */
+function fetchHealth ({ host, port }: HostAddress, path: string): Promise<IncomingMessage | undefined> {
   return new Promise((resolve) => {
     const outgoing = request({ host, port, path, agent: false, timeout: PROBE_TIMEOUT_MS }, (incoming) => {
       incoming.resume()
-      const instance = incoming.headers[HEADERS.instance]
-      const coldMs = Number(incoming.headers[HEADERS.coldMs] ?? 0)
-      const isHealthy = incoming.statusCode === 200 && typeof instance === 'string' && Number.isFinite(coldMs)
-      resolve(isHealthy ? { instance, coldMs } : undefined)
+      resolve(incoming)
     })
     outgoing.on('timeout', () => {
       resolve(undefined)
       outgoing.destroy()
     })
-    // The caller logs that the probe brought nothing.
+    // Whoever asks goes on without the answer.
     outgoing.on('error', () => { resolve(undefined) })
     outgoing.end()
   })
 }
+
+function readState (incoming: IncomingMessage | undefined): ProbedState | undefined {
+  const instance = incoming?.headers[HEADERS.instance]
+  const coldMs = Number(incoming?.headers[HEADERS.coldMs] ?? 0)
+  return typeof instance === 'string' && Number.isFinite(coldMs) ? { instance, coldMs } : undefined
+}
+
+/** Asks the backend server whether it is healthy; undefined if it is not, or does not answer in time. */
+export async function probeInstance (address: HostAddress, path: string): Promise<ProbedState | undefined> {
+  const incoming = await fetchHealth(address, path)
+  return incoming?.statusCode === 200 ? readState(incoming) : undefined
+}
+
+/** Asks the backend server for how long it stays cold, healthy or not; undefined if it does not tell in time. */
+export async function probeColdState (address: HostAddress, path: string): Promise<ProbedState | undefined> {
+  return readState(await fetchHealth(address, path))
+}
