test(node): refusals that come again, heads that break off

Reported by other operators: a backend server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for what ran (REFUSED, TWICE); a backend server stopped in the midst of its answer's head, and callers got a success with an empty body (MIXED).

Neither can happen at the node: bytes on an idle connection close it, and the echoed attempt id of a refusal is compared like that of any answer; a head that breaks off is an error of the parser at whatever byte. The tests pass on the code as it was: three ways for a refusal to come again, and a break after each byte of two heads.

--- a/packages/node/tests/home/createBackendCaller.test.ts
+++ b/packages/node/tests/home/createBackendCaller.test.ts
@@ -153,6 +153,49 @@
     expect(connections).to.equal(2)
   })
 
+  const refusal = (attemptId: string): string => 'HTTP/1.1 503 Service Unavailable\r\n' +
+    `${HEADERS.attemptId}: ${attemptId}\r\n${HEADERS.notRun}: full\r\nContent-Length: 0\r\n\r\n`
+
+  const repeats: Array<[string, (socket: Socket) => void]> = [
+    ['behind itself', (socket) => { socket.write(refusal('a') + refusal('a')) }],
+    ['while the connection is idle', (socket) => {
+      socket.write(refusal('a'))
+      setTimeout(() => { socket.write(refusal('a')) }, 10)
+    }],
+    ['as the next request arrives', (socket) => {
+      socket.write(refusal('a'))
+      socket.once('data', () => { socket.write(refusal('a')) })
+    }]
+  ]
+  for (const [title, refuse] of repeats) {
+    it(`believes no refusal of an earlier request that comes again ${title} (guards against "not run" for what runs)`, async () => {
+      handle = (socket, text) => {
+        if (text.includes(`${HEADERS.attemptId}: a`)) refuse(socket)
+        else setTimeout(() => { socket.write(head('b', 'Content-Length: 2\r\n') + 'ok') }, 20)
+      }
+      expect(await call(job('a'))).to.include({ kind: 'answered', status: 503, notRun: true })
+      if (title === 'while the connection is idle') await new Promise((resolve) => { setTimeout(resolve, 40) })
+      const next = await call(job('b', { method: 'POST', idempotent: false }))
+      expect(next.kind === 'answered' && next.notRun).to.equal(false)
+    })
+  }
+
+  it('takes no answer as whole whose head breaks off, wherever that is (guards against a success with an empty body)', async () => {
+    const text = head('a', 'Content-Length: 2\r\n')
+    for (let length = 0; length < text.length; length++) {
+      handle = (socket) => { socket.end(text.slice(0, length)) }
+      expect(await call(job('a')), `after ${length} bytes`).to.include({ kind: 'lost' })
+    }
+  })
+
+  it('takes no answer as whole whose head breaks off without a length (guards against a success with an empty body)', async () => {
+    const text = head('a', 'X-Own: 1\r\n')
+    for (let length = 0; length < text.length; length++) {
+      handle = (socket) => { socket.end(text.slice(0, length)) }
+      expect(await call(job('a')), `after ${length} bytes`).to.include({ kind: 'lost' })
+    }
+  })
+
   it('does not send another request on a connection whose long body is not read yet (guards against smuggled bytes)', async () => {
     const received: string[] = []
     handle = (socket, text) => {
