fix(node): run nothing that comes too late for the grace period

Reported by other operators, and it happens here: in a planned stop, a request that came late in the grace period on a busy connection was passed on, and at the end of the period it got a 504 in place of the backend server's answer (LOST for callers, also for requests that must run at most once). The report says "no answer"; here there was one since, but of the node itself.

Cause: what a stopping node reads was run however late.

Now a request read after that is run only if its time is over before the last answers, and refused at once otherwise (503 stopping, Retry-After). Refusing everything late was weighed: most deadlines of the small sites fit.

Arrival moves to a file of its own, without a change.

--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -1,4 +1,4 @@
-import { type HostRecord, type NodeSettings } from '@snipenotch/contracts'
+import { addMilliseconds, type HostRecord, type NodeSettings, toMilliseconds } from '@snipenotch/contracts'
 import { createInstanceState, createPlacement, createReplica, type ReplicaRow } from '@snipenotch/decisions'
 import { createStoreClient } from '@snipenotch/platform'
 import { createServer, type Server } from 'node:http'
@@ -209,11 +209,12 @@
       isStopping = true
       const stoppedAt = clock.now()
       log('daemonStopping', { open: entry.countOpen(), running: home.countRunning() })
-      entry.stop()
+      const limitAt = stoppedAt + Math.max(0, settings.gracePeriodMs - EXIT_RESERVE_MS)
+      const answeredAt = toMilliseconds(limitAt - LAST_ANSWERS_MS)
+      entry.stop({ lateAt: addMilliseconds(stoppedAt, LINGER_MS), answeredAt })
       keeper.stop()
       loadLog.stop()
       if (instance.getLeavingSince() !== undefined) recorder.set(undefined)
-      const limitAt = stoppedAt + Math.max(0, settings.gracePeriodMs - EXIT_RESERVE_MS)
       await awaitEnd(() => false, Math.min(limitAt, stoppedAt + HOME_LINGER_MS))
       home.stop()
       home.update()
@@ -221,7 +222,7 @@
       entry.server.close()
       const isIdle = (): boolean =>
         entry.countOpen() === 0 && home.countRunning() === 0 && homeServer.countBacklog() === 0
-      await awaitEnd(isIdle, limitAt - LAST_ANSWERS_MS)
+      await awaitEnd(isIdle, answeredAt)
       entry.endOpen()
       await awaitEnd(isIdle, limitAt)
       for (const follower of followers) follower.stop()
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -1,5 +1,7 @@
-import { type MeshRoute, type Milliseconds, toMilliseconds } from '@snipenotch/contracts'
-import { computeRetryAfter, createAttemptAges, createSplitPicker, isPastDeadline } from '@snipenotch/decisions'
+import { addMilliseconds, type MeshRoute, type Milliseconds, toMilliseconds } from '@snipenotch/contracts'
+import {
+  computeRetryAfter, createAttemptAges, createSplitPicker, isPastDeadline, isTooLate, type StopPlan
+} from '@snipenotch/decisions'
 import { selectHeaders } from '@snipenotch/daemon'
 import { HEADERS } from '@snipenotch/platform'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
@@ -8,14 +10,15 @@
 import type { HomeOutcome } from '../home/HomeJob.js'
 import { runUnlessLeft } from '../operations/runUnlessLeft.js'
 import type { MeshView } from '../rows/createMeshView.js'
+import { type Arrival, isClosedByCaller, listenLeft } from './Arrival.js'
 import type { ExchangeResult, StartExchange } from './createExchange.js'
 import type { ResendBudgets } from './createResendBudgets.js'
 
 /** Takes the requests of callers on the host and of the backend server itself. */
 export interface EntryServer {
   readonly server: Server
-  /** Ends kept connections with the next answer. */
-  readonly stop: () => void
+  /** Ends kept connections with the next answer, and refuses what comes too late to be answered. */
+  readonly stop: (plan: StopPlan) => void
   readonly countOpen: () => number
   /** Answers the requests that are still open, because the process ends. */
   readonly endOpen: () => void
@@ -41,20 +44,6 @@
   readonly budgets: ResendBudgets
 }
 
-interface Arrival {
-  readonly incoming: IncomingMessage
-  readonly response: ServerResponse
-  readonly attemptId: string
-  readonly arrivedAt: Milliseconds
-  /** No other request came on its connection before it. */
-  readonly isFirstOfConnection: boolean
-  route?: string
-  /** Host that has the request now. */
-  getHost?: () => string | undefined
-  /** Ends a request that was placed, because the process ends. */
-  end?: () => void
-}
-
 /** Remaining time that the caller names, in milliseconds. */
 function readRemaining (incoming: IncomingMessage, fallback: number): number {
   const text = incoming.headers[HEADERS.remainingMs]
@@ -70,32 +59,12 @@
 
 const SET_HERE: ReadonlySet<string> = new Set([HEADERS.callerService, HEADERS.remainingMs, HEADERS.targetInstance, 'content-length'])
 
-/**
- * Calls `listener` when an answer has been sent or its caller has left. A response that waits behind another one of its
- * connection is not told when the connection closes, so the connection itself is watched too.
- */
-function listenLeft ({ incoming, response }: Arrival, listener: () => void): void {
-  const { socket } = incoming
-  function notifyOnce (): void {
-    response.off('close', notifyOnce)
-    socket.off('close', notifyOnce)
-    listener()
-  }
-  response.on('close', notifyOnce)
-  socket.on('close', notifyOnce)
-}
-
-/** True if the connection ended because of its caller, by a close or a reset. */
-function isClosedByCaller ({ incoming: { socket } }: Arrival): boolean {
-  return socket.readableEnded || socket.errored !== null
-}
-
 /** Creates the server for callers. */
 export function createEntryServer ({ context, view, start, budgets }: EntryOptions): EntryServer {
   const { settings, clock, log, counters, ticker, draw } = context
   const picker = createSplitPicker(draw)
   const ages = createAttemptAges()
-  let isStopping = false
+  let stopPlan: StopPlan | undefined
   /** Nothing is begun any more. */
   let isEnding = false
   const openArrivals = new Set<Arrival>()
@@ -111,7 +80,7 @@
     const { incoming, response } = arrival
     if (response.destroyed || response.headersSent) return
     // Closing after an earlier answer would lose those behind it.
-    const isLast = isStopping && latest.get(incoming.socket) === arrival
+    const isLast = stopPlan !== undefined && latest.get(incoming.socket) === arrival
     if (isLast) closing.add(incoming.socket)
     const connection = isLast ? ['Connection', 'close'] : []
     const hasNoBody = incoming.method === 'HEAD' || status === 204 || status === 304
@@ -150,7 +119,7 @@
       request: arrival.attemptId,
       route: arrival.route,
       backendHost: arrival.getHost?.(),
-      isStopping,
+      isStopping: stopPlan !== undefined,
       durationMs: Math.round(clock.now() - arrival.arrivedAt)
     })
   }
@@ -217,6 +186,11 @@
       refuse(arrival, route, 'expired', 0, 0)
       return
     }
+    if (stopPlan !== undefined && isTooLate(stopPlan, addMilliseconds(endAt, END_GRACE_MS), clock.now())) {
+      counters.count('serving_refusals', 'stopping')
+      refuse(arrival, route, 'stopping', 0, 0)
+      return
+    }
     arrival.route = route.name
     const { isFirstOfConnection } = arrival
     const ageMs = ages.estimate({ route: route.name, remainingMs: remaining, isFirstOfConnection })
@@ -365,7 +339,7 @@
 
   return {
     server,
-    stop: () => { isStopping = true },
+    stop: (plan) => { stopPlan = plan },
     countOpen: () => openArrivals.size,
     endOpen: () => {
       isEnding = true
--- a/packages/node/tests/stopping.test.ts
+++ b/packages/node/tests/stopping.test.ts
@@ -7,9 +7,16 @@
 
 /** Grace period of the node that stops, in milliseconds. */
 const GRACE_MS = 3000
+/** Grace period of a node that has time for late requests, in milliseconds. */
+const LONG_GRACE_MS = 6000
 const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
 
+/** A request sent so long after the stop signal must end in the grace period to be run, in milliseconds. */
+const LATE_MS = 2400
+
 interface Connection {
+  /** Sends another request, whose caller waits for `remainingMs`. */
+  readonly write: (name: string, remainingMs: number) => void
   readonly read: () => string
   readonly isEnded: () => boolean
 }
@@ -27,8 +34,7 @@
     await mesh.putOperatorRow('config', composeConfiguration(1, ['clocks', 'parts'], { timeoutMs: 60_000 }))
     await entry.report()
     await home.report()
-    await awaitCondition('it is served', async () =>
-      (await send(entry.settings.callers.port, '/parts/1')).status === 200)
+    await awaitServed(entry, '/parts/1')
     home.backend.seen.length = 0
     held = []
     home.backend.handle = (incoming: IncomingMessage, response: ServerResponse) => {
@@ -37,8 +43,12 @@
   })
   afterEach(() => mesh.close())
 
-  function sendBehindEachOther (names: readonly string[]): Connection {
-    const socket = connect(entry.settings.callers.port, '127.0.0.1')
+  async function awaitServed ({ settings }: TestHost, path: string): Promise<void> {
+    await awaitCondition('it is served', async () => (await send(settings.callers.port, path)).status === 200)
+  }
+
+  function sendBehindEachOther (names: readonly string[], { settings }: TestHost = entry): Connection {
+    const socket = connect(settings.callers.port, '127.0.0.1')
     let received = ''
     let isEnded = false
     socket.on('data', (chunk) => { received += chunk.toString() })
@@ -46,7 +56,14 @@
     for (const name of names) {
       socket.write(`GET /parts/${name} HTTP/1.1\r\nHost: a.example\r\n${HEADERS.attemptId}: ${name}\r\n\r\n`)
     }
-    return { read: () => received, isEnded: () => isEnded }
+    return {
+      write: (name, remainingMs) => {
+        const remaining = `${HEADERS.remainingMs}: ${remainingMs}`
+        socket.write(`GET /parts/${name} HTTP/1.1\r\nHost: a.example\r\n${HEADERS.attemptId}: ${name}\r\n${remaining}\r\n\r\n`)
+      },
+      read: () => received,
+      isEnded: () => isEnded
+    }
   }
 
   it('answers all requests of a connection (guards against answers lost with a connection closed by an earlier one)', async () => {
@@ -82,6 +99,41 @@
     await stopped
   })
 
+  it('runs nothing that comes too late to end (guards against a late request cut at the end of the grace period)', async () => {
+    const connection = sendBehindEachOther(['early'])
+    await awaitCondition('it runs', () => held.length === 1)
+    const upload = connect(entry.settings.callers.port, '127.0.0.1')
+    let uploaded = ''
+    upload.on('data', (chunk) => { uploaded += chunk.toString() })
+    upload.write('POST /parts/upload HTTP/1.1\r\nHost: a.example\r\nContent-Length: 10\r\n\r\nbegin')
+    const stopped = entry.node.stop()
+    await awaitPause(LATE_MS)
+    connection.write('late', 60_000)
+    upload.write('-done')
+    await awaitCondition('the upload is answered', () => uploaded.includes('\r\n\r\n'))
+    expect(uploaded).to.match(/^HTTP\/1.1 503 /).and.match(/^retry-after: /im)
+    held[0]?.()
+    await awaitCondition('the connection ends', connection.isEnded)
+    expect(connection.read()).to.match(/answer to \/parts\/early[^]*HTTP\/1.1 503 [^]*\nstopping\n$/i)
+    await stopped
+    expect(home.backend.seen.map(({ url }) => url)).to.deep.equal(['/parts/early'])
+  })
+
+  it('runs what comes late if it ends in time (guards against refusals of what can be served)', async () => {
+    const patient = await mesh.startHost('krakow-3', 'clocks', { gracePeriodMs: LONG_GRACE_MS })
+    await awaitServed(patient, '/clocks/1')
+    const connection = sendBehindEachOther(['early'], patient)
+    await awaitCondition('it runs', () => held.length === 1)
+    const stopped = patient.node.stop()
+    await awaitPause(LATE_MS)
+    connection.write('late', 1000)
+    await awaitCondition('both run', () => held.length === 2)
+    for (const answer of held) answer()
+    await awaitCondition('the connection ends', connection.isEnded)
+    expect(connection.read()).to.contain('answer to /parts/late')
+    await stopped
+  })
+
   it('awaits an answer that comes late in the grace period (guards against a request cut by a process that ends early)', async () => {
     const answer = send(entry.settings.callers.port, '/parts/late', { [HEADERS.remainingMs]: '60000' })
     await awaitCondition('it runs', () => held.length === 1)
