fix(node): take calls of requests that still run while stopping

What callers would see: a run that makes a call fails, because its node has stopped listening 2.3 s after the stop signal while the backend server beside it is still at work.

Now the node listens until its backend server runs nothing, or the grace period is over.

Test: stopping, a call 2.4 s after the signal: connection refused before, 200 now.

--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -219,6 +219,8 @@
       home.stop()
       home.update()
       await awaitEnd(() => false, Math.min(limitAt, stoppedAt + LINGER_MS))
+      // What the backend server still runs may make calls.
+      await awaitEnd(() => home.countRunning() === 0, answeredAt)
       entry.server.close()
       const isIdle = (): boolean =>
         entry.countOpen() === 0 && home.countRunning() === 0 && homeServer.countBacklog() === 0
--- a/packages/node/tests/stopping.test.ts
+++ b/packages/node/tests/stopping.test.ts
@@ -134,6 +134,25 @@
     await stopped
   })
 
+  it('takes calls of requests that still run (guards against runs that fail because their node stops)', async () => {
+    const patient = await mesh.startHost('krakow-3', 'parts', { gracePeriodMs: LONG_GRACE_MS })
+    await patient.report()
+    await home.report({ state: 'draining' })
+    await awaitServed(patient, '/clocks/1')
+    await awaitCondition('its own backend server is used', async () =>
+      (await send(patient.settings.callers.port, '/parts/1')).body === 'krakow-3')
+    let finish: (() => void) | undefined
+    patient.backend.handle = (incoming, response) => { finish = () => { answerSigned(incoming, response, 'whole') } }
+    const answer = send(patient.settings.callers.port, '/parts/running', { [HEADERS.remainingMs]: '60000' })
+    await awaitCondition('it runs', () => finish !== undefined)
+    const stopped = patient.node.stop()
+    await awaitPause(LATE_MS)
+    expect((await send(patient.settings.callers.port, '/clocks/called')).status).to.equal(200)
+    finish?.()
+    expect((await answer).body).to.equal('whole')
+    await stopped
+  })
+
   it('awaits an answer that comes late in the grace period (guards against a request cut by a process that ends early)', async () => {
     const answer = send(entry.settings.callers.port, '/parts/late', { [HEADERS.remainingMs]: '60000' })
     await awaitCondition('it runs', () => held.length === 1)
