fix(decisions): remember the leave of a run that is not known yet

Cause: a node that has just restarted acknowledged the leave of a run that had not reported yet and kept its time only. A report of that run, sent before and held up, was taken for a new run, and ended the leave. The same for a leave of a run after the one that is known.

Now the latest runs that left are remembered by instance and start, reported before or not. A report of one of them finds it gone, with the time of the first acknowledgement, and so does a health probe after a restart. A leave of another instance closes nothing for the known one.

Tests: createInstanceState, four cases and the probe, all failing before. Open: a leave that an earlier process of this node acknowledged, and that the store did not get.

--- a/packages/decisions/src/serving/createInstanceState.ts
+++ b/packages/decisions/src/serving/createInstanceState.ts
@@ -1,4 +1,5 @@
 import { addMilliseconds, toMilliseconds, type Milliseconds, type StatusReport } from '@snipenotch/contracts'
+import { createLeftRuns } from './createLeftRuns.js'
 
 /** Last known run of the backend server beside a node. */
 export interface InstanceRun {
@@ -65,14 +66,29 @@
   let doubtedAt: Milliseconds | undefined
   let reportsSinceDoubt = 0
   let leavingSince: Milliseconds | undefined
+  const left = createLeftRuns()
 
   /** Reports cross and arrive late; those of an earlier run, or earlier in the same run, tell nothing new. */
   function isOutdated (instance: string, startedAt: number, sequence: number): boolean {
+    if (left.isOutdated(instance, startedAt)) return true
     if (run === undefined) return false
     if (startedAt !== run.startedAt) return startedAt < run.startedAt
     return instance === run.instance && sequence <= run.sequence
   }
 
+  const isEarlierRun = (startedAt: number): boolean =>
+    run !== undefined && startedAt !== 0 && startedAt < run.startedAt
+
+  /** Returns the state that a report leaves its run in. */
+  function applyState ({ instance, startedAt, state }: StatusReport, isSameRun: boolean, now: Milliseconds): InstanceRun['state'] {
+    const leave = left.find(instance, startedAt)
+    if (leave !== undefined) left.record(instance, startedAt, now)
+    const isGone = leave !== undefined || (isSameRun && run?.state === 'gone')
+    const knownSince = leave?.leftAt ?? (isSameRun ? leavingSince : undefined)
+    leavingSince = isGone || state === 'draining' ? knownSince ?? now : undefined
+    return isGone ? 'gone' : state
+  }
+
   function getDoubtedAt (now: Milliseconds): Milliseconds | undefined {
     if (doubtedAt !== undefined) return doubtedAt
     return now - heardAt > trustMs ? addMilliseconds(heardAt, trustMs) : undefined
@@ -91,10 +107,7 @@
       const { instance, startedAt, sequence, version, slots } = report
       if (isOutdated(instance, startedAt, sequence)) return false
       const isSameRun = run?.instance === instance && run.startedAt === startedAt
-      const isLeaving = report.state === 'draining' || (isSameRun && run?.state === 'gone')
-      if (!isLeaving) leavingSince = undefined
-      else if (!isSameRun || leavingSince === undefined) leavingSince = now
-      const state = isSameRun && run?.state === 'gone' ? 'gone' : report.state
+      const state = applyState(report, isSameRun, now)
       run = { instance, startedAt, sequence, version, slots, state }
       if (!isSameRun) coldUntil = now
       applyColdTime(report.coldMs, now)
@@ -104,16 +117,20 @@
       return true
     },
     applyLeave: (instance, startedAt, now) => {
-      if (run !== undefined && startedAt !== 0 && startedAt < run.startedAt) return false
-      if (run !== undefined && run.instance !== instance) return false
+      const isKnown = run?.instance === instance
+      const start = startedAt === 0 && isKnown ? run?.startedAt ?? 0 : startedAt
+      if (isEarlierRun(start) || left.isOutdated(instance, start)) return false
+      left.record(instance, start, now)
+      // The known run may go on; the other one is known to have left if it reports later.
+      if (run !== undefined && !isKnown) return true
       leavingSince ??= now
       if (run !== undefined) run = { ...run, state: 'gone' }
       return true
     },
     markDown: () => { isFresh = false },
     resume: (earlier, coldMs, now) => {
-      if (run !== undefined) return false
-      run = earlier
+      if (run !== undefined || left.isOutdated(earlier.instance, earlier.startedAt)) return false
+      run = left.find(earlier.instance, earlier.startedAt) === undefined ? earlier : { ...earlier, state: 'gone' }
       isFresh = true
       applyColdTime(coldMs, now)
       return true
--- a/packages/decisions/tests/serving/createInstanceState.test.ts
+++ b/packages/decisions/tests/serving/createInstanceState.test.ts
@@ -60,6 +60,48 @@
     expect(state.getLeavingSince()).to.equal(20)
   })
 
+  const late: Array<[string, StatusReport | undefined, { readonly startedAt: number }, StatusReport]> = [
+    ['a run that it did not know', undefined, { startedAt: 1000 }, report({ sequence: 7 })],
+    ['a run that it did not know and whose start was not told', undefined, { startedAt: 0 }, report({ sequence: 7 })],
+    ['a run after the one that it knew', report({ instance: 'i-0', startedAt: 500 }), { startedAt: 1000 }, report({ sequence: 7 })],
+    ['a run after the one that it knew under the same name', report({ startedAt: 500 }), { startedAt: 1000 }, report({ sequence: 7 })]
+  ]
+  for (const [title, known, { startedAt }, lateReport] of late) {
+    it(`keeps the leave of ${title}, whatever arrives of it (guards against work for a server that has left)`, () => {
+      const state = createInstanceState()
+      if (known !== undefined) state.applyReport(known, at(5))
+      expect(state.applyLeave('i-1', startedAt, at(10))).to.equal(true)
+      expect(state.isServing()).to.equal(known !== undefined && known.instance !== 'i-1')
+      state.applyReport(lateReport, at(2800))
+      expect([state.isServing(), state.getLeavingSince()]).to.deep.equal([false, 10])
+      state.applyReport(report({ startedAt: 9000 }), at(5000))
+      expect([state.isServing(), state.getLeavingSince()]).to.deep.equal([true, undefined])
+    })
+  }
+
+  it('keeps the leave of a known run over a health probe (guards against work for a server that has left)', () => {
+    const state = createInstanceState()
+    state.applyLeave('i-1', 1000, at(10))
+    const run = { instance: 'i-1', startedAt: 1000, sequence: 3, version: 'v1', slots: 4, state: 'serving' } as const
+    state.resume(run, 0, at(20))
+    expect([state.isServing(), state.getLeavingSince()]).to.deep.equal([false, 10])
+  })
+
+  it('does not leave because of an earlier run (guards against a leave that arrives late)', () => {
+    const state = createInstanceState()
+    state.applyReport(report({ startedAt: 5000 }), at(5))
+    expect(state.applyLeave('i-1', 1000, at(10))).to.equal(false)
+    expect(state.isServing()).to.equal(true)
+  })
+
+  it('does not leave because of another instance (guards against a gate closed by a leave of somebody else)', () => {
+    const state = createInstanceState()
+    state.applyReport(report({ startedAt: 5000 }), at(5))
+    for (const startedAt of [0, 1000, 9000]) state.applyLeave('i-0', startedAt, at(10))
+    expect(state.applyReport(report({ startedAt: 5000, sequence: 2 }), at(20))).to.equal(true)
+    expect([state.isServing(), state.getLeavingSince()]).to.deep.equal([true, undefined])
+  })
+
   it('serves again after a refused connection only when a report arrives', () => {
     const state = createInstanceState()
     state.applyReport(report({ sequence: 2 }), at(10))
