test(soak): backend servers that turn cold, data centres taken out and back

Two faults for the class of the incident: a backend server that crashes and starts again behind the proxy, cold, and a data centre whose servers turn cold while it is evacuated. Each backend server counts what it gets in a second while it is cold. Reports come each 800 ms, as the news of a cold state is late on the users' platform too; test reports name the start of the run.

--- a/packages/node/tests/soak/runSoak.ts
+++ b/packages/node/tests/soak/runSoak.ts
@@ -6,7 +6,7 @@
 import { composeConfiguration } from '../../../../platform/tests/composeWire.js'
 import { startStoreStandIn, type StoreStandIn } from '../../../../platform/tests/createStoreStandIn.js'
 import { createLedger, type Ledger } from './createLedger.js'
-import { type SoakHost, startSoakHost } from './startSoakHost.js'
+import { COLD_PER_SECOND, type SoakHost, startSoakHost } from './startSoakHost.js'
 
 export interface SoakOptions {
   /** File of the node's program. */
@@ -39,6 +39,8 @@
 const END_SLACK_MS = 3000
 /** Longest time from the last fault until all is served again, in milliseconds: a kept leave and the users' bound. */
 const RECOVERY_MS = 15_000
+/** Time for which an operator's order is tried while the store is away, in milliseconds. */
+const ORDER_LIMIT_MS = 5000
 const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
 
 /** Everything that a fault may act on. */
@@ -47,6 +49,8 @@
   readonly store: StoreStandIn
   readonly draw: () => number
   readonly publish: () => Promise<void>
+  /** Orders that a data centre gets nothing, or takes the order back. */
+  readonly evacuate: (dataCentre: string, isOut: boolean) => Promise<void>
 }
 
 type Fault = (scene: Scene, host: SoakHost) => Promise<void> | void
@@ -92,6 +96,14 @@
     backendProxy.resetAll()
   },
   'backend server leaves': (_, host) => host.leaveAndReturn(),
+  'backend server crashes and returns cold': ({ draw }, host) => { host.crashAndReturn(1000 + draw() * 1500) },
+  'data centre evacuated': async ({ draw, hosts, evacuate }, { dataCentre }) => {
+    await evacuate(dataCentre, true)
+    await awaitPause(1000 + draw() * 1000)
+    const cold = hosts.filter((host) => host.dataCentre === dataCentre)
+    for (const host of cold) host.turnCold(1000 + draw() * 1500)
+    await evacuate(dataCentre, false)
+  },
   'configuration changes': ({ publish }) => publish()
 }
 
@@ -152,7 +164,9 @@
   async function publish (): Promise<void> {
     version += 1
     const parts = SERVICES.map(({ service, mayRepeat }) =>
-      composeConfiguration(version, [service], { idempotent: mayRepeat }) as { resources: unknown[] })
+      composeConfiguration(version, [service], {
+        idempotent: mayRepeat, coldPerSecond: COLD_PER_SECOND
+      }) as { resources: unknown[] })
     const resources = [...parts.flatMap((part) => part.resources.slice(0, 2)), parts[0]?.resources.at(-1)]
     const value = JSON.stringify({ version, resources })
     const condition = { table: 'op', key: 'config', version: row }
@@ -161,6 +175,15 @@
     if (written.isErr()) return
     row = written.value.kind === 'done' ? written.value.version : written.value.rows[0]?.version ?? row
   }
+  async function evacuate (dataCentre: string, isOut: boolean): Promise<void> {
+    const row = { table: 'op', key: `evacuate/${dataCentre}` }
+    const endsAt = performance.now() + ORDER_LIMIT_MS
+    while (performance.now() < endsAt) {
+      const written = await client.write([], isOut ? [{ ...row, value: '{}' }] : [], isOut ? [] : [row])
+      if (written.isOk()) return
+      await awaitPause(100)
+    }
+  }
   await publish()
   const storeAddress = `${store.address.host}:${store.address.port}`
   const hosts = await Promise.all(SERVICES.flatMap(({ service, hosts: count }) =>
@@ -179,6 +202,7 @@
     store,
     draw,
     publish,
+    evacuate,
     close: async () => {
       await Promise.all(hosts.map((host) => host.stop()))
       client.close()
--- a/packages/node/tests/soak/startSoakHost.ts
+++ b/packages/node/tests/soak/startSoakHost.ts
@@ -12,6 +12,7 @@
 export interface SoakHost {
   readonly host: string
   readonly service: string
+  readonly dataCentre: string
   readonly callersPort: number
   readonly storeProxy: FaultProxy
   readonly backendProxy: FaultProxy
@@ -22,6 +23,10 @@
   readonly signal: (name: NodeJS.Signals, restartMs?: number) => void
   /** Lets the backend server leave and, after its time to drain, come back as a new run. */
   readonly leaveAndReturn: () => Promise<void>
+  /** Lets the backend server crash and start again under its name, cold, before it reports. */
+  readonly crashAndReturn: (coldMs: number) => void
+  /** Turns the backend server cold while it runs; does nothing while it gets requests. */
+  readonly turnCold: (coldMs: number) => void
   readonly stop: () => Promise<void>
   /** Last lines of the node's log. */
   readonly readLog: () => string
@@ -39,7 +44,12 @@
 }
 
 const SLOTS = 4
-const REPORT_INTERVAL_MS = 300
+/** Requests a second that a cold backend server bears, and how many more it may get before the users count a flood. */
+export const COLD_PER_SECOND = 2
+const COLD_BOUND = COLD_PER_SECOND * 1.5 + 5
+/** Time without a request after which a backend server is taken for one that gets none, in milliseconds. */
+const QUIET_MS = 500
+const REPORT_INTERVAL_MS = 800
 /** Bound of the settings from the acknowledgement of a leave to the last request, in milliseconds. */
 const DRAIN_MS = 2000
 /** Share of answers that are lost after the request ran. */
@@ -59,8 +69,22 @@
   let state: 'serving' | 'draining' = 'serving'
   let isStopped = false
   let breaks = 0
+  let coldUntil = 0
+  /** Times of the requests since it turned cold. */
+  let coldArrivals: number[] = []
+  let arrivedAt = 0
+  const computeColdMs = (): number => Math.max(0, Math.round(coldUntil - performance.now()))
   const getInstance = (): string => `i-${host}-${run}`
 
+  function recordColdArrival (id: string): void {
+    const now = performance.now()
+    arrivedAt = now
+    if (now > coldUntil) return
+    coldArrivals = [...coldArrivals.filter((at) => at > now - 1000), now]
+    if (coldArrivals.length <= COLD_BOUND) return
+    ledger.recordBroken('cold', `${id} is number ${coldArrivals.length} in a second at ${getInstance()}, which is cold`)
+  }
+
   function handleRequest (incoming: IncomingMessage, response: ServerResponse, body: string): void {
     const id = String(incoming.headers[HEADERS.attemptId] ?? '')
     const isNamed = incoming.headers[HEADERS.targetInstance] === getInstance()
@@ -71,6 +95,7 @@
     if (leavingAckedAt !== undefined && performance.now() > leavingAckedAt + DRAIN_MS) {
       ledger.recordBroken('drain', `${id} reached ${getInstance()} after its time to drain`)
     }
+    recordColdArrival(id)
     running += 1
     if (running > SLOTS) ledger.recordBroken('slots', `${running} requests at ${getInstance()}`)
     ledger.recordRun(id, service, body)
@@ -96,7 +121,11 @@
     incoming.on('error', () => { response.destroy() })
     incoming.on('end', () => {
       if (incoming.url !== HEALTH_PATH) handleRequest(incoming, response, Buffer.concat(chunks).toString())
-      else response.writeHead(state === 'serving' ? 200 : 503, { [HEADERS.instance]: getInstance(), 'Content-Length': 0 }).end()
+      else {
+        const status = state === 'serving' ? 200 : 503
+        const cold = { [HEADERS.coldMs]: String(computeColdMs()) }
+        response.writeHead(status, { [HEADERS.instance]: getInstance(), 'Content-Length': 0, ...cold }).end()
+      }
     })
   })
   await new Promise<void>((resolve) => { backend.listen(0, '127.0.0.1', resolve) })
@@ -123,7 +152,9 @@
   /** True if the node acknowledged the report. */
   function report (): Promise<boolean> {
     sequence += 1
-    const fields = { address: backendProxy.address, service, dataCentre, sequence, state, startedAt: run }
+    const fields = {
+      address: backendProxy.address, service, dataCentre, sequence, state, startedAt: run, coldMs: computeColdMs()
+    }
     const { path, body } = composeReport(getInstance(), fields)
     return new Promise((resolve) => {
       const outgoing = request({ host: '127.0.0.1', port: reports, path, method: 'POST', timeout: 1000 }, (incoming) => {
@@ -143,6 +174,11 @@
     if (!isStopped) await reportOn()
   }
 
+  function beginCold (coldMs: number): void {
+    coldArrivals = []
+    coldUntil = performance.now() + coldMs
+  }
+
   let node: StartedProcess | undefined
   function startNode (): void {
     if (isStopped) return
@@ -156,6 +192,7 @@
   return {
     host,
     service,
+    dataCentre,
     callersPort: callers,
     storeProxy,
     backendProxy,
@@ -169,6 +206,15 @@
       if (!KILLS.has(name)) return
       target.exited.then(() => { setTimeout(startNode, restartMs) }, () => undefined)
     },
+    crashAndReturn: (coldMs) => {
+      if (state === 'draining') return
+      backend.closeAllConnections()
+      backendProxy.resetAll()
+      run += 1
+      sequence = 0
+      beginCold(coldMs)
+    },
+    turnCold: (coldMs) => { if (performance.now() > arrivedAt + QUIET_MS) beginCold(coldMs) },
     leaveAndReturn: async () => {
       if (state === 'draining') return
       state = 'draining'
