fix(node): take no share of the retry budget while the other nodes are unknown

What callers would see (BUDGET): after many nodes restart together, a service in trouble gets more repeats than the bound allows and stays overloaded.

Cause: a node's share of the fixed part of the bound was computed once, with the first request for a service. A node that had not read the table of hosts took itself for one of four, and kept that share for its life.

Now the share is computed with each repeat, and is nothing while the table has not been read. The share by first tries needs no such knowledge and stays.

--- a/packages/decisions/src/requests/createRetryBudget.ts
+++ b/packages/decisions/src/requests/createRetryBudget.ts
@@ -21,14 +21,14 @@
 export interface RetryBudgetOptions {
   /** Retries for each first try. */
   readonly ratio: number
-  /** Retries in each window whatever the traffic. */
-  readonly floor: number
+  /** Retries in each window whatever the traffic, as far as is known now. */
+  readonly getFloor: () => number
 }
 
-const DEFAULT_OPTIONS: RetryBudgetOptions = { ratio: RETRY_RATIO, floor: RETRY_FLOOR }
+const DEFAULT_OPTIONS: RetryBudgetOptions = { ratio: RETRY_RATIO, getFloor: () => RETRY_FLOOR }
 
 /** Creates a budget for the first tries of the last ten seconds: by default 10% of them, plus a floor. */
-export function createRetryBudget ({ ratio, floor } = DEFAULT_OPTIONS): RetryBudget {
+export function createRetryBudget ({ ratio, getFloor } = DEFAULT_OPTIONS): RetryBudget {
   const firstTries = new Int32Array(SLICES)
   const retries = new Int32Array(SLICES)
   let slice = 0
@@ -49,7 +49,7 @@
   }
 
   function computeRemaining (): number {
-    return Math.floor(firstTotal * ratio + floor) - retryTotal
+    return Math.floor(firstTotal * ratio + getFloor()) - retryTotal
   }
 
   return {
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -25,7 +25,7 @@
 import { createReaderFollower } from './rows/createReaderFollower.js'
 import { createRowFollower } from './rows/createRowFollower.js'
 import { createTableCursors } from './rows/createTableCursors.js'
-import { FOLLOWED_TABLES } from './rows/TABLES.js'
+import { FOLLOWED_TABLES, MESH_TABLE } from './rows/TABLES.js'
 
 /** A node beside a backend server. */
 export interface MeshNode {
@@ -110,7 +110,8 @@
   })
   const homeServer = createHomeServer(context, home, () => peerRows.getVersions())
   const client = createHomeClient(context, health, peerRows)
-  const budgets = createResendBudgets(context, () => view.listHosts().length)
+  const budgets = createResendBudgets(context, () =>
+    cursors.get(MESH_TABLE) === undefined ? undefined : view.listHosts().length)
   const start = createExchange({
     context,
     home,
--- a/packages/node/src/entry/createResendBudgets.ts
+++ b/packages/node/src/entry/createResendBudgets.ts
@@ -15,14 +15,22 @@
 /** Nodes that share the fixed part of the bound, at least. */
 const MIN_NODES = 4
 
-/** Creates budgets that together stay below the bound in the settings. */
-export function createResendBudgets ({ settings, clock }: NodeContext, countNodes: () => number): ResendBudgets {
+/**
+ * Creates budgets that together stay below the bound in the settings. `countNodes` is undefined while the other nodes
+ * are not known: each of them may then have the same share of the fixed part, so none is used.
+ */
+export function createResendBudgets (
+  { settings, clock }: NodeContext, countNodes: () => number | undefined
+): ResendBudgets {
   const budgets = new Map<string, RetryBudget>()
+  function getFloor (): number {
+    const nodes = countNodes()
+    return nodes === undefined ? 0 : settings.retrySlack * USED_SHARE / Math.max(MIN_NODES, nodes)
+  }
   function getBudget (service: string): RetryBudget {
     let budget = budgets.get(service)
     if (budget === undefined) {
-      const floor = settings.retrySlack * USED_SHARE / Math.max(MIN_NODES, countNodes())
-      budget = createRetryBudget({ ratio: settings.retryRatio * USED_SHARE, floor })
+      budget = createRetryBudget({ ratio: settings.retryRatio * USED_SHARE, getFloor })
       budgets.set(service, budget)
     }
     return budget
