fix(soak): start one node after several signals to the same process

A process that was told to stop and then killed got two restarts; the second process took the place of the first in the host's record, and the first was never ended.

Now a restart that finds a node running does nothing, the host ends every process that it started, and a soak that ends with two nodes at a host fails.

Test: startSoakHost, two nodes before, one now.

--- a/packages/node/tests/soak/runSoak.ts
+++ b/packages/node/tests/soak/runSoak.ts
@@ -204,6 +204,9 @@
     publish,
     evacuate,
     close: async () => {
+      for (const { host, countNodes } of hosts) {
+        if (countNodes() > 1) ledger.recordBroken('soak', `${countNodes()} nodes at ${host}`)
+      }
       await Promise.all(hosts.map((host) => host.stop()))
       client.close()
       await store.close()
--- a/packages/node/tests/soak/startSoakHost.ts
+++ b/packages/node/tests/soak/startSoakHost.ts
@@ -17,6 +17,8 @@
   readonly storeProxy: FaultProxy
   readonly backendProxy: FaultProxy
   readonly isRunning: () => boolean
+  /** Node processes of the host that have not ended. */
+  readonly countNodes: () => number
   /** Times that the node was killed or paused: what is open then may get no answer. */
   readonly countBreaks: () => number
   /** Sends a signal to the node; one that ends it is followed by a restart after `restartMs`. */
@@ -180,11 +182,19 @@
   }
 
   let node: StartedProcess | undefined
+  /** Node processes that have not ended. */
+  const nodes = new Set<StartedProcess>()
   function startNode (): void {
-    if (isStopped) return
+    // Several signals to one process are each followed by a restart.
+    if (isStopped || node !== undefined) return
     const started = startProcess(options.bundle, [], { env: { SNIPENOTCH_NODE_FILE: file } })
     node = started
-    started.exited.then(() => { if (node === started) node = undefined }, () => undefined)
+    nodes.add(started)
+    const forget = (): void => {
+      nodes.delete(started)
+      if (node === started) node = undefined
+    }
+    started.exited.then(forget, forget)
   }
   startNode()
   reportOn().catch((error: unknown) => { ledger.recordBroken('soak', String(error)) })
@@ -197,6 +207,7 @@
     storeProxy,
     backendProxy,
     isRunning: () => node !== undefined,
+    countNodes: () => nodes.size,
     countBreaks: () => breaks,
     signal: (name, restartMs = 0) => {
       const target = node
@@ -226,10 +237,11 @@
     },
     stop: async () => {
       isStopped = true
-      const last = node
-      last?.child.kill('SIGCONT')
-      last?.child.kill('SIGKILL')
-      await last?.exited
+      for (const { child } of nodes) {
+        child.kill('SIGCONT')
+        child.kill('SIGKILL')
+      }
+      await Promise.all([...nodes].map(({ exited }) => exited))
       for (const proxy of [storeProxy, backendProxy]) proxy.stop()
       backend.closeAllConnections()
       backend.close()
