fix(daemon): close a connection to the backend server that speaks while idle

At the daemon callers of lookups saw a 502: bytes that came while the connection was idle were dropped, and their rest was read in front of the next answer. No false "not run" was seen here: a whole refusal that comes while the connection is idle is dropped by Node, and orders use a connection of their own.

Cause: the daemon's connections to its backend server were kept without the guard that those between nodes, and the node on the users' platform, have.

Test: createHomeHandler, half a refusal while idle and half after the next request: 502 before, 200 on another connection now. Heads that break off are covered there already (cut inside the status line, inside the headers).

--- a/packages/daemon/src/requests/GuardedAgent.ts
+++ b/packages/daemon/src/requests/GuardedAgent.ts
@@ -17,14 +17,11 @@
  * belong to no request; Node would read them as the answer to the next one, so the connection is closed instead.
  */
 export class GuardedAgent extends Agent {
-  /** `idleLimitMs` is how long an idle connection is kept. */
-  constructor (maxConnections: number, idleLimitMs = IDLE_LIMIT_MS) {
-    super({
-      keepAlive: true,
-      maxSockets: maxConnections,
-      maxFreeSockets: Math.min(MAX_FREE_CONNECTIONS, maxConnections),
-      timeout: idleLimitMs
-    })
+  /** `idleLimitMs` is how long an idle connection is kept; at most `maxFree` of them for each address. */
+  constructor (
+    maxConnections: number, idleLimitMs = IDLE_LIMIT_MS, maxFree = Math.min(MAX_FREE_CONNECTIONS, maxConnections)
+  ) {
+    super({ keepAlive: true, maxSockets: maxConnections, maxFreeSockets: maxFree, timeout: idleLimitMs })
   }
 
   /** Connections differ by host and port only; Node's own name covers local addresses and more, and costs more. */
--- a/packages/daemon/tests/requests/home/createHomeHandler.test.ts
+++ b/packages/daemon/tests/requests/home/createHomeHandler.test.ts
@@ -1,4 +1,5 @@
 import type { RequestListener, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { HEADERS } from '@snipenotch/contracts'
 import { expect } from 'chai'
 import { digestFingerprint } from '../../../src/requests/home/digestFingerprint.js'
@@ -289,6 +290,25 @@
     clearInterval(timer)
   })
 
+  it('uses no connection on which a refusal comes again (guards against a false "not run")', async () => {
+    const again = 'HTTP/1.1 503 Service Unavailable\r\n' + `${HEADERS.outcome}: not-run\r\nContent-Length: 0\r\n\r\n`
+    let refused: Socket | undefined
+    await start((incoming, outgoing) => {
+      if (refused === undefined) {
+        refused = incoming.socket
+        outgoing.on('finish', () => { setTimeout(() => { incoming.socket.write(again.slice(0, 20)) }, 20) })
+        outgoing.writeHead(503, { [HEADERS.outcome]: 'not-run', 'content-length': 0 }).end()
+        return
+      }
+      if (incoming.socket === refused) incoming.socket.write(again.slice(20))
+      answerOk(incoming, outgoing)
+    })
+    expect((await home.call()).headers[HEADERS.outcome]).to.equal('not-run')
+    await new Promise((resolve) => { setTimeout(resolve, 50) })
+    expect(await home.call()).to.include({ status: 200, body: 'done' })
+    expect(backend.runs).to.have.length(2)
+  })
+
   it('keeps a lookup route free of keys (guards against the ledger filling with lookups)', async () => {
     await start(answerOk)
     const key = createKey()
