fix(node): look for the close of a new connection before its request is sent on

Cause: Node.js 20 (libuv 1.45 and later) accepts one connection in each turn of the event loop. A busy process lets callers wait for that, unseen: its turns are short, its timer is on time, so the delay of the event loop that the node watched stayed below 20 ms, while 243 of 264 calls that left in one second had done so within 20 ms of being read. The callers gave up, connected again, and the process worked for those that had left: goodput fell to a tenth.

Ruled out: a late event loop (1 to 20 ms in the logs), lost cancellations (each close was followed by one), hosts taken for silent (none at that time), waits at the home node.

Now the first request of a connection waits for the turn in which its close is read, if there is one. Requests on kept connections begin at once as before.

Test: createNode, 100 callers that leave while they wait to be accepted: 100 requests sent on before, none now.

--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -8,7 +8,7 @@
 import type { Socket } from 'node:net'
 import type { NodeContext } from '../NodeContext.js'
 import type { HomeOutcome } from '../home/HomeJob.js'
-import { runUnlessLeft } from '../operations/runUnlessLeft.js'
+import { isBehind, runUnlessLeft } from '../operations/runUnlessLeft.js'
 import type { MeshView } from '../rows/createMeshView.js'
 import { type Arrival, isClosedByCaller, listenLeft } from './Arrival.js'
 import type { ExchangeResult, StartExchange } from './createExchange.js'
@@ -294,8 +294,12 @@
       if (size > 0) counters.record('body', clock.now() - arrival.arrivedAt)
       if (size > maxBytes) sendOwn(arrival, 413, 'body-too-large')
       else {
-        const hasLeft = (): boolean => incoming.socket.readableEnded || incoming.socket.destroyed
-        runUnlessLeft(hasLeft, ticker, () => { handleWhole(arrival, Buffer.concat(chunks)) }, () => {
+        const request = {
+          // Node.js accepts one connection in a turn, so others may have had to wait for theirs.
+          mayBeLate: arrival.isFirstOfConnection || isBehind(ticker),
+          hasLeft: () => incoming.socket.readableEnded || incoming.socket.destroyed
+        }
+        runUnlessLeft(request, () => { handleWhole(arrival, Buffer.concat(chunks)) }, () => {
           counters.count('serving_requests', 'left')
         })
       }
--- a/packages/node/src/home/acceptLink.ts
+++ b/packages/node/src/home/acceptLink.ts
@@ -1,7 +1,7 @@
 import { toMilliseconds } from '@snipenotch/contracts'
 import type { WebSocket } from 'ws'
 import type { NodeContext } from '../NodeContext.js'
-import { runUnlessLeft } from '../operations/runUnlessLeft.js'
+import { isBehind, runUnlessLeft } from '../operations/runUnlessLeft.js'
 import { createBatchSender } from '../peers/createBatchSender.js'
 import { decodeBatch } from '../peers/linkCodec.js'
 import type { LinkedJob, LinkMessage, RowVersions } from '../peers/LinkMessage.js'
@@ -93,11 +93,12 @@
     if (open.size === 0) quietSince = job.arrivedAt
     open.set(id, job)
     const hasLeft = (): boolean => !open.has(id)
+    const request = { mayBeLate: isBehind(ticker), hasLeft }
     const recordLeft = (): void => { counters.count('serving_requests', 'left') }
     // Its cancellation may stand behind it in what was read at once.
     setImmediate(() => {
       if (hasLeft()) recordLeft()
-      else runUnlessLeft(hasLeft, ticker, () => { begin(job) }, recordLeft)
+      else runUnlessLeft(request, () => { begin(job) }, recordLeft)
     })
   }
 
--- a/packages/node/tests/createNode.test.ts
+++ b/packages/node/tests/createNode.test.ts
@@ -163,6 +163,18 @@
     expect(home.backend.seen.map(({ url }) => url)).to.deep.equal(['/parts/2'])
   })
 
+  it('does not send on what its callers left while they waited to be accepted (guards against a busy process that works for nobody)', async () => {
+    const callers = Array.from({ length: 100 }, (_, index) => new Promise((resolve) => {
+      const socket = connect(entry.settings.callers.port, '127.0.0.1', () => {
+        socket.end(`GET /parts/${index} HTTP/1.1\r\nHost: a.example\r\n${HEADERS.attemptId}: id-${index}\r\n\r\n`)
+      })
+      socket.on('error', resolve).on('close', resolve).resume()
+    }))
+    await Promise.all(callers)
+    await awaitServed('/parts/later')
+    expect(home.backend.seen.map(({ url }) => url)).to.deep.equal(['/parts/later'])
+  })
+
   it('refuses at once when no host takes requests (guards against a caller that is held for nothing)', async () => {
     await home.report({ state: 'draining' })
     await awaitCondition('the host is known to leave', () =>
