fix(node): say "not run" only of requests that no try has run

What callers saw: a lookup that had run at one backend server, or may have, was answered 503 with Retry-After, the promise that it has not run.

Cause: a failed or lost try of a request that may run again is placed again. If no other host took it, the refusal of the last one was the outcome; the same where the second backend server was full. Requests that must run at most once are not placed again after such a try, so they were not affected.

Now the latest try that ran, or may have, is the outcome: the backend server's own answer, or 502.

Tests: createExchange, a failed and a lost try before a refusal, and before a server that is full; all three told a refusal before.

--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -94,6 +94,8 @@
     let waitMs = Infinity
     let lastRefusal: ServingRefusal = 'no-host'
     let busyRefusals = 0
+    /** Latest end of a try that ran, or may have. */
+    let ran: { readonly outcome: HomeOutcome, readonly host: string } | undefined
 
     function end (outcome: HomeOutcome, host: string | undefined): void {
       current = undefined
@@ -138,8 +140,14 @@
       place()
     }
 
+    /** Ends a request that no host takes any more; one that may have run before is not said not to have. */
     function refuse (): void {
-      end({ kind: 'refused', reason: lastRefusal, waitMs: Number.isFinite(waitMs) ? waitMs : NO_HOST_WAIT_MS }, undefined)
+      if (ran !== undefined) {
+        end(ran.outcome, ran.host)
+        return
+      }
+      const knownWaitMs = Number.isFinite(waitMs) ? waitMs : NO_HOST_WAIT_MS
+      end({ kind: 'refused', reason: lastRefusal, waitMs: knownWaitMs }, undefined)
     }
 
     /** Takes one more try, after `made` of them, from the budget if there is time, a host and a right to it. */
@@ -175,8 +183,11 @@
         return
       }
       tries += 1
+      const isNotRun = outcome.kind === 'answered' && outcome.notRun
+      if (!isNotRun) ran = { outcome, host: candidate.host }
       if (isResent(candidate, outcome)) place()
-      else end(outcome, candidate.host)
+      else if (ran === undefined) end(outcome, candidate.host)
+      else end(ran.outcome, ran.host)
     }
 
     function place (): void {
--- a/packages/node/tests/entry/createExchange.test.ts
+++ b/packages/node/tests/entry/createExchange.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai'
-import { toMilliseconds, type MeshRoute } from '@snipenotch/contracts'
+import { toMilliseconds, type MeshRoute, type Milliseconds } from '@snipenotch/contracts'
 import { createPlacement } from '@snipenotch/decisions'
-import { createExchange } from '../../src/entry/createExchange.js'
-import type { HomeJob } from '../../src/home/HomeJob.js'
+import { createExchange, type ExchangeRequest, type ExchangeResult } from '../../src/entry/createExchange.js'
+import type { HomeJob, HomeOutcome } from '../../src/home/HomeJob.js'
 import { createRecord } from '../createJob.js'
 import { createTestContext } from '../createTestContext.js'
 
@@ -18,7 +18,56 @@
   parts: [{ service: 'parts', weight: 1 }]
 }
 
+/** A request that begins now. */
+function createRequest (now: Milliseconds): ExchangeRequest {
+  return {
+    route: ROUTE,
+    service: 'parts',
+    attemptId: 'id',
+    method: 'GET',
+    target: '/',
+    headers: [],
+    body: Buffer.alloc(0),
+    targetAt: toMilliseconds(now + 200),
+    endAt: toMilliseconds(now + 1500)
+  }
+}
+
 describe('createExchange', () => {
+  const failed: HomeOutcome = { kind: 'answered', status: 500, headers: [], body: Buffer.from('broken'), notRun: false }
+  const lost: HomeOutcome = { kind: 'lost', reason: 'connection-lost' }
+  const notRun: HomeOutcome = { ...failed, status: 503, notRun: true }
+  const busy: HomeOutcome = { kind: 'refused', reason: 'busy', waitMs: 50 }
+  const cases = [
+    { title: 'the answer of a failed run', outcomes: [failed, busy], expected: { outcome: failed, host: 'krakow-1', tries: 1 } },
+    { title: 'a loss', outcomes: [lost, busy], expected: { outcome: lost, host: 'krakow-1', tries: 1 } },
+    { title: 'the answer before one of a server that is full', outcomes: [failed, notRun], expected: { outcome: failed, host: 'krakow-1', tries: 2 } },
+    { title: 'a refusal where nothing has run', outcomes: [notRun, busy], expected: { outcome: busy, host: undefined, tries: 1 } }
+  ]
+  for (const { title, outcomes, expected } of cases) {
+    it(`tells ${title} when another host does not run the request (guards against a false "not run")`, () => {
+      const context = createTestContext({ host: 'tarnow-1' })
+      const hosts = ['krakow-1', 'krakow-2'].map((host) =>
+        ({ record: createRecord(host), host, slots: 8, distanceMs: host === 'krakow-1' ? 0 : 50 }))
+      const left = [...outcomes]
+      const results: ExchangeResult[] = []
+      const start = createExchange({
+        context,
+        placement: createPlacement(() => 0.5),
+        home: {} as never,
+        client: { send: (_job, _record, onOutcome) => { onOutcome(left.shift() ?? busy) }, close: () => undefined },
+        budgets: { recordFirst: () => undefined, take: () => true },
+        finder: {
+          find: (_service, _version, _bytes, tried) => hosts.filter(({ host }) => !tried.has(host)),
+          count: () => hosts.length,
+          drawVersion: () => undefined
+        }
+      })
+      start(createRequest(context.clock.now()), (result) => { results.push(result) })
+      expect(results).to.deep.equal([expected])
+    })
+  }
+
   it('gives the load of the own host back when a caller leaves (guards against a host that seems full for ever)', () => {
     const context = createTestContext({ host: 'krakow-1' })
     const record = createRecord('krakow-1')
@@ -45,18 +94,7 @@
     const own = { host: record.host, slots: 8, distanceMs: 0 }
     const asked = { targetLatencyMs: 200, hasLargeBody: false }
     const computeCost = (): number => placement.computeCost(own, asked, context.clock.now())
-    const now = context.clock.now()
-    const request = {
-      route: ROUTE,
-      service: 'parts',
-      attemptId: 'id',
-      method: 'GET',
-      target: '/',
-      headers: [],
-      body: Buffer.alloc(0),
-      targetAt: toMilliseconds(now + 200),
-      endAt: toMilliseconds(now + 1500)
-    }
+    const request = createRequest(context.clock.now())
     for (let index = 0; index < 30; index++) {
       const exchange = start(request, () => undefined)
       // The gate replaces the cancellation when a request that waited starts.
