refactor(node): the record of the own host in a file of its own

createNode had grown with what is published and what is kept of the leave of an earlier process. No change of behaviour; the tests of the node pass as before (createNode, signals, coldReturn, rollouts: 25).

--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -1,4 +1,4 @@
-import { addMilliseconds, type HostRecord, type NodeSettings, toMilliseconds } from '@snipenotch/contracts'
+import { addMilliseconds, type NodeSettings, toMilliseconds } from '@snipenotch/contracts'
 import { createInstanceState, createPlacement, createReplica, type ReplicaRow } from '@snipenotch/decisions'
 import { createStoreClient } from '@snipenotch/platform'
 import { createServer, type Server } from 'node:http'
@@ -21,6 +21,7 @@
 import { formatAddress } from './peers/parseAddress.js'
 import { createHostRecorder } from './rows/createHostRecorder.js'
 import { createMeshView } from './rows/createMeshView.js'
+import { createOwnRecord } from './rows/createOwnRecord.js'
 import { createPeerRows } from './rows/createPeerRows.js'
 import { createReaderFollower } from './rows/createReaderFollower.js'
 import { createRowFollower } from './rows/createRowFollower.js'
@@ -68,7 +69,7 @@
   const health = createHostHealth(context, { getHost: (host) => view.getHost(host) })
   const view = createMeshView(context, () => {
     entry.updateLimits()
-    applyRecordedLeave()
+    record.applyLeave()
     home.update()
     probeOnce().catch((error: unknown) => { log('internalError', { error: String(error) }) })
   })
@@ -100,8 +101,9 @@
     isStoreConnected
   })
   const home = createHome({
-    context, view, instance, backend, onChange: updateRecord, onDoubt: () => { coldWatch.update() }
+    context, view, instance, backend, onChange: () => { record.update() }, onDoubt: () => { coldWatch.update() }
   })
+  const record = createOwnRecord({ context, view, instance, recorder, isVersionCut: home.isVersionCut })
   const coldWatch = createColdWatch({
     context,
     instance,
@@ -127,7 +129,7 @@
     instance,
     countSends: home.countSends,
     onChange: () => {
-      updateRecord()
+      record.update()
       home.update()
     }
   })
@@ -148,56 +150,19 @@
 
   /** A restarted node need not wait for a report if the backend server on record still answers. */
   async function probeOnce (): Promise<void> {
-    const record = view.getHost(settings.host)
+    const known = view.getHost(settings.host)
     const path = view.getService(settings.service)?.healthPath
-    if (isProbed || record === undefined || path === undefined || instance.getRun() !== undefined) return
+    if (isProbed || known === undefined || path === undefined || instance.getRun() !== undefined) return
     isProbed = true
-    if (!record.serving || record.service !== settings.service) return
+    if (!known.serving || known.service !== settings.service) return
     const probed = await probeInstance(settings.backend, path)
-    log('instanceResumed', { ...probed, expected: record.instance })
-    if (probed?.instance !== record.instance) return
-    const { startedAt, sequence, version, slots } = record
-    const run = { instance: record.instance, startedAt, sequence, version, slots, state: 'serving' } as const
+    log('instanceResumed', { ...probed, expected: known.instance })
+    if (probed?.instance !== known.instance) return
+    const { startedAt, sequence, version, slots } = known
+    const run = { instance: known.instance, startedAt, sequence, version, slots, state: 'serving' } as const
     if (instance.resume(run, probed.coldMs, clock.now())) home.update()
   }
 
-  /** Keeps to the leave of a run that an earlier process of this node acknowledged. */
-  function applyRecordedLeave (): void {
-    const record = view.getHost(settings.host)
-    if (record?.leaving !== true || record.service !== settings.service) return
-    if (instance.getLeavingSince() !== undefined) return
-    instance.applyLeave(record.instance, record.startedAt, clock.now())
-    if (instance.getLeavingSince() === undefined) return
-    log('leaveRecalled', { instance: record.instance, startedAt: record.startedAt })
-    updateRecord()
-  }
-
-  /** Publishes what other nodes need to know of the backend server, if it has changed. */
-  function updateRecord (): void {
-    const run = instance.getRun()
-    if (run === undefined) return
-    const record: HostRecord = {
-      host: settings.host,
-      dataCentre: settings.dataCentre,
-      service: settings.service,
-      requestAddress: formatAddress(settings.requests),
-      peerAddress: formatAddress(settings.peers),
-      linkMbps: settings.linkMbps,
-      serving: instance.isServing(),
-      leaving: instance.getLeavingSince() !== undefined,
-      instance: run.instance,
-      startedAt: run.startedAt,
-      sequence: 0,
-      version: run.version,
-      slots: run.slots,
-      versionCut: home.isVersionCut()
-    }
-    const known = view.getHost(settings.host)
-    // A sequence number alone is no reason to write; it is carried along for a later process of this node.
-    const isSame = known !== undefined && JSON.stringify({ ...known, sequence: 0 }) === JSON.stringify(record)
-    recorder.set(isSame ? known : { ...record, sequence: run.sequence })
-  }
-
   async function awaitEnd (isOver: () => boolean, limitAt: number): Promise<void> {
     while (!isOver() && clock.now() < limitAt) await new Promise((resolve) => { setTimeout(resolve, STOP_POLL_MS) })
   }
