--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -1,17 +1,17 @@
 import { addMilliseconds, type MeshRoute, type Milliseconds, toMilliseconds } from '@snipenotch/contracts'
 import {
-  computeRetryAfter, createAttemptAges, createSplitPicker, isPastDeadline, isTooLate, type StopPlan
+  createAttemptAges, createSplitPicker, isPastDeadline, isTooLate, type StopPlan
 } from '@snipenotch/decisions'
 import { selectHeaders } from '@snipenotch/daemon'
 import { HEADERS } from '@snipenotch/platform'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { NodeContext } from '../NodeContext.js'
-import type { HomeOutcome } from '../home/HomeJob.js'
 import { isBehind, runUnlessLeft } from '../operations/runUnlessLeft.js'
 import type { MeshView } from '../rows/createMeshView.js'
 import { type Arrival, isClosedByCaller, listenLeft } from './Arrival.js'
-import type { ExchangeResult, StartExchange } from './createExchange.js'
+import { createCallerAnswers } from './createCallerAnswers.js'
+import type { StartExchange } from './createExchange.js'
 import type { ResendBudgets } from './createResendBudgets.js'
 
 /** Takes the requests of callers on the host and of the backend server itself. */
@@ -54,9 +54,6 @@
 /** Code of the parser for a connection that its caller closes in the midst of a request. */
 const CLOSED_IN_MIDST = 'HPE_INVALID_EOF_STATE'
 
-const formatDuration = (duration: number | undefined): number | undefined =>
-  duration === undefined ? undefined : Math.round(duration)
-
 const SET_HERE: ReadonlySet<string> = new Set([HEADERS.callerService, HEADERS.remainingMs, HEADERS.targetInstance, 'content-length'])
 
 /** Creates the server for callers. */
@@ -76,41 +73,17 @@
   const countOpenOf = (socket: Socket): number =>
     [...openArrivals].filter(({ incoming }) => incoming.socket === socket).length
 
-  function send (arrival: Arrival, status: number, headers: readonly string[], body: Buffer): void {
-    const { incoming, response } = arrival
-    if (response.destroyed || response.headersSent) return
+  const { sendOwn, refuse, fail, handleResult } = createCallerAnswers({
+    context,
+    view,
     // Closing after an earlier answer would lose those behind it.
-    const isLast = stopPlan !== undefined && latest.get(incoming.socket) === arrival
-    if (isLast) closing.add(incoming.socket)
-    const connection = isLast ? ['Connection', 'close'] : []
-    const hasNoBody = incoming.method === 'HEAD' || status === 204 || status === 304
-    const length = hasNoBody ? [] : ['Content-Length', String(body.length)]
-    response.writeHead(status, [...headers, ...length, ...connection])
-    response.end(hasNoBody ? undefined : body)
-  }
-
-  /** Answers of the node itself. */
-  function sendOwn (arrival: Arrival, status: number, reason: string, retryAfterMs?: number): void {
-    const retryAfter = retryAfterMs === undefined ? [] : ['Retry-After', computeRetryAfter(retryAfterMs, draw)]
-    const echo = [HEADERS.attemptId, arrival.attemptId]
-    send(arrival, status, [...echo, 'Content-Type', 'text/plain', ...retryAfter], Buffer.from(`${reason}\n`))
-  }
-
-  function refuse (
-    arrival: Arrival, route: MeshRoute | undefined, reason: string, waitMs: number, tries: number
-  ): void {
-    counters.count('serving_requests', 'refused')
-    log('requestRefused', {
-      request: arrival.attemptId,
-      route: route?.name,
-      reason,
-      waitMs: Math.round(waitMs),
-      tries,
-      durationMs: Math.round(clock.now() - arrival.arrivedAt),
-      configuration: view.getConfiguration()?.version
-    })
-    sendOwn(arrival, 503, reason, waitMs)
-  }
+    endsConnection: (arrival) => {
+      const { socket } = arrival.incoming
+      const isLast = stopPlan !== undefined && latest.get(socket) === arrival
+      if (isLast) closing.add(socket)
+      return isLast
+    }
+  })
 
   /** The connection ended before the answer, or will at once. */
   function logUnanswered (arrival: Arrival, isCut: boolean): void {
@@ -124,52 +97,6 @@
     })
   }
 
-  function fail (arrival: Arrival, route: MeshRoute, status: number, reason: string, result?: ExchangeResult): void {
-    counters.count('serving_requests', 'failed')
-    log('requestFailed', {
-      request: arrival.attemptId,
-      route: route.name,
-      status,
-      reason,
-      backendHost: result?.host,
-      tries: result?.tries,
-      transitMs: formatDuration(result?.outcome.transitMs),
-      durationMs: Math.round(clock.now() - arrival.arrivedAt),
-      configuration: view.getConfiguration()?.version
-    })
-    sendOwn(arrival, status, reason)
-  }
-
-  function sendAnswer (
-    arrival: Arrival, route: MeshRoute, outcome: Extract<HomeOutcome, { kind: 'answered' }>, result: ExchangeResult
-  ): void {
-    counters.count('serving_requests', 'answered')
-    const durationMs = clock.now() - arrival.arrivedAt
-    counters.record('request', durationMs)
-    log('requestAnswered', {
-      request: arrival.attemptId,
-      route: route.name,
-      backendHost: result.host,
-      status: outcome.status,
-      tries: result.tries,
-      durationMs: Math.round(durationMs),
-      transitMs: formatDuration(result.outcome.transitMs),
-      configuration: view.getConfiguration()?.version
-    })
-    send(arrival, outcome.status, outcome.headers, outcome.body)
-  }
-
-  function handleResult (arrival: Arrival, route: MeshRoute, result: ExchangeResult): void {
-    const { outcome } = result
-    switch (outcome.kind) {
-      case 'refused': refuse(arrival, route, outcome.reason, outcome.waitMs, result.tries); break
-      case 'lost': fail(arrival, route, 502, outcome.reason, result); break
-      case 'answered':
-        if (outcome.notRun) refuse(arrival, route, 'shed-by-instance', 0, result.tries)
-        else sendAnswer(arrival, route, outcome, result)
-    }
-  }
-
   function composeHeaders (incoming: IncomingMessage): string[] {
     const kept = selectHeaders(incoming.rawHeaders, incoming.headers.connection,
       (name) => !SET_HERE.has(name))
