fix(node): confirm the first report that a new process gets

A backend server that announces its leave to a node whose store is away, and whose process is then killed, got requests again once a report that was held up reached the next process (DRAIN).

Cause: the next process takes the first report for the present. The record of the host tells of the leave only if the store got it.

Change: the first report of a process counts with a second one, or with a good health probe of the same backend server. Nothing is published of the host until then, unless it leaves.

Evidence: "keeps to a leave that no other process knows of" failed with 10 requests, passes. coldReturn sends two reports to the node that cannot probe, as it has no configuration; its bounds are the same.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -86,6 +86,7 @@
   coldChanged: { number: 829, level: 'info', text: 'backend server is cold, or warm again' },
   coldDoubted: { number: 830, level: 'info', text: 'backend server may have turned cold unseen; it is asked, and gets what a cold one bears' },
   leaveRecalled: { number: 831, level: 'info', text: 'an earlier process of this node acknowledged that the backend server leaves; it gets no requests' },
+  instanceProbed: { number: 832, level: 'info', text: 'the backend server was asked, as one report is all that is known of it' },
   nodeLoad: { number: 827, level: 'info', text: 'load of this node' },
   linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
--- a/packages/decisions/src/serving/createInstanceState.ts
+++ b/packages/decisions/src/serving/createInstanceState.ts
@@ -14,6 +14,8 @@
 /** What a backend server says in answer to a health probe. */
 export interface ProbedState {
   readonly instance: string
+  /** It takes requests, as far as it can tell; false also while it leaves. */
+  readonly isHealthy: boolean
   /** Time for which it stays cold, in milliseconds. */
   readonly coldMs: number
 }
@@ -36,6 +38,8 @@
   /** Takes what it says of itself in answer to a health probe that was sent at `askedAt`. */
   readonly applyProbe: (probed: ProbedState, askedAt: Milliseconds, now: Milliseconds) => void
   readonly getRun: () => InstanceRun | undefined
+  /** False while all that tells of its run is one report: an earlier process may have acknowledged a leave since. */
+  readonly isConfirmed: () => boolean
   /** The backend server may take requests, as far as its own reports tell. */
   readonly isServing: () => boolean
   readonly isDown: () => boolean
@@ -52,13 +56,20 @@
 /** Reports after which a doubt ends: the first one may have been sent before it arose and held up. */
 const REPORTS_TO_TRUST = 2
 
-/**
- * Creates the state of a backend server that has not reported yet. What it says of itself tells whether it is warm for
- * `trustMs` milliseconds.
- */
-export function createInstanceState (trustMs = Infinity): InstanceState {
+export interface InstanceStateOptions {
+  /** Time for which what it says of itself tells whether it is warm, in milliseconds. */
+  readonly trustMs?: number
+  /** The first report of all is believed only with a second one or a good health probe. */
+  readonly confirmsFirst?: boolean
+}
+
+/** Creates the state of a backend server that has not reported yet. */
+export function createInstanceState (
+  { trustMs = Infinity, confirmsFirst = false }: InstanceStateOptions = {}
+): InstanceState {
   let run: InstanceRun | undefined
   let isFresh = false
+  let isConfirmed = !confirmsFirst
   let coldUntil = toMilliseconds(0)
   /** Start of the cold phase, as early as it may have been. */
   let coldSince = toMilliseconds(0)
@@ -108,6 +119,7 @@
       if (isOutdated(instance, startedAt, sequence)) return false
       const isSameRun = run?.instance === instance && run.startedAt === startedAt
       const state = applyState(report, isSameRun, now)
+      if (run !== undefined) isConfirmed = true
       run = { instance, startedAt, sequence, version, slots, state }
       if (!isSameRun) coldUntil = now
       applyColdTime(report.coldMs, now)
@@ -132,6 +144,7 @@
       if (run !== undefined || left.isOutdated(earlier.instance, earlier.startedAt)) return false
       run = left.find(earlier.instance, earlier.startedAt) === undefined ? earlier : { ...earlier, state: 'gone' }
       isFresh = true
+      isConfirmed = true
       applyColdTime(coldMs, now)
       return true
     },
@@ -139,13 +152,15 @@
       doubtedAt = now
       reportsSinceDoubt = 0
     },
-    applyProbe: ({ instance, coldMs }, askedAt, now) => {
+    applyProbe: ({ instance, isHealthy, coldMs }, askedAt, now) => {
       if (instance !== run?.instance) return
+      if (isHealthy) isConfirmed = true
       applyColdTime(coldMs, now)
       if (doubtedAt !== undefined && askedAt >= doubtedAt) doubtedAt = undefined
     },
     getRun: () => run,
-    isServing: () => isFresh && run?.state === 'serving',
+    isConfirmed: () => isConfirmed,
+    isServing: () => isFresh && isConfirmed && run?.state === 'serving',
     isDown: () => run !== undefined && !isFresh,
     getColdUntil: () => coldUntil,
     isDoubted: (now) => getDoubtedAt(now) !== undefined,
--- a/packages/decisions/tests/serving/createInstanceState.test.ts
+++ b/packages/decisions/tests/serving/createInstanceState.test.ts
@@ -114,7 +114,7 @@
   it('stays cold whatever a report says that was on its way (guards against a warm report from before the cold phase)', () => {
     const state = createInstanceState()
     state.applyReport(report({ sequence: 2 }), at(10))
-    state.applyProbe({ instance: 'i-1', coldMs: 3000 }, at(100), at(110))
+    state.applyProbe({ instance: 'i-1', isHealthy: true, coldMs: 3000 }, at(100), at(110))
     state.applyReport(report({ sequence: 3, coldMs: 0 }), at(200))
     expect(state.getColdUntil()).to.equal(3110)
     expect(state.getColdSince(at(200))).to.equal(10)
@@ -127,11 +127,11 @@
     expect(state.getColdSince(at(90))).to.equal(undefined)
     state.doubt(at(100))
     expect(state.getColdSince(at(110))).to.equal(100)
-    state.applyProbe({ instance: 'i-1', coldMs: 0 }, at(95), at(120))
+    state.applyProbe({ instance: 'i-1', isHealthy: true, coldMs: 0 }, at(95), at(120))
     expect(state.isDoubted(at(120)), 'an answer to an earlier probe').to.equal(true)
-    state.applyProbe({ instance: 'i-2', coldMs: 0 }, at(105), at(130))
+    state.applyProbe({ instance: 'i-2', isHealthy: true, coldMs: 0 }, at(105), at(130))
     expect(state.isDoubted(at(130)), 'an answer of another backend server').to.equal(true)
-    state.applyProbe({ instance: 'i-1', coldMs: 0 }, at(105), at(140))
+    state.applyProbe({ instance: 'i-1', isHealthy: true, coldMs: 0 }, at(105), at(140))
     expect(state.getColdSince(at(140))).to.equal(undefined)
   })
 
@@ -150,11 +150,55 @@
     expect(state.getColdSince(at(1000))).to.equal(undefined)
   })
 
+  describe('with confirmation of the first report (guards against a late report of a server that has left)', () => {
+    const start = (): ReturnType<typeof createInstanceState> => {
+      const state = createInstanceState({ confirmsFirst: true })
+      state.applyReport(report({ sequence: 7 }), at(10))
+      expect([state.isConfirmed(), state.isServing()]).to.deep.equal([false, false])
+      return state
+    }
+
+    it('serves after a second report, of the same run or another', () => {
+      for (const next of [report({ sequence: 8 }), report({ instance: 'i-2', startedAt: 5000 })]) {
+        const state = start()
+        state.applyReport(next, at(20))
+        expect(state.isServing()).to.equal(true)
+      }
+    })
+
+    it('does not serve after the same report again, nor after one that is older', () => {
+      const state = start()
+      for (const sequence of [7, 6]) state.applyReport(report({ sequence }), at(20))
+      expect(state.isServing()).to.equal(false)
+    })
+
+    it('serves after a good probe of the same backend server alone', () => {
+      const state = start()
+      state.applyProbe({ instance: 'i-1', isHealthy: false, coldMs: 0 }, at(20), at(21))
+      state.applyProbe({ instance: 'i-2', isHealthy: true, coldMs: 0 }, at(30), at(31))
+      expect(state.isServing()).to.equal(false)
+      state.applyProbe({ instance: 'i-1', isHealthy: true, coldMs: 0 }, at(40), at(41))
+      expect(state.isServing()).to.equal(true)
+    })
+
+    it('leaves with the first report that says so', () => {
+      const state = createInstanceState({ confirmsFirst: true })
+      state.applyReport(report({ state: 'draining' }), at(10))
+      expect(state.getLeavingSince()).to.equal(10)
+    })
+
+    it('goes on with a run that was resumed', () => {
+      const state = createInstanceState({ confirmsFirst: true })
+      state.resume({ instance: 'i-1', startedAt: 1000, sequence: 3, version: 'v1', slots: 4, state: 'serving' }, 0, at(5))
+      expect(state.isServing()).to.equal(true)
+    })
+  })
+
   it('is in doubt when nothing has been heard of it (guards against a state of any age)', () => {
-    const state = createInstanceState(4500)
+    const state = createInstanceState({ trustMs: 4500 })
     state.applyReport(report({ sequence: 2 }), at(10))
     expect([state.isDoubted(at(4510)), state.isDoubted(at(4511))]).to.deep.equal([false, true])
-    state.applyProbe({ instance: 'i-1', coldMs: 0 }, at(4600), at(4610))
+    state.applyProbe({ instance: 'i-1', isHealthy: true, coldMs: 0 }, at(4600), at(4610))
     expect(state.isDoubted(at(4620))).to.equal(false)
   })
 })
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -64,7 +64,9 @@
   const { settings, clock, log, counters, draw } = context
   const store = createStoreClient(settings.store)
   const replica = createReplica()
-  const instance = createInstanceState(settings.reportIntervalMs * REPORTS_OF_TRUST)
+  const instance = createInstanceState({
+    trustMs: settings.reportIntervalMs * REPORTS_OF_TRUST, confirmsFirst: true
+  })
   const backend = createBackendCaller(context)
   const health = createHostHealth(context, { getHost: (host) => view.getHost(host) })
   const view = createMeshView(context, () => {
@@ -109,7 +111,10 @@
     instance,
     getHealthPath: () => view.getService(settings.service)?.healthPath,
     countSends: home.countSends,
-    onChange: home.update
+    onChange: () => {
+      record.update()
+      home.update()
+    }
   })
   const homeServer = createHomeServer(context, home, () => peerRows.getVersions())
   const client = createHomeClient(context, health, peerRows)
@@ -130,6 +135,7 @@
     countSends: home.countSends,
     onChange: () => {
       record.update()
+      coldWatch.update()
       home.update()
     }
   })
@@ -157,7 +163,7 @@
     if (!known.serving || known.service !== settings.service) return
     const probed = await probeInstance(settings.backend, path)
     log('instanceResumed', { ...probed, expected: known.instance })
-    if (probed?.instance !== known.instance) return
+    if (probed?.instance !== known.instance || !probed.isHealthy) return
     const { startedAt, sequence, version, slots } = known
     const run = { instance: known.instance, startedAt, sequence, version, slots, state: 'serving' } as const
     if (instance.resume(run, probed.coldMs, clock.now())) home.update()
--- a/packages/node/src/home/probeInstance.ts
+++ b/packages/node/src/home/probeInstance.ts
@@ -5,6 +5,7 @@
 
 /** Time for the answer, in milliseconds: below the time between two status reports, which tell more. */
 const PROBE_TIMEOUT_MS = 700
+const HEALTHY_STATUS = 200
 
 /** Head of the answer to a health probe; undefined if none comes in time. */
 function fetchHealth ({ host, port }: HostAddress, path: string): Promise<IncomingMessage | undefined> {
@@ -23,19 +24,11 @@
   })
 }
 
-function readState (incoming: IncomingMessage | undefined): ProbedState | undefined {
-  const instance = incoming?.headers[HEADERS.instance]
-  const coldMs = Number(incoming?.headers[HEADERS.coldMs] ?? 0)
-  return typeof instance === 'string' && Number.isFinite(coldMs) ? { instance, coldMs } : undefined
-}
-
-/** Asks the backend server whether it is healthy; undefined if it is not, or does not answer in time. */
+/** Asks the backend server how it is; undefined if it does not tell in time. */
 export async function probeInstance (address: HostAddress, path: string): Promise<ProbedState | undefined> {
   const incoming = await fetchHealth(address, path)
-  return incoming?.statusCode === 200 ? readState(incoming) : undefined
-}
-
-/** Asks the backend server for how long it stays cold, healthy or not; undefined if it does not tell in time. */
-export async function probeColdState (address: HostAddress, path: string): Promise<ProbedState | undefined> {
-  return readState(await fetchHealth(address, path))
+  const instance = incoming?.headers[HEADERS.instance]
+  const coldMs = Number(incoming?.headers[HEADERS.coldMs] ?? 0)
+  if (typeof instance !== 'string' || !Number.isFinite(coldMs)) return undefined
+  return { instance, isHealthy: incoming?.statusCode === HEALTHY_STATUS, coldMs }
 }
--- a/packages/node/src/operations/createReportServer.ts
+++ b/packages/node/src/operations/createReportServer.ts
@@ -32,12 +32,16 @@
 
   function describe (): string {
     const run = instance.getRun()
-    return `${run?.instance ?? ''} ${run?.startedAt ?? 0} ${run?.version ?? ''} ${run?.state ?? ''} ${instance.isDown()}`
+    return `${run?.instance ?? ''} ${run?.startedAt ?? 0} ${run?.version ?? ''} ${run?.state ?? ''} ${instance.isDown()} ${instance.isConfirmed()}`
   }
 
   function notifyChange (before: string): void {
     if (describe() !== before) {
-      log('instanceChanged', { ...instance.getRun(), coldMs: Math.max(0, Math.round(instance.getColdUntil() - clock.now())) })
+      log('instanceChanged', {
+        ...instance.getRun(),
+        coldMs: Math.max(0, Math.round(instance.getColdUntil() - clock.now())),
+        isConfirmed: instance.isConfirmed()
+      })
     }
     onChange()
   }
--- a/packages/node/src/rows/createOwnRecord.ts
+++ b/packages/node/src/rows/createOwnRecord.ts
@@ -28,6 +28,8 @@
   function composeRecord (): HostRecord | undefined {
     const run = instance.getRun()
     if (run === undefined) return undefined
+    const leaving = instance.getLeavingSince() !== undefined
+    if (!leaving && !instance.isConfirmed()) return undefined
     return {
       host: settings.host,
       dataCentre: settings.dataCentre,
@@ -36,7 +38,7 @@
       peerAddress: formatAddress(settings.peers),
       linkMbps: settings.linkMbps,
       serving: instance.isServing(),
-      leaving: instance.getLeavingSince() !== undefined,
+      leaving,
       instance: run.instance,
       startedAt: run.startedAt,
       sequence: run.sequence,
--- a/packages/node/tests/coldReturn.test.ts
+++ b/packages/node/tests/coldReturn.test.ts
@@ -91,7 +91,8 @@
       arrivals.push(performance.now())
       answerSigned(incoming, response, 'answer')
     }
-    await alone.report({ coldMs: COLD_MS })
+    // Without a configuration it cannot be probed, so that its second report counts.
+    for (let index = 0; index < 2; index++) await alone.report({ coldMs: COLD_MS })
     const socket = new WebSocket(`ws://127.0.0.1:${alone.settings.requests.port}/`)
     await new Promise((resolve) => { socket.once('open', resolve) })
     for (let id = 1; id <= REQUESTS; id++) {
--- a/packages/node/tests/createNode.test.ts
+++ b/packages/node/tests/createNode.test.ts
@@ -81,6 +81,30 @@
     expect(restarted.backend.seen).to.be.empty
   })
 
+  it('keeps to a leave that no other process knows of (guards against a late report that a restarted node believes)', async () => {
+    mesh.store.fault = 'refuse'
+    await home.report({ state: 'draining' })
+    const restarted = await mesh.startHost('krakow-2', 'parts', { seeds: [entry.settings.peers] })
+    restarted.backend.isHealthy = false
+    await awaitCondition('it has its configuration', async () =>
+      (await send(restarted.settings.readiness.port, '/readiness')).status === 200)
+    await restarted.report()
+    for (let index = 0; index < 10; index++) {
+      await send(restarted.settings.callers.port, '/parts/1')
+      await new Promise((resolve) => { setTimeout(resolve, 50) })
+    }
+    expect(restarted.backend.seen).to.be.empty
+  })
+
+  it('takes the second report of a server whose probes fail (guards against a server that a false probe keeps from work)', async () => {
+    const restarted = await mesh.startHost('krakow-2', 'parts')
+    restarted.backend.isHealthy = false
+    await restarted.report()
+    await restarted.report()
+    await awaitCondition('it is served', async () =>
+      (await send(restarted.settings.callers.port, '/parts/1')).status === 200 && restarted.backend.seen.length > 0)
+  })
+
   it('does not acknowledge a report from another address or service (guards against a forged server)', async () => {
     const fields = { address: '127.0.0.1:9', service: 'parts', dataCentre: 'krakow', sequence: 9 }
     const { path, body } = composeReport('i-forged', fields)
--- a/packages/node/tests/startTestMesh.ts
+++ b/packages/node/tests/startTestMesh.ts
@@ -21,6 +21,7 @@
   readonly seen: SeenRequest[]
   /** Time for which it says that it stays cold, in milliseconds; its health answers do not tell at 0. */
   coldMs: number
+  isHealthy: boolean
   handle: (incoming: IncomingMessage, response: ServerResponse) => void
   readonly close: () => void
 }
@@ -78,7 +79,7 @@
       const { method = '', url = '', headers } = incoming
       if (url === HEALTH_PATH) {
         const cold = backend.coldMs > 0 ? { [HEADERS.coldMs]: String(backend.coldMs) } : {}
-        response.writeHead(200, { [HEADERS.instance]: `i-${name}`, 'Content-Length': 0, ...cold }).end()
+        response.writeHead(backend.isHealthy ? 200 : 503, { [HEADERS.instance]: `i-${name}`, 'Content-Length': 0, ...cold }).end()
         return
       }
       seen.push({ method, url, headers, body: Buffer.concat(chunks).toString() })
@@ -90,6 +91,7 @@
     port: (server.address() as AddressInfo).port,
     seen,
     coldMs: 0,
+    isHealthy: true,
     handle: (incoming, response) => { answerSigned(incoming, response, name) },
     close: () => {
       server.closeAllConnections()
