fix(decisions): mark a dead host silent although its watchers could not connect to it

Cause, from a trace of all nodes' views each 250 ms: the relays that watch a host send requests to it too. Once one of those failed, the host counted as unreachable there, hence as not live, and the watch over it ended without a mark. After 5 s it was live again, and nobody watched it. Only relays that had not tried it, or the check for hosts without a watch, marked it: at 6.7 s none had.

The class: one predicate for two facts, what this node saw itself and what was agreed between nodes.

--- a/packages/decisions/src/control/createEndpointTable.ts
+++ b/packages/decisions/src/control/createEndpointTable.ts
@@ -35,8 +35,14 @@
 
 const INCARNATIONS_PER_MS = 1000
 
-export function isLive ({ endpoint, silentSequence, unreachable }: EndpointEntry): boolean {
-  return silentSequence < 0 && !unreachable && endpoint.state !== 'left'
+/** True unless the host has left or was marked silent, whether this node itself can connect to it or not. */
+export function isHeard ({ endpoint, silentSequence }: EndpointEntry): boolean {
+  return silentSequence < 0 && endpoint.state !== 'left'
+}
+
+/** True if the host is heard and this node has not failed to connect to it of late. */
+export function isLive (entry: EndpointEntry): boolean {
+  return isHeard(entry) && !entry.unreachable
 }
 
 /** True if the first (incarnation, sequence) is higher than the second. */
--- a/packages/decisions/src/control/createHostWatch.ts
+++ b/packages/decisions/src/control/createHostWatch.ts
@@ -2,7 +2,7 @@
 import { ORPHAN_LIMIT_MS, SILENCE_LIMIT_MS } from './controlLimits.js'
 import { type CoreContext, isLocalRelay, listGreeted, type Peer } from './CoreContext.js'
 import type { EndpointFlood } from './createEndpointFlood.js'
-import { isLive } from './createEndpointTable.js'
+import { isHeard } from './createEndpointTable.js'
 
 type Roster = Extract<PeerMessage, { kind: 'roster' }>
 
@@ -62,7 +62,7 @@
       if (context.now - lastHeard <= SILENCE_LIMIT_MS) continue
       watched.delete(host)
       const entry = table.get(host)
-      if (entry !== undefined && isLive(entry)) markSilent(host)
+      if (entry !== undefined && isHeard(entry)) markSilent(host)
     }
   }
 
@@ -75,7 +75,7 @@
     for (const peer of listGreeted(context)) if (isLocalRelay(context, peer)) claimed.add(peer.hello?.host ?? '')
     for (const entry of table.entries()) {
       const { host, dataCentre } = entry.endpoint
-      if (dataCentre !== context.self.dataCentre || !isLive(entry) ||
+      if (dataCentre !== context.self.dataCentre || !isHeard(entry) ||
         claimed.has(host)) { unclaimedSince.delete(host); continue }
       const since = unclaimedSince.get(host)
       if (since === undefined) unclaimedSince.set(host, context.now)
--- a/packages/decisions/tests/control/createControlCore.test.ts
+++ b/packages/decisions/tests/control/createControlCore.test.ts
@@ -60,6 +60,20 @@
     }
   })
 
+  it('marks a stopped host silent although its watchers could not connect to it (guards against a dead host that others still count as live)', () => {
+    for (const index of [0, 7]) {
+      const network = createTestNetwork(3, createPlans(2, 6))
+      network.advance(12_000)
+      network.stop(index)
+      const { host, dataCentre } = network.nodes[index]!.plan
+      for (const [position, { plan }] of network.nodes.entries()) {
+        if (plan.dataCentre === dataCentre && position !== index) network.step(position, { kind: 'unreachable', host })
+      }
+      network.advance(4000)
+      for (const { core, up } of network.nodes) if (up) expect(core.findEndpoint(host)).to.equal(undefined)
+    }
+  })
+
   it('does not believe a paused node about the past (guards against a resumed relay that blames its peers)', () => {
     for (const index of createPlans(1, 8).keys()) {
       const network = createTestNetwork(4 + index, createPlans(1, 8))
