fix(decisions): blame no popular request for a crash, and count a crash once

Cause, from a trace of callers' answers and events 450 to 452: all requests in flight had one fingerprint, so that the request counted as alone at the crash although it had succeeded thousands of times. 38 ms later the server accepted connections again, before it served, and broke them; that counted as a second crash of the same request, and two quarantine it.

Ruled out: the balancing (the entry node did choose the host), leaked load.

Change: alone means one run in flight, not one fingerprint. Until the server has answered, or a second has passed, it is one crash. A request that has never succeeded is reported as before, also with copies of itself.

--- a/packages/daemon/src/requests/home/createCrashReporter.ts
+++ b/packages/daemon/src/requests/home/createCrashReporter.ts
@@ -19,7 +19,6 @@
   const { clock, identity, log } = context
   const { begin, end, isSuspect, isTrusted, recordCrash } = createCrashTracker()
   let lost: Array<{ readonly fingerprint: string, readonly at: Milliseconds }> = []
-  let crash = 0
 
   return {
     begin,
@@ -33,14 +32,13 @@
     reportCrash: (sent, now) => {
       const recent = lost.filter(({ at }) => now - at < CRASH_WINDOW_MS).map(({ fingerprint }) => fingerprint)
       lost = []
-      const fingerprints = recordCrash([...recent, ...sent], now)
-      log('backendDown', { inFlight: recent.length + sent.length })
-      if (fingerprints.length === 0) return
-      crash += 1
-      control.reportSuspects(fingerprints.map((fingerprint) => ({
-        fingerprint, host: identity.host, incarnation: identity.incarnation, crash, observedAt: clock.wall()
+      const { number, suspects } = recordCrash([...recent, ...sent], now)
+      log('backendDown', { inFlight: recent.length + sent.length, crash: number })
+      if (suspects.length === 0) return
+      control.reportSuspects(suspects.map((fingerprint) => ({
+        fingerprint, host: identity.host, incarnation: identity.incarnation, crash: number, observedAt: clock.wall()
       })))
-      log('requestsSuspected', { fingerprints, crash })
+      log('requestsSuspected', { fingerprints: suspects, crash: number })
     }
   }
 }
--- a/packages/decisions/src/home/createCrashTracker.ts
+++ b/packages/decisions/src/home/createCrashTracker.ts
@@ -9,13 +9,26 @@
 /** Fingerprints remembered of either kind. */
 export const MAX_FINGERPRINTS = 4096
 
+/**
+ * Time for which a backend server that has answered nothing since a crash is taken for still down, in milliseconds: it may
+ * accept connections before it serves.
+ */
+export const SAME_CRASH_MS = 1000
+
+/** A crash of the backend server and what is to be reported to the mesh. */
+export interface Crash {
+  /** Number of the crash; that of the one before if the backend server has not been back since. */
+  readonly number: number
+  readonly suspects: readonly string[]
+}
+
 /** Tells the request that crashes backend servers from those that were in flight with it. */
 export interface CrashTracker {
   readonly begin: (fingerprint: string) => void
   /** Ends a run; `succeeded` means that the backend server answered it. */
   readonly end: (fingerprint: string, succeeded: boolean, now: Milliseconds) => void
-  /** Takes note of a crash with these fingerprints in flight and returns the ones to report to the mesh. */
-  readonly recordCrash: (fingerprints: readonly string[], now: Milliseconds) => string[]
+  /** Takes note that the backend server is down, with these fingerprints in flight. */
+  readonly recordCrash: (fingerprints: readonly string[], now: Milliseconds) => Crash
   readonly listRunning: () => string[]
   /** True if the fingerprint was in flight at a recent crash and has not run successfully since. */
   readonly isSuspect: (fingerprint: string, now: Milliseconds) => boolean
@@ -43,6 +56,8 @@
   const runs = new Map<string, number>()
   const suspectedAt = new Map<string, Milliseconds>()
   const succeededAt = new Map<string, Milliseconds>()
+  let number = 0
+  let crashedAt: Milliseconds | undefined
 
   const isTrusted = (fingerprint: string, now: Milliseconds): boolean =>
     isRecent(succeededAt.get(fingerprint), TRUST_MS, now)
@@ -56,18 +71,22 @@
       if (left === 0) runs.delete(fingerprint)
       else runs.set(fingerprint, left)
       if (!succeeded) return
+      crashedAt = undefined
       suspectedAt.delete(fingerprint)
       setLatest(succeededAt, fingerprint, now)
     },
     recordCrash: (fingerprints, now) => {
+      if (!isRecent(crashedAt, SAME_CRASH_MS, now)) number += 1
+      crashedAt = now
       const distinct = [...new Set(fingerprints)]
       // A suspect from an earlier crash that is present again explains the crash without the others.
       const repeated = distinct.filter((fingerprint) => isSuspect(fingerprint, now))
       const unproven = distinct.filter((fingerprint) => !isTrusted(fingerprint, now))
-      const reported = distinct.length === 1 ? distinct : repeated.length > 0 ? repeated : unproven
-      for (const fingerprint of reported) succeededAt.delete(fingerprint)
+      // Several runs of one request in flight together tell as little as neighbours do: it may only be popular.
+      const suspects = fingerprints.length === 1 ? distinct : repeated.length > 0 ? repeated : unproven
+      for (const fingerprint of suspects) succeededAt.delete(fingerprint)
       for (const fingerprint of distinct) setLatest(suspectedAt, fingerprint, now)
-      return reported
+      return { number, suspects }
     },
     listRunning: () => [...runs.keys()],
     isSuspect,
--- a/packages/decisions/tests/home/createCrashTracker.test.ts
+++ b/packages/decisions/tests/home/createCrashTracker.test.ts
@@ -1,6 +1,6 @@
 import { toMilliseconds } from '@snipenotch/contracts'
 import { expect } from 'chai'
-import { createCrashTracker, SUSPICION_MS } from '../../src/home/createCrashTracker.js'
+import { createCrashTracker, SAME_CRASH_MS, SUSPICION_MS } from '../../src/home/createCrashTracker.js'
 
 const at = toMilliseconds
 
@@ -8,6 +8,8 @@
   const rows: Array<[string, string[], string[], string[]]> = [
     ['one request alone', [], ['poison'], ['poison']],
     ['one request alone that succeeded before', ['poison'], ['poison'], ['poison']],
+    ['nobody for several runs of a request that succeeded before', ['popular'], ['popular', 'popular'], []],
+    ['several runs of one request that never ran before', [], ['poison', 'poison'], ['poison']],
     ['neighbours of which some succeeded before', ['a', 'b'], ['poison', 'a', 'b'], ['poison']],
     ['neighbours that never ran before', [], ['poison', 'a', 'poison'], ['poison', 'a']]
   ]
@@ -18,7 +20,7 @@
         tracker.begin(fingerprint)
         tracker.end(fingerprint, true, at(0))
       }
-      expect(tracker.recordCrash(inFlight, at(1))).to.deep.equal(reported)
+      expect(tracker.recordCrash(inFlight, at(1)).suspects).to.deep.equal(reported)
     })
   }
 
@@ -27,7 +29,17 @@
     tracker.recordCrash(['poison', 'a'], at(0))
     tracker.begin('a')
     tracker.end('a', true, at(1))
-    expect(tracker.recordCrash(['poison', 'b', 'c'], at(2))).to.deep.equal(['poison'])
+    expect(tracker.recordCrash(['poison', 'b', 'c'], at(2)).suspects).to.deep.equal(['poison'])
+  })
+
+  it('counts one crash until the backend server has answered, or time has passed (guards against a crash that counts twice while a server comes back)', () => {
+    const tracker = createCrashTracker()
+    const crash = (now: number): number => tracker.recordCrash(['a'], at(now)).number
+    expect([crash(0), crash(90), crash(SAME_CRASH_MS + 89)]).to.deep.equal([1, 1, 1])
+    expect(crash(2 * SAME_CRASH_MS + 89), 'a request that crashes a server as soon as it is back').to.equal(2)
+    tracker.begin('b')
+    tracker.end('b', true, at(2200))
+    expect(crash(2210)).to.equal(3)
   })
 
   it('clears a suspect after a successful run or in time (guards against an innocent that is slow for ever)', () => {
