fix(decisions): plan the capacity of a new version by its own times

Cause, from events 503 and 506: the slots that all traffic would need were counted by the times of both versions. The old one takes 1.5 s for some requests that the new one answers at once, and gets most of the traffic. Just after a step, when few answers of the new version had come, the share was lowered again at once (27% to 17%, 4 s after the step).

Ruled out: the learned warm slots (4 were announced, 0.8 of which bear all of the traffic at the new version's times).

Change: by the new version's own times, of the time before the step while there are too few since; by those of both on routes that it has hardly served.

--- a/packages/decisions/src/rollouts/decideRollout.ts
+++ b/packages/decisions/src/rollouts/decideRollout.ts
@@ -2,7 +2,7 @@
 import { type Counts, sumCounts } from './Counts.js'
 import { type Fault, findFault } from './findFault.js'
 import { planShare, STEP_REQUESTS } from './planShare.js'
-import type { Basis, RolloutDecision, RolloutEvidence, RolloutInput } from './RolloutDecision.js'
+import type { Basis, EvidenceWindows, RolloutDecision, RolloutEvidence, RolloutInput } from './RolloutDecision.js'
 import { ROLLOUT_WATCH_PERIOD_MS } from './ROLLOUT_WATCH_PERIOD_MS.js'
 
 /**
@@ -72,6 +72,24 @@
   return sumCounts(evidence.filter((part) => part.version === version))
 }
 
+/**
+ * Slots that the new version would keep busy with all of the traffic, by the times of both versions on routes that it has
+ * hardly served. Little's law: requests in progress at once are rate times duration.
+ */
+function computeDemand ({ sinceStep, sinceStart }: EvidenceWindows, rollout: Rollout, heldFor: number): number {
+  let demand = 0
+  for (const route of new Set(sinceStep.map((part) => part.route))) {
+    const onRoute = sinceStep.filter((part) => part.route === route)
+    const both = sumCounts([sumVersion(onRoute, rollout.to), sumVersion(onRoute, rollout.from)])
+    // Just after a step, the times before it tell more than the few since.
+    const earlier = sinceStart.filter((part) => part.route === route)
+    const candidates = [sumVersion(onRoute, rollout.to), sumVersion(earlier, rollout.to)]
+    const { latencySum, requests } = candidates.find((counts) => counts.requests >= STEP_REQUESTS) ?? both
+    demand += both.requests / heldFor * latencySum / Math.max(1, requests)
+  }
+  return demand
+}
+
 function computeStanding (input: RolloutInput, rollout: Rollout): Standing {
   const { sinceStep } = input.windows
   const candidate = sumVersion(sinceStep, rollout.to)
@@ -79,8 +97,7 @@
   const both = sumCounts([candidate, reference])
   const heldFor = Math.max(0, input.now - input.stepSeenAt - SETTLE_MS)
   const rate = heldFor === 0 ? 0 : both.requests / heldFor * 1000
-  // Little's law: requests in progress at once are rate times duration.
-  const demand = heldFor === 0 ? 0 : both.latencySum / heldFor
+  const demand = heldFor === 0 ? 0 : computeDemand(input.windows, rollout, heldFor)
   const bearable = input.capacity.to === 0 ? 0 : Math.min(1, USED_CAPACITY * input.capacity.to / Math.max(1e-9, demand))
   return {
     rollout,
--- a/packages/decisions/tests/rollouts/decideRollout.test.ts
+++ b/packages/decisions/tests/rollouts/decideRollout.test.ts
@@ -126,6 +126,31 @@
     expect(lowered).to.have.nested.property('shares.v2').that.is.closeTo(0.04, 1e-9)
   })
 
+  it('counts the slots that a version needs by its own times (guards against a quick version held back by a slow one)', () => {
+    const quick = createEvidence('v2', 100)
+    const slow = { ...createEvidence('v1', 900), latencySum: 900 * 400 }
+    const capacity = { from: 100, to: 0.5 }
+    // 1000 requests in 100 s keep 0.2 slots busy at 20 ms, and 4 at 400 ms.
+    expect(decideRollout(createInput({ capacity, windows: createWindows([slow, quick]) }))).to.deep.include({
+      kind: 'step', shares: { v1: 0.8, v2: 0.2 }
+    })
+  })
+
+  it('does not lower the share just after a step by the old one\'s times (guards against a step that is taken back at once)', () => {
+    const windows = createWindows([{ ...createEvidence('v1', 27), latencySum: 27 * 400 }, createEvidence('v2', 3)], [createEvidence('v2', 100)])
+    const decision = decideRollout(createInput({ capacity: { from: 100, to: 0.05 }, windows, now: 5000 }))
+    expect(decision).to.include({ kind: 'hold' })
+    expect(decision?.reason).to.include('too thin')
+  })
+
+  it('counts routes that the new version has hardly served by the old one\'s times (guards against overload by a route that comes later)', () => {
+    const windows = createWindows([
+      createEvidence('v1', 900), createEvidence('v2', 100),
+      { ...createEvidence('v1', 90, 0, 0, 'photos'), latencySum: 90 * 4000 }, createEvidence('v2', 10, 0, 0, 'photos')
+    ])
+    expect(decideRollout(createInput({ capacity: { from: 100, to: 0.5 }, windows }))?.reason).to.include('bears 11%')
+  })
+
   const ends: Array<[name: string, input: Parameters<typeof createInput>[0], kind: string, reason: string]> = [
     ['takes back when traffic was too thin to tell', { windows: createWindows([createEvidence('v1', 9), createEvidence('v2', 1)]) }, 'take-back', 'not shown to be good by the stated time: the evidence is too thin: 1 requests on v2'],
     ['takes back at a small share', {}, 'take-back', 'shown itself only at a share of 10%'],
