fix(decisions): take no long request for an overrun backend server

What callers saw: 504 after their whole time (2 s) on requests that take 1.5 s, during a rollout of P4: they waited behind each other at a backend server with free slots.

Cause: the concurrency limit of the home side shrank on each answer of twice the usual time, and on each request as old as that, so that a route with two long requests a second among a hundred quick ones kept its limit at 1 to 4 of 10 slots.

Ruled out: a stalled or cold server, whose later requests are slow too; the tests of both still pass.

Change: a slow answer, or none, counts only if no request that started later has been answered quickly.

Evidence: "keeps its limit while requests that start later are answered quickly" failed (2 instead of 10).

--- a/packages/decisions/src/home/createConcurrencyLimit.ts
+++ b/packages/decisions/src/home/createConcurrencyLimit.ts
@@ -89,6 +89,8 @@
   let pressure = 1
   let failureShare = 0
   let shrunkAt = -Infinity
+  /** Start of the latest request that was answered quickly. */
+  let quickSince = -Infinity
   let lastEvidenceAt: number | undefined
   const references = new Map<string, Reference>()
 
@@ -107,6 +109,9 @@
     pressure = 1
   }
 
+  /** A request is long by itself, and tells nothing of the server, if one that started later has been answered quickly. */
+  const isEvidence = (startedAt: number): boolean => startedAt >= quickSince
+
   function observeRatio (route: string, latency: number): void {
     const reference = references.get(route) ?? { latency, samples: 0 }
     const ratio = Math.min(MAX_RATIO, latency / Math.max(reference.latency, 0.01))
@@ -131,8 +136,9 @@
     const tolerance = computeTolerance(route)
     observeRatio(route, latency)
     const isJump = pressure > PRESSURE_JUMP && latency > JUMP_FLOOR * bounds.expectedLatency
-    if (latency > 2 * tolerance || isJump) stepDown(computeSlowFactor(tolerance, latency), startedAt, now)
-    else if (latency <= tolerance && startedAt >= shrunkAt && hasReference(route)) stepUp(concurrent)
+    if (latency <= tolerance && !isJump) quickSince = Math.max(quickSince, startedAt)
+    if ((latency > 2 * tolerance || isJump) && isEvidence(startedAt)) stepDown(computeSlowFactor(tolerance, latency), startedAt, now)
+    else if (latency <= tolerance && !isJump && startedAt >= shrunkAt && hasReference(route)) stepUp(concurrent)
   }
 
   function applyIdleTime (now: Milliseconds): void {
@@ -163,7 +169,7 @@
     observeUnanswered: (route, startedAt, now) => {
       const tolerance = computeTolerance(route)
       const age = now - startedAt
-      if (age > 2 * tolerance) stepDown(computeSlowFactor(tolerance, age), startedAt, now)
+      if (age > 2 * tolerance && isEvidence(startedAt)) stepDown(computeSlowFactor(tolerance, age), startedAt, now)
     },
     reset: () => {
       limit = 1
--- a/packages/decisions/tests/home/createConcurrencyLimit.test.ts
+++ b/packages/decisions/tests/home/createConcurrencyLimit.test.ts
@@ -68,6 +68,27 @@
     expect(limit.get()).to.equal(2)
   })
 
+  it('keeps its limit while requests that start later are answered quickly (guards against long requests that are taken for an overrun server)', () => {
+    const limit = createConcurrencyLimit(BOUNDS)
+    let now = runRounds(limit, 0, 60, 20)
+    for (let index = 0; index < 5; index++) {
+      const startedAt = toMilliseconds(now)
+      now = runRounds(limit, now, 20, 20)
+      limit.observeUnanswered('r', startedAt, toMilliseconds(now))
+      expect(limit.get()).to.equal(10)
+      limit.observe({ route: 'r', result: 'success', startedAt, latency: now - startedAt, concurrent: 10 }, toMilliseconds(now))
+      expect(limit.get()).to.equal(10)
+    }
+  })
+
+  it('shrinks on long requests after which nothing is quick (guards against a stalled server among long requests)', () => {
+    const limit = createConcurrencyLimit(BOUNDS)
+    const now = runRounds(limit, 0, 60, 20)
+    const later = runRounds(limit, now, 2, 300)
+    limit.observeUnanswered('r', toMilliseconds(later), toMilliseconds(later + 500))
+    expect(limit.get()).to.be.at.most(2)
+  })
+
   it('shrinks once for each round (guards against a burst of old failures that undoes the recovery)', () => {
     const limit = createConcurrencyLimit(BOUNDS)
     const now = runRounds(limit, 0, 60, 20)
