refactor(decisions): measure quick answers of a limit by what is usual

A request counted as quick up to the expected latency, which is generous on some services: a server that slows down within it would have spoken for itself.

--- a/packages/decisions/src/home/createConcurrencyLimit.ts
+++ b/packages/decisions/src/home/createConcurrencyLimit.ts
@@ -89,7 +89,7 @@
   let pressure = 1
   let failureShare = 0
   let shrunkAt = -Infinity
-  /** Start of the latest request that was answered quickly. */
+  /** Start of the latest request that was answered as quickly as usual. */
   let quickSince = -Infinity
   let lastEvidenceAt: number | undefined
   const references = new Map<string, Reference>()
@@ -109,7 +109,7 @@
     pressure = 1
   }
 
-  /** A request is long by itself, and tells nothing of the server, if one that started later has been answered quickly. */
+  /** A request is long by itself if one that started later has been answered quickly; it tells nothing of the server. */
   const isEvidence = (startedAt: number): boolean => startedAt >= quickSince
 
   function observeRatio (route: string, latency: number): void {
@@ -134,11 +134,14 @@
     const { route, latency, startedAt, concurrent } = sample
     if (latency === undefined) return
     const tolerance = computeTolerance(route)
+    const noise = JUMP_FLOOR * bounds.expectedLatency
+    const usual = Math.max(noise, PRESSURE_HOLD * (references.get(route)?.latency ?? 0))
     observeRatio(route, latency)
-    const isJump = pressure > PRESSURE_JUMP && latency > JUMP_FLOOR * bounds.expectedLatency
-    if (latency <= tolerance && !isJump) quickSince = Math.max(quickSince, startedAt)
-    if ((latency > 2 * tolerance || isJump) && isEvidence(startedAt)) stepDown(computeSlowFactor(tolerance, latency), startedAt, now)
-    else if (latency <= tolerance && !isJump && startedAt >= shrunkAt && hasReference(route)) stepUp(concurrent)
+    if (latency <= usual) quickSince = Math.max(quickSince, startedAt)
+    const isJump = pressure > PRESSURE_JUMP && latency > noise
+    const isSlow = latency > 2 * tolerance || isJump
+    if (isSlow && isEvidence(startedAt)) stepDown(computeSlowFactor(tolerance, latency), startedAt, now)
+    else if (!isSlow && latency <= tolerance && startedAt >= shrunkAt && hasReference(route)) stepUp(concurrent)
   }
 
   function applyIdleTime (now: Milliseconds): void {
--- a/packages/decisions/src/home/createCrashTracker.ts
+++ b/packages/decisions/src/home/createCrashTracker.ts
@@ -10,8 +10,8 @@
 export const MAX_FINGERPRINTS = 4096
 
 /**
- * Time for which a backend server that has answered nothing since a crash is taken for still down, in milliseconds: it may
- * accept connections before it serves.
+ * Time for which a backend server that has answered nothing since a crash is taken for still down, in milliseconds: it
+ * may accept connections before it serves.
  */
 export const SAME_CRASH_MS = 1000
 
--- a/packages/decisions/src/rollouts/decideRollout.ts
+++ b/packages/decisions/src/rollouts/decideRollout.ts
@@ -73,8 +73,8 @@
 }
 
 /**
- * Slots that the new version would keep busy with all of the traffic, by the times of both versions on routes that it has
- * hardly served. Little's law: requests in progress at once are rate times duration.
+ * Slots that the new version would keep busy with all of the traffic, by the times of both versions on routes that it
+ * has hardly served. Little's law: requests in progress at once are rate times duration.
  */
 function computeDemand ({ sinceStep, sinceStart }: EvidenceWindows, rollout: Rollout, heldFor: number): number {
   let demand = 0
