--- a/packages/decisions/src/home/createConcurrencyLimit.ts
+++ b/packages/decisions/src/home/createConcurrencyLimit.ts
@@ -109,7 +109,7 @@
     pressure = 1
   }
 
-  /** A request is long by itself if one that started later has been answered quickly; it tells nothing of the server. */
+  /** A request that started before one that has been answered quickly is long by itself, and tells nothing. */
   const isEvidence = (startedAt: number): boolean => startedAt >= quickSince
 
   function observeRatio (route: string, latency: number): void {
