fix(node): read a connection on behind its last answer

A caller that sends its next request as a stopping node closes gets a reset, and where a segment of the answer was lost on the way, the answer with it.

Cause: Node.js closes a connection at once behind its last answer; bytes that are unread, or come later, then reset it.

Change: the connection is ended, and read on until its caller closes it, for a second at most. What comes on it is passed on to nobody.

Evidence: "ends a connection without a reset" failed with EPIPE, passes.

--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -34,6 +34,11 @@
 const IDLE_MARGIN_MS = 2000
 /** Idle limit until the configuration names one, in milliseconds. */
 const DEFAULT_IDLE_MS = 30_000
+/**
+ * Time for which a connection is read on after its last answer, in milliseconds: several ways there and back. Callers
+ * close it as soon as they have the answer.
+ */
+const LINGER_MS = 1000
 /** Largest request head in bytes; configurations allow less. */
 const MAX_HEAD_BYTES = 65_536
 
@@ -240,7 +245,26 @@
   }, handleRequest)
 
   const sockets = new Set<Socket>()
+  /** Connections that are read on after their last answer. */
+  const lingering = new Set<Socket>()
+
+  /** Ends a connection behind its last answer. Closed with unread bytes it would be reset, and the answer lost. */
+  function endConnection (socket: Socket): void {
+    if (lingering.has(socket)) return
+    closing.add(socket)
+    lingering.add(socket)
+    socket.end()
+    const timer = setTimeout(() => { socket.destroy() }, LINGER_MS)
+    timer.unref()
+    socket.once('close', () => {
+      clearTimeout(timer)
+      lingering.delete(socket)
+    })
+  }
+
   server.on('connection', (socket) => {
+    // Called by Node.js behind a last answer; its own method closes at once.
+    socket.destroySoon = () => { endConnection(socket) }
     // Each request of a connection listens to its end, and callers may send many before the first answer.
     socket.setMaxListeners(0)
     sockets.add(socket)
@@ -265,7 +289,7 @@
   // Called when the server closes. Node's own method takes a connection for idle while its answer is still being sent.
   server.closeIdleConnections = () => {
     const busy = new Set([...openArrivals].map(({ incoming }) => incoming.socket))
-    for (const socket of sockets) if (!busy.has(socket)) socket.destroy()
+    for (const socket of sockets) if (!busy.has(socket) && !lingering.has(socket)) socket.destroy()
   }
 
   return {
--- a/packages/node/tests/stopping.test.ts
+++ b/packages/node/tests/stopping.test.ts
@@ -81,6 +81,31 @@
     await stopped
   })
 
+  it('ends a connection without a reset (guards against an answer that is lost on its way with unread bytes behind it)', async () => {
+    const socket = connect({ port: entry.settings.callers.port, host: '127.0.0.1', allowHalfOpen: true })
+    const errors: Error[] = []
+    let received = ''
+    const write = (name: string): boolean =>
+      socket.write(`GET /parts/${name} HTTP/1.1\r\nHost: a.example\r\n${HEADERS.attemptId}: ${name}\r\n\r\n`)
+    socket.on('data', (chunk) => { received += chunk.toString() }).on('error', (error) => { errors.push(error) })
+    const ended = new Promise<void>((resolve) => { socket.once('end', resolve) })
+    write('first')
+    await awaitCondition('it runs', () => held.length === 1)
+    const stopped = entry.node.stop()
+    held[0]?.()
+    await ended
+    expect(received).to.contain('answer to /parts/first')
+    for (const name of ['second', 'third', 'fourth']) {
+      write(name)
+      await awaitPause(50)
+    }
+    expect(errors).to.deep.equal([])
+    expect(home.backend.seen.map(({ url }) => url)).to.deep.equal(['/parts/first'])
+    socket.end()
+    await awaitCondition('the connection ends', () => socket.closed)
+    await stopped
+  })
+
   it('answers what is open at the end of the grace period (guards against an upload that is cut while it waits)', async () => {
     const running = send(entry.settings.callers.port, '/parts/running', { [HEADERS.remainingMs]: '60000' })
     const socket = connect(entry.settings.callers.port, '127.0.0.1')
