--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -9,7 +9,7 @@
 import { createResendBudgets } from './entry/createResendBudgets.js'
 import { createBackendCaller } from './home/createBackendCaller.js'
 import { createHome } from './home/createHome.js'
-import { createColdWatch } from './home/createColdWatch.js'
+import { createInstanceWatch } from './home/createInstanceWatch.js'
 import { createHomeServer } from './home/createHomeServer.js'
 import { probeInstance } from './home/probeInstance.js'
 import type { NodeContext } from './NodeContext.js'
@@ -103,10 +103,10 @@
     isStoreConnected
   })
   const home = createHome({
-    context, view, instance, backend, onChange: () => { record.update() }, onDoubt: () => { coldWatch.update() }
+    context, view, instance, backend, onChange: () => { record.update() }, onDoubt: () => { instanceWatch.update() }
   })
   const record = createOwnRecord({ context, view, instance, recorder, isVersionCut: home.isVersionCut })
-  const coldWatch = createColdWatch({
+  const instanceWatch = createInstanceWatch({
     context,
     instance,
     getHealthPath: () => view.getService(settings.service)?.healthPath,
@@ -135,7 +135,7 @@
     countSends: home.countSends,
     onChange: () => {
       record.update()
-      coldWatch.update()
+      instanceWatch.update()
       home.update()
     }
   })
@@ -215,7 +215,7 @@
       await awaitEnd(isIdle, limitAt)
       for (const follower of followers) follower.stop()
       reader.stop()
-      for (const part of [peerRows, client, health, coldWatch, homeServer]) part.close()
+      for (const part of [peerRows, client, health, instanceWatch, homeServer]) part.close()
       await recorder.flush(Math.min(RECORD_FLUSH_MS, Math.max(0, limitAt - clock.now())))
       log('daemonStopped', { open: entry.countOpen(), running: home.countRunning(), tookMs: Math.round(clock.now() - stoppedAt) })
     }
--- a/packages/node/src/home/createColdWatch.ts
+++ b/packages/node/src/home/createInstanceWatch.ts
@@ -3,13 +3,13 @@
 import { probeInstance } from './probeInstance.js'
 
 /** Asks the backend server whether it is cold, or whether it serves at all, while nothing else tells. */
-export interface ColdWatch {
+export interface InstanceWatch {
   /** Asks at once if there is a doubt, unless it has just been asked. */
   readonly update: () => void
   readonly close: () => void
 }
 
-export interface ColdWatchOptions {
+export interface InstanceWatchOptions {
   readonly context: NodeContext
   readonly instance: InstanceState
   /** Path of health probes; undefined while the configuration is not known. */
@@ -26,7 +26,7 @@
 const CONFIRM_INTERVAL_MS = 500
 
 /** Creates a watch that looks for doubts at intervals. */
-export function createColdWatch (options: ColdWatchOptions): ColdWatch {
+export function createInstanceWatch (options: InstanceWatchOptions): InstanceWatch {
   const { context: { settings, clock, log, ticker }, instance, getHealthPath, countSends, onChange } = options
   let isAsking = false
   let isClosed = false
