test(node): count what reaches a backend server while it is cold

Cause, from counts by time: on a busy machine the 400 requests of the test take longer than the three seconds for which the server says that it is cold; the requests counted came from 3.0 s on (122 and 62 in the half second after, 10 to 21 in each before). The server was warm by then, and nothing limits them.

The test counts what arrives in the three seconds since the server turned cold, with the same bounds.

--- a/packages/node/tests/coldReturn.test.ts
+++ b/packages/node/tests/coldReturn.test.ts
@@ -19,6 +19,18 @@
   let entry: TestHost
   let home: TestHost
   let arrivals: number[]
+  /** What arrives later meets a warm backend server. */
+  let coldUntil: number
+
+  function recordArrival (): void {
+    if (performance.now() < coldUntil) arrivals.push(performance.now())
+  }
+
+  function turnCold (): void {
+    home.backend.coldMs = COLD_MS
+    coldUntil = performance.now() + COLD_MS
+    arrivals.length = 0
+  }
 
   beforeEach(async () => {
     mesh = await startTestMesh()
@@ -28,15 +40,15 @@
     await entry.report()
     await home.report()
     arrivals = []
+    coldUntil = Infinity
     home.backend.handle = (incoming, response) => {
-      arrivals.push(performance.now())
+      recordArrival()
       answerSigned(incoming, response, 'answer')
     }
     await awaitServed()
     // The process is past its first second, and its backend server is known to be warm.
     await new Promise((resolve) => { setTimeout(resolve, 1500) })
     await home.report()
-    arrivals.length = 0
   })
   afterEach(() => mesh.close())
 
@@ -60,8 +72,7 @@
   it('is not flooded when its data centre is taken back (guards against a warm state from before an evacuation)', async () => {
     await mesh.putOperatorRow('evacuate/krakow', {})
     await awaitCondition('it is refused', async () => (await send(entry.settings.callers.port, '/parts/1')).status === 503)
-    home.backend.coldMs = COLD_MS
-    arrivals.length = 0
+    turnCold()
     await mesh.putOperatorRow('evacuate/krakow', undefined)
     await awaitServed()
     await press()
@@ -71,9 +82,9 @@
 
   it('is not flooded when it starts again behind kept connections (guards against a warm state from before a restart)', async () => {
     home.backend.handle = (incoming) => {
-      home.backend.coldMs = COLD_MS
+      turnCold()
       home.backend.handle = (later, response) => {
-        arrivals.push(performance.now())
+        recordArrival()
         answerSigned(later, response, 'answer')
       }
       incoming.socket.destroy()
