refactor(decisions): sum the answers of a version once

computeDemand summed the new version's answers of a route twice. Same behaviour; the 32 tests of decideRollout pass.

--- a/packages/decisions/src/rollouts/decideRollout.ts
+++ b/packages/decisions/src/rollouts/decideRollout.ts
@@ -80,11 +80,11 @@
   let demand = 0
   for (const route of new Set(sinceStep.map((part) => part.route))) {
     const onRoute = sinceStep.filter((part) => part.route === route)
-    const both = sumCounts([sumVersion(onRoute, rollout.to), sumVersion(onRoute, rollout.from)])
+    const candidate = sumVersion(onRoute, rollout.to)
+    const both = sumCounts([candidate, sumVersion(onRoute, rollout.from)])
     // Just after a step, the times before it tell more than the few since.
-    const earlier = sinceStart.filter((part) => part.route === route)
-    const candidates = [sumVersion(onRoute, rollout.to), sumVersion(earlier, rollout.to)]
-    const { latencySum, requests } = candidates.find((counts) => counts.requests >= STEP_REQUESTS) ?? both
+    const earlier = sumVersion(sinceStart.filter((part) => part.route === route), rollout.to)
+    const { latencySum, requests } = [candidate, earlier].find((counts) => counts.requests >= STEP_REQUESTS) ?? both
     demand += both.requests / heldFor * latencySum / Math.max(1, requests)
   }
   return demand
