feat(node): tell how old each copy of the store's tables is

Three hypotheses (a busy node, a silent connection, a loop that has ended) looked the same.

Each node now records when a copy was last known to be complete: at a response of the store, or the reader's own age passed on with its rows. A peer's response that was dropped silently is logged (833, 834). No decision uses the ages yet.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -89,6 +89,8 @@
   leaveRecalled: { number: 831, level: 'info', text: 'an earlier process of this node acknowledged that the backend server leaves; it gets no requests' },
   instanceProbed: { number: 832, level: 'info', text: 'the backend server was asked, as one report is all that is known of it' },
   nodeLoad: { number: 827, level: 'info', text: 'load of this node' },
+  peerRowsMissing: { number: 833, level: 'warn', text: 'a peer that was asked for rows sent none that can be read' },
+  peerRowsMalformed: { number: 834, level: 'warn', text: 'response of the host that reads the store is malformed' },
   linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
 
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -1,6 +1,6 @@
 import { addMilliseconds, type NodeSettings, toMilliseconds } from '@snipenotch/contracts'
 import { createInstanceState, createLoadBalancer, createReplica, type ReplicaRow } from '@snipenotch/decisions'
-import { createStoreClient } from '@snipenotch/platform'
+import { createStoreClient, OPERATOR_TABLE } from '@snipenotch/platform'
 import { createServer, type Server } from 'node:http'
 import { createCandidateFinder } from './entry/createCandidateFinder.js'
 import { createEntryServer } from './entry/createEntryServer.js'
@@ -14,11 +14,13 @@
 import { probeInstance } from './home/probeInstance.js'
 import type { NodeContext } from './NodeContext.js'
 import { createLoadLogger } from './operations/createLoadLogger.js'
+import { type CopyOverview, formatCopyMetrics } from './operations/describeCopies.js'
 import { createReportServer } from './operations/createReportServer.js'
 import { createRolloutController } from './operations/createRolloutController.js'
 import { createHostHealth } from './peers/createHostHealth.js'
 import { createPeerServer } from './peers/createPeerServer.js'
 import { formatAddress } from './peers/parseAddress.js'
+import { createCopyAges } from './rows/createCopyAges.js'
 import { createHostRecordWriter } from './rows/createHostRecordWriter.js'
 import { createMeshView } from './rows/createMeshView.js'
 import { createHostRecordPublisher } from './rows/createHostRecordPublisher.js'
@@ -83,6 +85,7 @@
   const applyRows = (rows: readonly ReplicaRow[]): void => { view.apply(rows) }
   const recordWriter = createHostRecordWriter({ context, store, replica, onRows: applyRows })
   const cursors = createTableCursors()
+  const copyAges = createCopyAges(clock)
   const getStoreTime = (): number | undefined => followers[0]?.getStoreTime()
   const reader = createReaderFollower({
     context,
@@ -90,11 +93,12 @@
     health,
     replica,
     cursors,
+    copyAges,
     onRows: applyRows,
     onStoreTime: (storeTime) => { followers[0]?.setStoreTime(storeTime) }
   })
   const followers = FOLLOWED_TABLES.map((table) => createTableFollower({
-    context, store, replica, table, cursors, onRows: applyRows, isSuppliedByPeer: reader.isFollowing
+    context, store, replica, table, cursors, copyAges, onRows: applyRows, isSuppliedByPeer: reader.isFollowing
   }))
   const isStoreConnected = (): boolean =>
     reader.isFollowing() || followers.every((follower) => follower.isConnected())
@@ -140,7 +144,9 @@
     finder: createCandidateFinder(context, view, health),
     loadBalancer: createLoadBalancer(random)
   })
-  const entryServer = createEntryServer({ context, view, startExchange, retryBudgets })
+  const entryServer = createEntryServer({
+    context, view, startExchange, retryBudgets, getCopyAgeMs: () => copyAges.get(OPERATOR_TABLE)
+  })
   const reportServer = createReportServer({
     context,
     instance,
@@ -151,17 +157,20 @@
       dispatcher.update()
     }
   })
-  const loadLogger = createLoadLogger(context, entryServer, dispatcher)
+  const copies: CopyOverview = {
+    cursors, copyAges, getConfiguration: view.getConfiguration, getReader: reader.getReader
+  }
+  const loadLogger = createLoadLogger(context, entryServer, dispatcher, copies)
   const rolloutController = createRolloutController({
     context, view, replica, store, health, onRows: applyRows, getStoreTime
   })
-  const peerServer = createPeerServer({ replica, cursors, isStoreConnected: isReader, getStoreTime })
+  const peerServer = createPeerServer({ replica, cursors, copyAges, isStoreConnected: isReader, getStoreTime })
   const readiness = createServer((_, response) => {
     const isReady = !isStopping && view.getConfiguration() !== undefined
     response.writeHead(isReady ? 200 : 503, { 'content-length': 0 }).end()
   })
   const metrics = createServer((_, response) => {
-    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(counters.format())
+    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(counters.format() + formatCopyMetrics(copies))
   })
   let isStopping = false
   let isProbed = false
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -49,6 +49,8 @@
   readonly view: MeshView
   readonly startExchange: StartExchange
   readonly retryBudgets: RetryBudgets
+  /** Milliseconds since the operator's rows were last known to be complete. */
+  readonly getCopyAgeMs: () => number
 }
 
 /** Remaining time stated by the caller, in milliseconds; `fallback` if it is missing or invalid. */
@@ -64,7 +66,9 @@
 const REPLACED_HEADERS: ReadonlySet<string> = new Set([PLATFORM_HEADERS.callerService, PLATFORM_HEADERS.remainingMs, PLATFORM_HEADERS.targetInstance, 'content-length'])
 
 /** Creates the server; it does not listen yet. */
-export function createEntryServer ({ context, view, startExchange, retryBudgets }: EntryServerOptions): EntryServer {
+export function createEntryServer (
+  { context, view, startExchange, retryBudgets, getCopyAgeMs }: EntryServerOptions
+): EntryServer {
   const { settings, clock, log, counters, ticker, random } = context
   const trafficSplitter = createTrafficSplitter(random)
   const attemptAgeEstimator = createAttemptAgeEstimator()
@@ -188,7 +192,10 @@
     if (route === undefined) {
       counters.count('serving_refusals', 'no-route')
       log('requestRefused', {
-        request: callerRequest.attemptId, reason: 'no-route', configuration: view.getConfiguration()?.version
+        request: callerRequest.attemptId,
+        reason: 'no-route',
+        configuration: view.getConfiguration()?.version,
+        copyAgeMs: Math.round(getCopyAgeMs())
       })
       sendNodeResponse(callerRequest, 404, 'no-route')
       return
--- /dev/null
+++ b/packages/node/src/operations/describeCopies.ts
@@ -0,0 +1,38 @@
+import type { MeshConfiguration } from '@snipenotch/contracts'
+import type { CopyAges } from '../rows/createCopyAges.js'
+import type { TableCursors } from '../rows/createTableCursors.js'
+import { FOLLOWED_TABLES } from '../rows/TABLES.js'
+
+/** Sources of what a node knows, for its log and metrics. */
+export interface CopyOverview {
+  readonly cursors: Pick<TableCursors, 'get'>
+  readonly copyAges: Pick<CopyAges, 'get'>
+  readonly getConfiguration: () => Pick<MeshConfiguration, 'version'> | undefined
+  /** Host that reads the store for this one; this host itself if it reads the store. */
+  readonly getReader: () => string
+}
+
+/** Returns log fields: version in force, reader, and each table's version and age in milliseconds. */
+export function describeCopies ({ cursors, copyAges, getConfiguration, getReader }: CopyOverview): {
+  readonly configuration: number | undefined
+  readonly reader: string
+  readonly copies: Array<{ readonly table: string, readonly version: number, readonly ageMs: number }>
+} {
+  return {
+    configuration: getConfiguration()?.version,
+    reader: getReader(),
+    copies: FOLLOWED_TABLES.map((table) =>
+      ({ table, version: cursors.get(table)?.version ?? 0, ageMs: Math.round(copyAges.get(table)) }))
+  }
+}
+
+/** Formats the same values as gauges in the Prometheus text format; an age is left out while a copy is incomplete. */
+export function formatCopyMetrics (overview: CopyOverview): string {
+  const { configuration, copies } = describeCopies(overview)
+  const lines = [`snipenotch_configuration_version ${configuration ?? 0}`]
+  for (const { table, version, ageMs } of copies) {
+    lines.push(`snipenotch_copy_version{table="${table}"} ${version}`)
+    if (Number.isFinite(ageMs)) lines.push(`snipenotch_copy_age_milliseconds{table="${table}"} ${ageMs}`)
+  }
+  return lines.join('\n') + '\n'
+}
--- a/packages/node/src/peers/createPeerServer.ts
+++ b/packages/node/src/peers/createPeerServer.ts
@@ -1,5 +1,6 @@
 import type { Replica } from '@snipenotch/decisions'
-import { createServer, type Server, type ServerResponse } from 'node:http'
+import { createServer, type IncomingHttpHeaders, type Server, type ServerResponse } from 'node:http'
+import type { CopyAges } from '../rows/createCopyAges.js'
 import type { TableCursors } from '../rows/createTableCursors.js'
 import { encodeRows, type TableUpdate } from '../rows/rowsCodec.js'
 import { FOLLOWED_TABLES } from '../rows/TABLES.js'
@@ -18,6 +19,22 @@
   return `${PEER_PATHS.rows}?after=${versions.join(',')}&wait=${waitMs}`
 }
 
+/**
+ * Header with the ages of the sender's copies of the followed tables, in milliseconds and in the order of the tables.
+ * The body may come from a cache.
+ */
+const COPY_AGES_HEADER = 'x-copy-ages'
+
+/** Parses the ages of a peer's copies, in milliseconds; Infinity where the peer states none. */
+export function parseCopyAges (headers: IncomingHttpHeaders): number[] {
+  const texts = String(headers[COPY_AGES_HEADER] ?? '').split(',')
+  return FOLLOWED_TABLES.map((_, index) => {
+    const text = texts[index] ?? ''
+    const age = text === '' ? NaN : Number(text)
+    return age >= 0 ? age : Infinity
+  })
+}
+
 /** Longest long poll in milliseconds; followers request shorter ones. */
 const MAX_WAIT_MS = 10_000
 /** Number of cached encoded responses: the followers of a reader send the same request at the same time. */
@@ -27,13 +44,16 @@
 export interface PeerServerOptions {
   readonly replica: Replica
   readonly cursors: TableCursors
+  readonly copyAges: CopyAges
   readonly isStoreConnected: () => boolean
   /** Current time of the store's monotonic clock, in milliseconds; undefined if unknown. */
   readonly getStoreTime: () => number | undefined
 }
 
 /** Creates the server that answers pings and serves rows from the local copies of the tables. */
-export function createPeerServer ({ replica, cursors, isStoreConnected, getStoreTime }: PeerServerOptions): Server {
+export function createPeerServer (
+  { replica, cursors, copyAges, isStoreConnected, getStoreTime }: PeerServerOptions
+): Server {
   const cachedResponses = new Map<string, Buffer>()
 
   /**
@@ -72,7 +92,8 @@
       clearTimeout(timer)
       stopListening()
       const body = encodeResponse(collect(), after)
-      response.writeHead(200, { 'content-length': body.length }).end(body)
+      const ages = FOLLOWED_TABLES.map((table) => Math.round(copyAges.get(table)))
+      response.writeHead(200, { 'content-length': body.length, [COPY_AGES_HEADER]: ages.join(',') }).end(body)
     }
     const timer = setTimeout(send, Math.min(MAX_WAIT_MS, waitMs))
     const stopListening = cursors.listen(() => { if (collect().some(hasChanges)) send() })
--- a/packages/node/src/peers/requestPeer.ts
+++ b/packages/node/src/peers/requestPeer.ts
@@ -1,26 +1,29 @@
-import { type Agent, request } from 'node:http'
+import { type Agent, type IncomingHttpHeaders, request } from 'node:http'
 import { parseAddress } from './parseAddress.js'
 
-/**
- * Sends a GET request to a peer and returns the body; undefined if there is no response with status 200 within
- * `timeoutMs`.
- */
+/** Response of a peer with status 200. */
+export interface PeerResponse {
+  readonly headers: IncomingHttpHeaders
+  readonly body: Buffer
+}
+
+/** Sends a GET request to a peer; returns undefined if there is no response with status 200 within `timeoutMs`. */
 export function requestPeer (
   agent: Agent, address: string, path: string, timeoutMs: number
-): Promise<Buffer | undefined> {
+): Promise<PeerResponse | undefined> {
   return new Promise((resolve) => {
     const { host, port } = parseAddress(address)
     const outgoing = request({ agent, host, port, path }, (incoming) => {
       const chunks: Buffer[] = []
       incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
       incoming.on('error', () => { end(undefined) })
-      incoming.on('end', () => { end(incoming.statusCode === 200 ? Buffer.concat(chunks) : undefined) })
+      incoming.on('end', () => { end(incoming.statusCode === 200 ? { headers: incoming.headers, body: Buffer.concat(chunks) } : undefined) })
     })
     const timer = setTimeout(() => {
       end(undefined)
       outgoing.destroy()
     }, timeoutMs)
-    function end (answer: Buffer | undefined): void {
+    function end (answer: PeerResponse | undefined): void {
       clearTimeout(timer)
       resolve(answer)
     }
--- a/packages/node/src/rows/createPeerRowFetcher.ts
+++ b/packages/node/src/rows/createPeerRowFetcher.ts
@@ -55,9 +55,10 @@
 
   async function fetch (address: string, reason: string): Promise<void> {
     isFetching = true
-    const body = await requestPeer(agent, address, formatRowsPath(getVersions(), 0), PEER_TIMEOUT_MS)
-    const response = body === undefined ? undefined : decodeRows(body)
-    const changed = replica.merge(response?.updates.flatMap(({ rows }) => rows) ?? [])
+    const response = await requestPeer(agent, address, formatRowsPath(getVersions(), 0), PEER_TIMEOUT_MS)
+    const decoded = response === undefined ? undefined : decodeRows(response.body)
+    if (decoded === undefined) log('peerRowsMissing', { peer: address, reason, bytes: response?.body.length })
+    const changed = replica.merge(decoded?.updates.flatMap(({ rows }) => rows) ?? [])
     if (changed.length > 0) log('rowsFromPeer', { peer: address, rows: changed.length, reason, versions: getVersions() })
     onRows(changed)
     isFetching = false
--- a/packages/node/src/rows/createReaderFollower.ts
+++ b/packages/node/src/rows/createReaderFollower.ts
@@ -1,9 +1,10 @@
 import { chooseReader, type Replica, type ReplicaRow } from '@snipenotch/decisions'
 import { Agent } from 'node:http'
 import type { NodeContext } from '../NodeContext.js'
-import { formatRowsPath } from '../peers/createPeerServer.js'
+import { formatRowsPath, parseCopyAges } from '../peers/createPeerServer.js'
 import type { HostHealth } from '../peers/createHostHealth.js'
 import { requestPeer } from '../peers/requestPeer.js'
+import type { CopyAges } from './createCopyAges.js'
 import type { MeshView } from './createMeshView.js'
 import { mergeUpdates } from './mergeUpdates.js'
 import type { TableCursors } from './createTableCursors.js'
@@ -16,6 +17,8 @@
   readonly stop: () => void
   /** True while a reader supplies the rows, so that this node need not read the store. */
   readonly isFollowing: () => boolean
+  /** Host that supplies the rows; this host itself if it reads the store. */
+  readonly getReader: () => string
 }
 
 /** Options of `createReaderFollower`. */
@@ -25,6 +28,7 @@
   readonly health: HostHealth
   readonly replica: Replica
   readonly cursors: TableCursors
+  readonly copyAges: CopyAges
   readonly onRows: (rows: readonly ReplicaRow[]) => void
   /** Called with the time of the store's monotonic clock, in milliseconds. */
   readonly onStoreTime: (storeTime: number) => void
@@ -41,12 +45,14 @@
 
 /** Creates a follower that has not chosen a reader; until it does, the node reads the store itself. */
 export function createReaderFollower (options: ReaderFollowerOptions): ReaderFollower {
-  const { context, view, health, replica, cursors, onRows, onStoreTime } = options
+  const { context, view, health, replica, cursors, copyAges, onRows, onStoreTime } = options
   const { settings, clock, log } = context
   const agent = new Agent({ keepAlive: true, maxSockets: 1 })
   const avoidedUntil = new Map<string, number>()
   const stopping = new AbortController()
   let reader = settings.host
+  /** Ages of the reader's copies when it sent its last response, in milliseconds, by table. */
+  let readerAges: readonly number[] = []
 
   const isUsable = (host: string): boolean =>
     !health.isDown(host) && (avoidedUntil.get(host) ?? 0) <= clock.now()
@@ -61,10 +67,18 @@
 
   async function readChanges (address: string): Promise<RowsResponse | undefined> {
     const after = FOLLOWED_TABLES.map((table) => cursors.get(table)?.version ?? 0)
-    const body = await requestPeer(
+    const response = await requestPeer(
       agent, address, formatRowsPath(after, LONG_POLL_MS), LONG_POLL_MS + RESPONSE_MARGIN_MS
     )
-    return body === undefined ? undefined : decodeRows(body)
+    if (response === undefined) return undefined
+    const decoded = decodeRows(response.body)
+    if (decoded === undefined) log('peerRowsMalformed', { peer: address, bytes: response.body.length })
+    else readerAges = parseCopyAges(response.headers)
+    return decoded
+  }
+
+  function recordAges (ages: readonly number[]): void {
+    for (const [index, table] of FOLLOWED_TABLES.entries()) copyAges.record(table, ages[index] ?? Infinity)
   }
 
   async function applyChanges (address: string): Promise<void> {
@@ -76,6 +90,7 @@
     }
     if (response.storeTime > 0) onStoreTime(response.storeTime)
     mergeUpdates(response.updates, replica, cursors, onRows)
+    recordAges(readerAges)
   }
 
   async function run (): Promise<void> {
@@ -92,6 +107,7 @@
       stopping.abort()
       agent.destroy()
     },
-    isFollowing: () => reader !== settings.host
+    isFollowing: () => reader !== settings.host,
+    getReader: () => reader
   }
 }
--- a/packages/node/src/rows/createTableFollower.ts
+++ b/packages/node/src/rows/createTableFollower.ts
@@ -2,6 +2,7 @@
 import type { StoreClient, StoreError, StoreRows } from '@snipenotch/platform'
 import type { Result } from 'ts-results-es'
 import type { NodeContext } from '../NodeContext.js'
+import type { CopyAges } from './createCopyAges.js'
 import type { TableCursor, TableCursors } from './createTableCursors.js'
 
 /** Duration of a long poll for changes, in milliseconds: a dead connection is detected after it. */
@@ -40,6 +41,7 @@
   readonly replica: Replica
   readonly table: string
   readonly cursors: TableCursors
+  readonly copyAges: CopyAges
   readonly onRows: (rows: readonly ReplicaRow[]) => void
   /** True while another host supplies the rows, so that the store need not be read. */
   readonly isSuppliedByPeer: () => boolean
@@ -47,7 +49,7 @@
 
 /** Creates a follower that has not read the table. */
 export function createTableFollower (options: TableFollowerOptions): TableFollower {
-  const { context, store, replica, table, cursors, onRows, isSuppliedByPeer } = options
+  const { context, store, replica, table, cursors, copyAges, onRows, isSuppliedByPeer } = options
   const { clock, log, counters, ticker, random } = context
   const stopping = new AbortController()
   let isConnected = false
@@ -77,6 +79,7 @@
     log('tableRead', { table, version: answer.value.version, rows: answer.value.rows.length })
     onRows(replica.mergeTable(table, answer.value.rows, answer.value.version))
     cursors.set(table, { version: answer.value.version, fullReadVersion: answer.value.version })
+    copyAges.record(table, 0)
     return answer
   }
 
@@ -89,6 +92,7 @@
     recordSuccess(answer.value)
     onRows(replica.merge(answer.value.rows))
     cursors.set(table, { version: Math.max(version, answer.value.version), fullReadVersion })
+    copyAges.record(table, 0)
     if (answer.value.rows.length > 0) await awaitPause(computePause(answer.value.rows))
     return answer
   }
--- a/packages/node/tests/peers/createPeerServer.test.ts
+++ b/packages/node/tests/peers/createPeerServer.test.ts
@@ -1,9 +1,11 @@
+import { createSystemClock } from '@snipenotch/contracts'
 import { createReplica, type Replica, type ReplicaRow } from '@snipenotch/decisions'
 import { expect } from 'chai'
 import { Agent, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { createPeerServer, formatRowsPath, PEER_PATHS } from '../../src/peers/createPeerServer.js'
+import { createPeerServer, formatRowsPath, parseCopyAges, PEER_PATHS } from '../../src/peers/createPeerServer.js'
 import { requestPeer } from '../../src/peers/requestPeer.js'
+import { type CopyAges, createCopyAges } from '../../src/rows/createCopyAges.js'
 import { createTableCursors, type TableCursors } from '../../src/rows/createTableCursors.js'
 import { decodeRows, type RowsResponse } from '../../src/rows/rowsCodec.js'
 import { FOLLOWED_TABLES, MESH_TABLE } from '../../src/rows/TABLES.js'
@@ -16,13 +18,14 @@
   const agent = new Agent({ keepAlive: false })
   let replica: Replica
   let cursors: TableCursors
+  let copyAges: CopyAges
   let server: Server
   let address: string
   let isConnected: boolean
 
   async function ask (version: number, waitMs: number): Promise<RowsResponse> {
-    const body = await requestPeer(agent, address, formatRowsPath(askFrom(version), waitMs), 10_000)
-    const answer = body === undefined ? undefined : decodeRows(body)
+    const response = await requestPeer(agent, address, formatRowsPath(askFrom(version), waitMs), 10_000)
+    const answer = response === undefined ? undefined : decodeRows(response.body)
     if (answer === undefined) throw new Error('found no valid response')
     return answer
   }
@@ -36,8 +39,11 @@
   beforeEach(async () => {
     replica = createReplica()
     cursors = createTableCursors()
+    copyAges = createCopyAges(createSystemClock())
     isConnected = true
-    server = createPeerServer({ replica, cursors, isStoreConnected: () => isConnected, getStoreTime: () => 77 })
+    server = createPeerServer({
+      replica, cursors, copyAges, isStoreConnected: () => isConnected, getStoreTime: () => 77
+    })
     await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
     address = `127.0.0.1:${(server.address() as AddressInfo).port}`
     put(8, row('a', 4), row('b', 8))
@@ -59,6 +65,18 @@
     expect((await ask(8, 20)).isConnected).to.equal(false)
   })
 
+  it('states the age of its copies beside a cached response (guards against an old copy counted as new)', async () => {
+    copyAges.record(MESH_TABLE, 40)
+    const path = formatRowsPath(askFrom(4), 20)
+    for (const leastMs of [40, 60]) {
+      const ages = parseCopyAges((await requestPeer(agent, address, path, 5000))?.headers ?? {})
+      const age = ages[FOLLOWED_TABLES.indexOf(MESH_TABLE)]
+      expect(age).to.be.within(leastMs, 5000)
+      expect(ages.filter((other) => other === Infinity)).to.have.length(FOLLOWED_TABLES.length - 1)
+      await new Promise((resolve) => { setTimeout(resolve, 20) })
+    }
+  })
+
   it('sends the whole table if the requested version is older than its full read (guards against missed removals)', async () => {
     const update = (await ask(4, 9000)).updates.find(({ table }) => table === MESH_TABLE)
     expect(update).to.include({ isFullTable: true, version: 8 })
@@ -72,7 +90,7 @@
   })
 
   it('responds to pings and rejects unknown paths', async () => {
-    expect(await requestPeer(agent, address, PEER_PATHS.ping, 5000)).to.have.length(0)
+    expect((await requestPeer(agent, address, PEER_PATHS.ping, 5000))?.body).to.have.length(0)
     expect(await requestPeer(agent, address, '/other', 5000)).to.equal(undefined)
   })
 })
