--- a/packages/node/tests/rows/createReaderFollower.test.ts
+++ b/packages/node/tests/rows/createReaderFollower.test.ts
@@ -1,7 +1,14 @@
 import { expect } from 'chai'
+import { createStoreClient } from '@snipenotch/platform'
 import { composePlatformConfiguration } from '../../../../platform/tests/composeWire.js'
 import { awaitCondition, startTestMesh, type TestHost, type TestMesh } from '../startTestMesh.js'
 
+/**
+ * Time in which a change must be in force after connections have gone silent, in milliseconds: a host then counts as
+ * undisturbed again.
+ */
+const IN_FORCE_AFTER_SILENCE_MS = 3000
+
 describe('createReaderFollower', () => {
   let mesh: TestMesh
   let hosts: TestHost[]
@@ -46,6 +53,22 @@
     expect(names).to.have.length(2)
   })
 
+  it('applies a version after the connections to the store went silent (guards against a feed trusted for 9 s)', async () => {
+    await mesh.putOperatorRow('config', composePlatformConfiguration(2, ['parts']))
+    await awaitCondition('the version is in force everywhere', () => hosts.every(isInForce(2)))
+    // The long polls of the readers begin after the pause that follows a change.
+    await new Promise((resolve) => { setTimeout(resolve, 600) })
+    mesh.store.silenceConnections()
+    const silentAt = Date.now()
+    const client = createStoreClient(mesh.store.address)
+    const { version } = (await client.readTable('op')).unwrap().rows.find(({ key }) => key === 'config') ?? { version: 0 }
+    const value = JSON.stringify(composePlatformConfiguration(3, ['parts']))
+    await client.write([{ table: 'op', key: 'config', version }], [{ table: 'op', key: 'config', value }])
+    client.close()
+    await awaitCondition('the version is in force everywhere', () => hosts.every(isInForce(3)))
+    expect(Date.now() - silentAt).to.be.below(IN_FORCE_AFTER_SILENCE_MS)
+  })
+
   it('reads the store again after an outage', async () => {
     mesh.store.fault = 'refuse'
     await awaitCondition('the followers notice', () => hosts.some(({ context }) =>
--- a/packages/node/tests/startTestMesh.ts
+++ b/packages/node/tests/startTestMesh.ts
@@ -57,7 +57,8 @@
   readonly close: () => Promise<void>
 }
 
-async function findFreePort (): Promise<number> {
+/** Finds a port that is free on the loopback address. */
+export async function findFreePort (): Promise<number> {
   const server = createTcpServer()
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
   const { port } = server.address() as AddressInfo
