fix(node): let background loops survive an error

Seen: any exception in the loops that follow the store, a reader or peers, that probe a silent host, write the host's record or step rollouts ended that loop for good. A follower of a reader then still counted as connected and read nothing, so the node answered by an old version until its restart; a record that was not written kept a host out of the mesh.

Cause: each loop was one promise whose rejection was logged once, and busy flags were reset only where nothing threw. Class: a background task that one error ends without anything noticing. Elsewhere: the loops of the daemon already catch per event; the prober resets its flag.

--- a/packages/node/src/operations/createRolloutController.ts
+++ b/packages/node/src/operations/createRolloutController.ts
@@ -156,22 +156,26 @@
 
   async function checkAll (): Promise<void> {
     const storeNow = getStoreTime()
-    if (storeNow === undefined || isWriting) return
-    isWriting = true
+    if (storeNow === undefined) return
     const services = new Set([settings.service, ...view.listRolloutOrders().map(({ order }) => order.service)])
     for (const service of services) {
       const planned = plan(service, storeNow)
       if (planned === undefined) dueSince.delete(service)
       else if (isDue(service, planned)) await write(service, planned)
     }
-    isWriting = false
+  }
+
+  function startCheck (): void {
+    if (isWriting) return
+    isWriting = true
+    checkAll()
+      .catch((error: unknown) => { log('internalError', { error: String(error) }) })
+      .finally(() => { isWriting = false })
   }
 
   return {
     start: () => {
-      stopChecks = ticker.add(CHECK_INTERVAL_MS, () => {
-        checkAll().catch((error: unknown) => { log('internalError', { error: String(error) }) })
-      })
+      stopChecks = ticker.add(CHECK_INTERVAL_MS, startCheck)
     },
     stop: () => { stopChecks?.() }
   }
--- a/packages/node/src/peers/createHostHealth.ts
+++ b/packages/node/src/peers/createHostHealth.ts
@@ -1,5 +1,6 @@
 import { Agent } from 'node:http'
 import type { NodeContext } from '../NodeContext.js'
+import { startLoop } from '../operations/startLoop.js'
 import type { MeshView } from '../rows/createMeshView.js'
 import { PEER_PATHS } from './createPeerServer.js'
 import { requestPeer } from './requestPeer.js'
@@ -24,17 +25,25 @@
   const agent = new Agent({ keepAlive: false })
   const closing = new AbortController()
 
-  async function probe (host: string): Promise<void> {
-    for (
-      let delayMs = FIRST_PROBE_DELAY_MS; !closing.signal.aborted; delayMs = Math.min(MAX_PROBE_DELAY_MS, delayMs * 2)
-    ) {
-      await new Promise((resolve) => { setTimeout(resolve, delayMs) })
-      const record = view.getHost(host)
-      if (record === undefined) break
-      if (await requestPeer(agent, record.peerAddress, PEER_PATHS.ping, PROBE_TIMEOUT_MS) !== undefined) break
-    }
-    log('hostReturned', { peer: host, awayMs: Math.round(clock.now() - (downSince.get(host) ?? 0)) })
-    downSince.delete(host)
+  async function isBack (host: string): Promise<boolean> {
+    const record = view.getHost(host)
+    if (record === undefined) return true
+    return await requestPeer(agent, record.peerAddress, PEER_PATHS.ping, PROBE_TIMEOUT_MS) !== undefined
+  }
+
+  function startProbes (host: string): void {
+    let delayMs = FIRST_PROBE_DELAY_MS
+    startLoop({
+      log,
+      isActive: () => !closing.signal.aborted && downSince.has(host),
+      step: async () => {
+        await new Promise((resolve) => { setTimeout(resolve, delayMs) })
+        delayMs = Math.min(MAX_PROBE_DELAY_MS, delayMs * 2)
+        if (!await isBack(host)) return
+        log('hostReturned', { peer: host, awayMs: Math.round(clock.now() - (downSince.get(host) ?? 0)) })
+        downSince.delete(host)
+      }
+    })
   }
 
   return {
@@ -42,7 +51,7 @@
       if (downSince.has(host)) return
       downSince.set(host, clock.now())
       log('hostAvoided', { peer: host, detail })
-      probe(host).catch((error: unknown) => { log('internalError', { error: String(error) }) })
+      startProbes(host)
     },
     isDown: (host) => downSince.has(host),
     close: () => {
--- a/packages/node/src/rows/createHostRecordWriter.ts
+++ b/packages/node/src/rows/createHostRecordWriter.ts
@@ -2,6 +2,7 @@
 import type { Replica, ReplicaRow } from '@snipenotch/decisions'
 import type { StoreClient } from '@snipenotch/platform'
 import type { NodeContext } from '../NodeContext.js'
+import { startLoop } from '../operations/startLoop.js'
 import { formatHostKey, MESH_TABLE } from './TABLES.js'
 
 /** First and longest delay between attempts to write the record, in milliseconds. */
@@ -73,24 +74,25 @@
     return false
   }
 
-  async function run (): Promise<void> {
-    isWriting = true
-    while (!isUpToDate()) {
-      if (await writeOnce()) {
-        backoff = FIRST_BACKOFF_MS
-        continue
-      }
-      await awaitPause(backoff * (0.5 + random()))
-      backoff = Math.min(MAX_BACKOFF_MS, backoff * 2)
+  async function writeOrPause (): Promise<void> {
+    if (await writeOnce()) {
+      backoff = FIRST_BACKOFF_MS
+      return
     }
-    isWriting = false
+    await awaitPause(backoff * (0.5 + random()))
+    backoff = Math.min(MAX_BACKOFF_MS, backoff * 2)
+  }
+
+  function startWriting (): void {
+    isWriting = true
+    startLoop({ log, isActive: () => !isUpToDate(), step: writeOrPause, onEnd: () => { isWriting = false } })
   }
 
   return {
     set: (record) => {
       targetValue = record === undefined ? undefined : JSON.stringify(record)
       hasTarget = true
-      if (!isWriting) run().catch((error: unknown) => { log('internalError', { error: String(error) }) })
+      if (!isWriting) startWriting()
     },
     flush: async (limitMs) => {
       const endsAt = clock.now() + limitMs
--- a/packages/node/src/rows/createMeshView.ts
+++ b/packages/node/src/rows/createMeshView.ts
@@ -110,6 +110,16 @@
     log('releaseChanged', { service: name, release, row: row.version })
   }
 
+  /** Applies one row. An error must not keep the rows behind it from being applied: they are not delivered again. */
+  function applyRow (row: ReplicaRow): void {
+    try {
+      if (row.table === OPERATOR_TABLE) applyOperatorRow(row)
+      else applyMeshRow(row)
+    } catch (error) {
+      log('rowUnreadable', { table: row.table, key: row.key, detail: String(error) })
+    }
+  }
+
   function buildHostIndex (): void {
     serving = new Map()
     servedVersions = new Map()
@@ -129,10 +139,7 @@
   return {
     apply: (rows) => {
       if (rows.length === 0) return
-      for (const row of rows) {
-        if (row.table === OPERATOR_TABLE) applyOperatorRow(row)
-        else applyMeshRow(row)
-      }
+      for (const row of rows) applyRow(row)
       buildHostIndex()
       onChange()
     },
--- a/packages/node/src/rows/createPeerRowFetcher.ts
+++ b/packages/node/src/rows/createPeerRowFetcher.ts
@@ -54,14 +54,12 @@
   const getVersions = (): TableVersions => FOLLOWED_TABLES.map((table) => replica.getVersion(table))
 
   async function fetch (address: string, reason: string): Promise<void> {
-    isFetching = true
     const response = await requestPeer(agent, address, formatRowsPath(getVersions(), 0), PEER_TIMEOUT_MS)
     const decoded = response === undefined ? undefined : decodeRows(response.body)
     if (decoded === undefined) log('peerRowsMissing', { peer: address, reason, bytes: response?.body.length })
     const changed = replica.merge(decoded?.updates.flatMap(({ rows }) => rows) ?? [])
     if (changed.length > 0) log('rowsFromPeer', { peer: address, rows: changed.length, reason, versions: getVersions() })
     onRows(changed)
-    isFetching = false
   }
 
   function listAddresses (): string[] {
@@ -87,7 +85,10 @@
     if (isFetching) return
     const chosen = chooseAddress()
     if (chosen === undefined) return
-    fetch(chosen.address, chosen.reason).catch((error: unknown) => { log('internalError', { error: String(error) }) })
+    isFetching = true
+    fetch(chosen.address, chosen.reason)
+      .catch((error: unknown) => { log('internalError', { error: String(error) }) })
+      .finally(() => { isFetching = false })
   }
 
   return {
--- a/packages/node/src/rows/createReaderFollower.ts
+++ b/packages/node/src/rows/createReaderFollower.ts
@@ -1,6 +1,7 @@
 import { chooseReader, type Replica, type ReplicaRow } from '@snipenotch/decisions'
 import { Agent } from 'node:http'
 import type { NodeContext } from '../NodeContext.js'
+import { startLoop } from '../operations/startLoop.js'
 import { formatRowsPath, parseCopyAges } from '../peers/createPeerServer.js'
 import type { HostHealth } from '../peers/createHostHealth.js'
 import { requestPeer } from '../peers/requestPeer.js'
@@ -93,16 +94,14 @@
     recordAges(readerAges)
   }
 
-  async function run (): Promise<void> {
-    while (!stopping.signal.aborted) {
-      const address = chooseAddress()
-      if (address === undefined) await new Promise((resolve) => { setTimeout(resolve, CHOICE_INTERVAL_MS) })
-      else await applyChanges(address)
-    }
+  async function readNext (): Promise<void> {
+    const address = chooseAddress()
+    if (address === undefined) await new Promise((resolve) => { setTimeout(resolve, CHOICE_INTERVAL_MS) })
+    else await applyChanges(address)
   }
 
   return {
-    start: () => { run().catch((error: unknown) => { log('internalError', { error: String(error) }) }) },
+    start: () => { startLoop({ log, isActive: () => !stopping.signal.aborted, step: readNext }) },
     stop: () => {
       stopping.abort()
       agent.destroy()
--- a/packages/node/src/rows/createTableFollower.ts
+++ b/packages/node/src/rows/createTableFollower.ts
@@ -2,6 +2,7 @@
 import type { StoreClient, StoreError, StoreRows } from '@snipenotch/platform'
 import type { Result } from 'ts-results-es'
 import type { NodeContext } from '../NodeContext.js'
+import { startLoop } from '../operations/startLoop.js'
 import type { CopyAges } from './createCopyAges.js'
 import type { TableCursor, TableCursors } from './createTableCursors.js'
 
@@ -103,25 +104,21 @@
     return Math.min(MAX_BATCH_PAUSE_MS, pause)
   }
 
-  async function run (): Promise<void> {
-    while (!stopping.signal.aborted) {
-      if (isSuppliedByPeer()) {
-        await ticker.awaitPause(FOLLOWING_CHECK_MS)
-        continue
-      }
-      const cursor = cursors.get(table)
-      const answer = cursor === undefined ? await readTable() : await readChanges(cursor)
-      if (answer.isOk() || answer.error.kind === 'history-lost') continue
-      recordFailure(answer.error)
-      await awaitPause(backoff * (0.5 + random()))
-      backoff = Math.min(MAX_BACKOFF_MS, backoff * 2)
+  async function readNext (): Promise<void> {
+    if (isSuppliedByPeer()) {
+      await ticker.awaitPause(FOLLOWING_CHECK_MS)
+      return
     }
+    const cursor = cursors.get(table)
+    const answer = cursor === undefined ? await readTable() : await readChanges(cursor)
+    if (answer.isOk() || answer.error.kind === 'history-lost') return
+    recordFailure(answer.error)
+    await awaitPause(backoff * (0.5 + random()))
+    backoff = Math.min(MAX_BACKOFF_MS, backoff * 2)
   }
 
   return {
-    start: () => {
-      run().catch((error: unknown) => { log('internalError', { error: String(error) }) })
-    },
+    start: () => { startLoop({ log, isActive: () => !stopping.signal.aborted, step: readNext }) },
     stop: () => { stopping.abort() },
     isConnected: () => isConnected,
     setStoreTime: (storeTime) => { storeClockOffset = storeTime - clock.now() },
