fix(node): notice within 1.9 s that a connection to the store is silent

Callers could get answers by an old version for up to 9.3 s (test: 9,290 ms) after open connections went silent without a reset, 3.0 s being the time after which a host counts as undisturbed.

Cause: a reader trusted its feed until the long poll of 8 s was over by 1.2 s, and told its followers meanwhile that it had the store. The retry could take another old connection of the pool, silent as well. Class: a state that is believed for longer than the time in which it must be corrected.

Cost: about 4 more calls a second for all readers together. Ruled out: a keep-alive of TCP, which Node.js lets fail after 10 probes at the earliest.

--- a/packages/node/src/rows/createReaderFollower.ts
+++ b/packages/node/src/rows/createReaderFollower.ts
@@ -36,7 +36,7 @@
 }
 
 /** Duration of a long poll, in milliseconds: a reader that exits is detected after it. */
-const LONG_POLL_MS = 1000
+const LONG_POLL_MS = 600
 /** Time past the long poll until the reader counts as lost, in milliseconds: longer than a stall of a busy process. */
 const RESPONSE_MARGIN_MS = 500
 /** Time for which a failed reader is avoided, in milliseconds: several report intervals; a restart takes less. */
--- a/packages/node/src/rows/createTableFollower.ts
+++ b/packages/node/src/rows/createTableFollower.ts
@@ -1,13 +1,20 @@
 import type { Replica, ReplicaRow } from '@snipenotch/decisions'
-import type { StoreClient, StoreError, StoreRows } from '@snipenotch/platform'
+import { OPERATOR_TABLE, type StoreClient, type StoreError, type StoreRows } from '@snipenotch/platform'
 import type { Result } from 'ts-results-es'
 import type { NodeContext } from '../NodeContext.js'
 import { startLoop } from '../operations/startLoop.js'
 import type { CopyAges } from './createCopyAges.js'
 import type { TableCursor, TableCursors } from './createTableCursors.js'
 
-/** Duration of a long poll for changes, in milliseconds: a dead connection is detected after it. */
-const LONG_POLL_MS = 8000
+/**
+ * Duration of a long poll for changes of the operator's rows, in milliseconds. A connection that has gone silent is
+ * detected after it, and these changes must be in force in time.
+ */
+const OPERATOR_LONG_POLL_MS = 1200
+/** Duration of a long poll for changes of other rows, in milliseconds. */
+const LONG_POLL_MS = 4000
+/** Duration of the poll that follows a long poll without a response, in milliseconds. */
+const RETRIED_POLL_MS = 300
 /**
  * Delay after each batch, in milliseconds, so that further changes share one call. It is a sixth of the time in which a
  * change must be in force.
@@ -56,6 +63,8 @@
   let isConnected = false
   let storeClockOffset: number | undefined
   let backoff = FIRST_BACKOFF_MS
+  /** The last poll ended without a response. */
+  let isConnectionSuspect = false
 
   const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
 
@@ -69,6 +78,7 @@
     counters.count('store_calls', 'ok')
     if (!isConnected) log('storeAvailable', { table, version: answer.version })
     isConnected = true
+    isConnectionSuspect = false
     backoff = FIRST_BACKOFF_MS
     storeClockOffset = answer.storeTime - clock.now()
   }
@@ -85,7 +95,8 @@
   }
 
   async function readChanges ({ version, fullReadVersion }: TableCursor): Promise<Result<StoreRows, StoreError>> {
-    const answer = await store.awaitChanges(table, version, LONG_POLL_MS)
+    const pollMs = table === OPERATOR_TABLE ? OPERATOR_LONG_POLL_MS : LONG_POLL_MS
+    const answer = await store.awaitChanges(table, version, isConnectionSuspect ? RETRIED_POLL_MS : pollMs)
     if (answer.isErr()) {
       if (answer.error.kind === 'history-lost') cursors.set(table, undefined)
       return answer
@@ -112,6 +123,12 @@
     const cursor = cursors.get(table)
     const answer = cursor === undefined ? await readTable() : await readChanges(cursor)
     if (answer.isOk() || answer.error.kind === 'history-lost') return
+    // Only the connection may be lost; the next call, on a new one, shows whether the store responds.
+    if (answer.error.kind === 'unknown' && !isConnectionSuspect) {
+      isConnectionSuspect = true
+      log('storeConnectionLost', { table, error: answer.error })
+      return
+    }
     recordFailure(answer.error)
     await awaitPause(backoff * (0.5 + random()))
     backoff = Math.min(MAX_BACKOFF_MS, backoff * 2)
