fix(node): ask all seeds at once while there is no configuration

With seeds that answer, nodes whose store is silent were in force 0.8 to 3.1 s after those that could read it: one seed was asked every 500 ms, chosen at random, and some seeds had nothing either.

--- a/packages/node/src/rows/createPeerRowFetcher.ts
+++ b/packages/node/src/rows/createPeerRowFetcher.ts
@@ -29,6 +29,8 @@
 const CHECK_INTERVAL_MS = 250
 /** Interval between requests to peers while the store does not respond, in milliseconds. */
 const OUTAGE_FETCH_INTERVAL_MS = 500
+/** The same while this node has no configuration and cannot serve, in milliseconds. */
+const START_FETCH_INTERVAL_MS = 200
 const PEER_TIMEOUT_MS = 400
 
 /** Options of `createPeerRowFetcher`. */
@@ -62,31 +64,32 @@
     onRows(changed)
   }
 
-  function listAddresses (): string[] {
+  /** Chooses one of the known hosts; without any, all seeds, since some of them may have no rows either. */
+  function chooseSources (): string[] {
     const peers = view.listHosts().filter(({ host }) => host !== settings.host).map(({ peerAddress }) => peerAddress)
-    return peers.length > 0 ? peers : settings.seeds.map(formatAddress)
+    if (peers.length === 0) return settings.seeds.map(formatAddress)
+    return peers.slice(Math.floor(random() * peers.length)).slice(0, 1)
   }
 
-  function chooseAddress (): { address: string, reason: string } | undefined {
+  function chooseAddresses (): { addresses: readonly string[], reason: string } {
     const now = clock.now()
     if (peerAhead !== undefined && now - peerAhead.since > AHEAD_LIMIT_MS) {
       const address = view.getHost(peerAhead.host)?.peerAddress
       peerAhead = undefined
-      if (address !== undefined) return { address, reason: 'peer is ahead' }
+      if (address !== undefined) return { addresses: [address], reason: 'peer is ahead' }
     }
-    if (isStoreConnected() || now - requestedAt < OUTAGE_FETCH_INTERVAL_MS) return undefined
+    const intervalMs = view.getConfiguration() === undefined ? START_FETCH_INTERVAL_MS : OUTAGE_FETCH_INTERVAL_MS
+    if (isStoreConnected() || now - requestedAt < intervalMs) return { addresses: [], reason: '' }
     requestedAt = now
-    const addresses = listAddresses()
-    const address = addresses[Math.floor(random() * addresses.length)]
-    return address === undefined ? undefined : { address, reason: 'store does not answer' }
+    return { addresses: chooseSources(), reason: 'store does not answer' }
   }
 
   function checkPeers (): void {
     if (isFetching) return
-    const chosen = chooseAddress()
-    if (chosen === undefined) return
+    const { addresses, reason } = chooseAddresses()
+    if (addresses.length === 0) return
     isFetching = true
-    fetch(chosen.address, chosen.reason)
+    Promise.all(addresses.map((address) => fetch(address, reason)))
       .catch((error: unknown) => { log('internalError', { error: String(error) }) })
       .finally(() => { isFetching = false })
   }
