fix(node): answer 404 only while the configuration is known to be current

Cause: a node that had not heard of its source for longer than a change may take still stated what does not exist. Class: a negative answer from a copy of unknown age.

The test fails before with 404 throughout a silent store.

--- a/packages/contracts/src/mesh/nodeSettingsSchema.ts
+++ b/packages/contracts/src/mesh/nodeSettingsSchema.ts
@@ -28,6 +28,8 @@
   store: socketAddressSchema,
   /** Interval between status reports of the backend server, in milliseconds. */
   reportIntervalMs: z.number().positive(),
+  /** Time within which a change of the configuration must be in force, in milliseconds. */
+  applyMs: z.number().positive(),
   /** Time from acknowledging that the backend server leaves to the last request sent to it, in milliseconds. */
   drainMs: z.number().positive(),
   /** Time from the stop signal to the end of the process, in milliseconds. */
--- a/packages/contracts/src/mesh/servingReasons.ts
+++ b/packages/contracts/src/mesh/servingReasons.ts
@@ -2,6 +2,8 @@
 export type ServingRefusalReason =
   | 'no-configuration'
   | 'no-route'
+  /** No route is known, and the configuration may have changed since it was last known to be current. */
+  | 'configuration-outdated'
   | 'no-host'
   /** The queue is too long for the request to meet its deadline. */
   | 'busy'
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -189,18 +189,24 @@
       return
     }
     const route = view.findRoute(incoming.headers.host ?? '', incoming.url ?? '/')
-    if (route === undefined) {
-      counters.count('serving_refusals', 'no-route')
-      log('requestRefused', {
-        request: callerRequest.attemptId,
-        reason: 'no-route',
-        configuration: view.getConfiguration()?.version,
-        copyAgeMs: Math.round(getCopyAgeMs())
-      })
-      sendNodeResponse(callerRequest, 404, 'no-route')
-      return
-    }
-    startRequest(callerRequest, route, body)
+    if (route === undefined) refuseUnknownRoute(callerRequest)
+    else startRequest(callerRequest, route, body)
+  }
+
+  /** Answers 404 only while the configuration is known to be current; the caller does not retry after that. */
+  function refuseUnknownRoute (callerRequest: CallerRequest): void {
+    const copyAgeMs = getCopyAgeMs()
+    const isOutdated = copyAgeMs > settings.applyMs
+    const reason = isOutdated ? 'configuration-outdated' : 'no-route'
+    counters.count('serving_refusals', reason)
+    log('requestRefused', {
+      request: callerRequest.attemptId,
+      reason,
+      configuration: view.getConfiguration()?.version,
+      copyAgeMs: Math.round(copyAgeMs)
+    })
+    if (isOutdated) sendNodeResponse(callerRequest, 503, reason, NO_CONFIGURATION_RETRY_MS)
+    else sendNodeResponse(callerRequest, 404, reason)
   }
 
   function handleRequest (incoming: IncomingMessage, response: ServerResponse): void {
--- a/packages/node/tests/createNode.test.ts
+++ b/packages/node/tests/createNode.test.ts
@@ -51,6 +51,16 @@
     expect((await send(entry.settings.readiness.port, '/readiness')).status).to.equal(200)
   })
 
+  it('refuses an unknown route for now while its copy may be old (guards against a 404 for a route just added)', async () => {
+    const ask = async (): Promise<number> => (await send(entry.settings.callers.port, '/other/1')).status
+    mesh.store.fault = 'silent'
+    await awaitCondition('the route is refused for now', async () => (await ask()) === 503)
+    expect((await send(entry.settings.callers.port, '/other/1')).headers).to.have.property('retry-after')
+    expect((await send(entry.settings.callers.port, '/parts/1')).status).to.equal(200)
+    mesh.store.fault = 'none'
+    await awaitCondition('the route is known to be missing', async () => (await ask()) === 404)
+  })
+
   it('sends no requests to a draining backend server (guards against requests to a server that is about to exit)', async () => {
     expect(await targetHost.report({ state: 'draining' })).to.equal(200)
     const answer = await send(entry.settings.callers.port, '/parts/1')
--- a/packages/node/tests/createTestContext.ts
+++ b/packages/node/tests/createTestContext.ts
@@ -21,6 +21,7 @@
     seeds: [],
     store: address(1),
     reportIntervalMs: 1500,
+    applyMs: 2000,
     drainMs: 2000,
     gracePeriodMs: 6000,
     coldOvershoot: 1.5,
