--- a/packages/node/src/rows/createReaderFollower.ts
+++ b/packages/node/src/rows/createReaderFollower.ts
@@ -1,6 +1,7 @@
 import { chooseReader, type Replica, type ReplicaRow } from '@snipenotch/decisions'
 import { Agent } from 'node:http'
 import type { NodeContext } from '../NodeContext.js'
+import { startLoop } from '../operations/startLoop.js'
 import { formatRowsPath, parseCopyAges } from '../peers/createPeerServer.js'
 import type { HostHealth } from '../peers/createHostHealth.js'
 import { requestPeer } from '../peers/requestPeer.js'
@@ -35,7 +36,7 @@
 }
 
 /** Duration of a long poll, in milliseconds: a reader that exits is detected after it. */
-const LONG_POLL_MS = 1000
+const LONG_POLL_MS = 600
 /** Time past the long poll until the reader counts as lost, in milliseconds: longer than a stall of a busy process. */
 const RESPONSE_MARGIN_MS = 500
 /** Time for which a failed reader is avoided, in milliseconds: several report intervals; a restart takes less. */
@@ -93,16 +94,14 @@
     recordAges(readerAges)
   }
 
-  async function run (): Promise<void> {
-    while (!stopping.signal.aborted) {
-      const address = chooseAddress()
-      if (address === undefined) await new Promise((resolve) => { setTimeout(resolve, CHOICE_INTERVAL_MS) })
-      else await applyChanges(address)
-    }
+  async function readNext (): Promise<void> {
+    const address = chooseAddress()
+    if (address === undefined) await new Promise((resolve) => { setTimeout(resolve, CHOICE_INTERVAL_MS) })
+    else await applyChanges(address)
   }
 
   return {
-    start: () => { run().catch((error: unknown) => { log('internalError', { error: String(error) }) }) },
+    start: () => { startLoop({ log, isActive: () => !stopping.signal.aborted, step: readNext }) },
     stop: () => {
       stopping.abort()
       agent.destroy()
