fix(contracts): reject records and reports with implausible numbers or addresses

It could happen here: a host record with port 99999 was taken, its address threw when it was first used, and the loop that follows a reader ended for good (version 2 was not in force after 15 s); a request to such a host ended without an answer (SyntaxError: Invalid URL); a report with sequence 1e308 or a cold time of 1e300 outdated all later ones, or made its server cold for ever. Deep nesting did no harm in a record, a field or a report.

--- a/packages/contracts/src/mesh/hostRecordSchema.ts
+++ b/packages/contracts/src/mesh/hostRecordSchema.ts
@@ -1,4 +1,10 @@
 import * as z from 'zod'
+import { remoteAddressSchema } from '../settings/addressSchema.js'
+
+import { MAX_SEQUENCE, MAX_SLOTS, MAX_UNIX_MS } from './reportLimits.js'
+
+/** Highest plausible bandwidth of a link, in Mbit/s. */
+const MAX_LINK_MBPS = 1_000_000
 
 /** Record that a node publishes about the backend server on its host. */
 export const hostRecordSchema = z.object({
@@ -6,11 +12,11 @@
   dataCentre: z.string(),
   service: z.string(),
   /** Address at which other nodes send requests for the backend server. */
-  requestAddress: z.string(),
+  requestAddress: remoteAddressSchema,
   /** Address at which other nodes request store rows and check liveness. */
-  peerAddress: z.string(),
+  peerAddress: remoteAddressSchema,
   /** Bandwidth of the host's network link, in Mbit/s. Hosts with high bandwidth read the store on behalf of others. */
-  linkMbps: z.number().nonnegative().default(0),
+  linkMbps: z.number().nonnegative().max(MAX_LINK_MBPS).default(0),
   /** True if the node accepts requests for its backend server. */
   serving: z.boolean(),
   /** True if the node has acknowledged that this instance leaves. After a restart, the node reads this back. */
@@ -18,13 +24,13 @@
   /** Instance id of the backend server process; a restarted process may reuse it. */
   instance: z.string(),
   /** Wall-clock start of the instance, in milliseconds since the Unix epoch; 0 if unknown. */
-  startedAt: z.number(),
+  startedAt: z.number().int().nonnegative().max(MAX_UNIX_MS),
   /** Sequence number of the last status report that changed the record. */
-  sequence: z.number(),
+  sequence: z.number().int().nonnegative().max(MAX_SEQUENCE),
   /** Version of the service that the backend server runs. */
   version: z.string(),
   /** Maximum number of requests that the backend server runs concurrently. */
-  slots: z.number(),
+  slots: z.number().int().positive().max(MAX_SLOTS),
   /**
    * True if the node sends no requests to the backend server on this host, because its version, which is under rollout,
    * fails.
--- /dev/null
+++ b/packages/contracts/src/mesh/reportLimits.ts
@@ -0,0 +1,8 @@
+/** Latest plausible time, in milliseconds since the Unix epoch: the year 2100. Reports of earlier starts are outdated. */
+export const MAX_UNIX_MS = 4_102_444_800_000
+/** Highest plausible sequence number of a report: a report each second for 68 years. */
+export const MAX_SEQUENCE = 2_147_483_647
+/** Highest plausible number of requests that a backend server runs concurrently. */
+export const MAX_SLOTS = 100_000
+/** Longest plausible duration of a cold phase, in milliseconds: one hour. */
+export const MAX_COLD_MS = 3_600_000
--- a/packages/contracts/src/rows/rowSchemas.ts
+++ b/packages/contracts/src/rows/rowSchemas.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod'
+import { remoteAddressSchema } from '../settings/addressSchema.js'
 
 /** Row `configuration/current`: the accepted version and the digest under which its body is stored. */
 export const currentRowSchema = z.object({
@@ -27,8 +28,8 @@
 /** Row `contact/<data centre>/<n>`: addresses of a relay. `writtenAt` is wall-clock milliseconds. */
 export const contactRowSchema = z.object({
   host: z.string(),
-  peerAddress: z.string(),
-  adminAddress: z.string(),
+  peerAddress: remoteAddressSchema,
+  adminAddress: remoteAddressSchema,
   writtenAt: z.number()
 })
 
--- a/packages/contracts/src/settings/addressSchema.ts
+++ b/packages/contracts/src/settings/addressSchema.ts
@@ -8,6 +8,10 @@
 export const addressSchema = z.string().regex(ADDRESS_PATTERN, 'an IP address and port such as "127.0.0.1:8080"')
   .refine((address) => parseSocketAddress(address).port <= MAX_PORT, `a port of at most ${MAX_PORT}`)
 
+/** Socket address to connect to: as `addressSchema`, without port 0. */
+export const remoteAddressSchema = addressSchema
+  .refine((address) => parseSocketAddress(address).port > 0, 'a port other than 0')
+
 /** Parts of a socket address. IPv6 addresses are without brackets. */
 export interface HostAndPort {
   readonly host: string
--- a/packages/node/src/rows/createMeshView.ts
+++ b/packages/node/src/rows/createMeshView.ts
@@ -101,9 +101,16 @@
     }
   }
 
+  function parseHostRecord (name: string, row: ReplicaRow): HostRecord | undefined {
+    const record = parseRow(hostRecordSchema, row)
+    if (record === undefined || record.host === name) return record
+    log('rowUnreadable', { table: row.table, key: row.key, detail: `found the record of ${record.host}` })
+    return undefined
+  }
+
   function applyMeshRow (row: ReplicaRow): void {
     const { kind, name } = parseMeshKey(row.key)
-    if (kind === 'host') setOrDelete(hosts, name, parseRow(hostRecordSchema, row))
+    if (kind === 'host') setOrDelete(hosts, name, parseHostRecord(name, row))
     if (kind !== 'release') return
     const release = parseRow(releaseSchema, row)
     setOrDelete(releases, name, release)
