--- a/packages/contracts/src/mesh/reportLimits.ts
+++ b/packages/contracts/src/mesh/reportLimits.ts
@@ -1,4 +1,4 @@
-/** Latest plausible time, in milliseconds since the Unix epoch: the year 2100. Reports of earlier starts are outdated. */
+/** Latest plausible start, in milliseconds since the Unix epoch: the year 2100. Earlier starts are outdated by it. */
 export const MAX_UNIX_MS = 4_102_444_800_000
 /** Highest plausible sequence number of a report: a report each second for 68 years. */
 export const MAX_SEQUENCE = 2_147_483_647
