fix(node): answer a request whose handling throws

A caller got no answer, and its connection stayed open until it gave up, when the handling of its request threw: seen in the tests of odd host records, whose addresses threw when they were first used (SyntaxError: Invalid URL). The process survives such an error, so nothing else noticed.

--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -209,6 +209,19 @@
     else sendNodeResponse(callerRequest, 404, reason)
   }
 
+  /** Answers a request whose handling throws with 502: whether it has been forwarded is unknown. */
+  function handleOrFail (callerRequest: CallerRequest, body: Buffer): void {
+    try {
+      handleComplete(callerRequest, body)
+    } catch (error) {
+      log('internalError', {
+        request: callerRequest.attemptId,
+        error: error instanceof Error ? error.stack : String(error)
+      })
+      sendNodeResponse(callerRequest, 502, 'internal-error')
+    }
+  }
+
   function handleRequest (incoming: IncomingMessage, response: ServerResponse): void {
     if (closingSockets.has(incoming.socket)) {
       // The connection is closing and the request has not been read, so the caller retries it on another connection.
@@ -247,7 +260,7 @@
           mayBeStale: callerRequest.isFirstOfConnection || isEventLoopDelayed(ticker),
           isAbandoned: () => incoming.socket.readableEnded || incoming.socket.destroyed
         }
-        runUnlessAbandoned(request, () => { handleComplete(callerRequest, Buffer.concat(chunks)) }, () => {
+        runUnlessAbandoned(request, () => { handleOrFail(callerRequest, Buffer.concat(chunks)) }, () => {
           counters.count('serving_requests', 'left')
         })
       }
