fix(node): replace the idle connections to a backend server after a silent one

Callers lost one request on each kept connection to a backend server that had gone silent without a reset, each only at its deadline; up to 32 of them in a row, orders among them, which may not be sent again.

If a kept connection has not responded by the deadline, the idle ones are closed. A backend server that is only slow answers at the deadline. The test lost the second request before and gets its answer on a new connection now.

--- a/packages/daemon/src/requests/BoundedKeepAliveAgent.ts
+++ b/packages/daemon/src/requests/BoundedKeepAliveAgent.ts
@@ -48,6 +48,11 @@
     return true
   }
 
+  /** Closes the connections that no request uses. */
+  closeIdleConnections (): void {
+    for (const socket of Object.values(this.freeSockets).flatMap((sockets) => sockets ?? [])) socket.destroy()
+  }
+
   override reuseSocket (socket: Socket, request: ClientRequest): void {
     socket.off('data', closeOnUnsolicitedData)
     super.reuseSocket(socket, request)
--- a/packages/node/src/home/createBackendClient.ts
+++ b/packages/node/src/home/createBackendClient.ts
@@ -111,6 +111,7 @@
   ): BackendCall {
     let isConnected = false
     let isDone = false
+    let hasResponse = false
     let connectTimer: NodeJS.Timeout | undefined
     const startedAt = clock.now()
 
@@ -137,9 +138,21 @@
       outgoing.destroy()
     }
 
+    /**
+     * Closes the idle connections if a kept one has not responded by the deadline: connections that go silent without
+     * a reset do so together. A backend server that is only slow answers at the deadline.
+     */
+    function checkSilence (): void {
+      const isOverdue = clock.now() - startedAt >= remainingMs
+      if (outgoing.reusedSocket && !hasResponse && isOverdue) agent.closeIdleConnections()
+    }
+
     const open: OpenCall = {
       endsAt: startedAt + remainingMs + DEADLINE_GRACE_MS,
-      end: () => { failCall('deadline', 'no complete response before the deadline') }
+      end: () => {
+        checkSilence()
+        failCall('deadline', 'no complete response before the deadline')
+      }
     }
     calls.add(open)
     function recordConnected (): void {
@@ -167,6 +180,7 @@
         : { kind: 'unreachable', detail: error.message })
     })
     outgoing.on('response', (incoming) => {
+      hasResponse = true
       const fault = findResponseFault(job, incoming)
       if (fault !== undefined) {
         failCall(fault, `status ${incoming.statusCode ?? 0}`)
@@ -201,6 +215,7 @@
     outgoing.end(job.body)
     return {
       abort: () => {
+        checkSilence()
         isDone = true
         calls.delete(open)
         clearTimeout(connectTimer)
--- a/packages/node/tests/home/createBackendClient.test.ts
+++ b/packages/node/tests/home/createBackendClient.test.ts
@@ -65,6 +65,21 @@
   const call = (given: BackendJob): Promise<BackendResult> =>
     new Promise((resolve) => { client.call(given, 'i-1', 500, resolve) })
 
+  it('uses new connections after one that is silent (guards against requests lost on each silent connection)', async () => {
+    const silent = new Set<Socket>()
+    const open = new Set<Socket>()
+    handle = (socket, text) => {
+      open.add(socket)
+      const attemptId = /attempt-id: (\S+)/i.exec(text)?.[1] ?? ''
+      if (!silent.has(socket)) setTimeout(() => { socket.write(head(attemptId, 'Content-Length: 2\r\n') + 'ok') }, 20)
+    }
+    await Promise.all(['a', 'b', 'c', 'd'].map((id) => call(job(id))))
+    for (const socket of open) silent.add(socket)
+    expect((await call(job('e'))).kind).to.equal('lost')
+    expect((await call(job('f'))).kind).to.equal('answered')
+    expect(connections).to.equal(5)
+  })
+
   it('sends the instance and the remaining time, and returns the complete response', async () => {
     let seen = ''
     handle = (socket, text) => {
