refactor(contracts): name the latest start of an instance and take any sequence number

The bound of a host record's sequence asked for a whole number, which the report that it comes from need not be. A request whose handling throws is counted as failed.

--- a/packages/contracts/src/mesh/hostRecordSchema.ts
+++ b/packages/contracts/src/mesh/hostRecordSchema.ts
@@ -1,7 +1,6 @@
 import * as z from 'zod'
 import { remoteAddressSchema } from '../settings/addressSchema.js'
-
-import { MAX_SEQUENCE, MAX_SLOTS, MAX_UNIX_MS } from './reportLimits.js'
+import { MAX_SEQUENCE, MAX_SLOTS, MAX_STARTED_AT_MS } from './reportLimits.js'
 
 /** Highest plausible bandwidth of a link, in Mbit/s. */
 const MAX_LINK_MBPS = 1_000_000
@@ -24,9 +23,9 @@
   /** Instance id of the backend server process; a restarted process may reuse it. */
   instance: z.string(),
   /** Wall-clock start of the instance, in milliseconds since the Unix epoch; 0 if unknown. */
-  startedAt: z.number().int().nonnegative().max(MAX_UNIX_MS),
+  startedAt: z.number().int().nonnegative().max(MAX_STARTED_AT_MS),
   /** Sequence number of the last status report that changed the record. */
-  sequence: z.number().int().nonnegative().max(MAX_SEQUENCE),
+  sequence: z.number().nonnegative().max(MAX_SEQUENCE),
   /** Version of the service that the backend server runs. */
   version: z.string(),
   /** Maximum number of requests that the backend server runs concurrently. */
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -214,6 +214,7 @@
     try {
       handleComplete(callerRequest, body)
     } catch (error) {
+      counters.count('serving_requests', 'failed')
       log('internalError', {
         request: callerRequest.attemptId,
         error: error instanceof Error ? error.stack : String(error)
