feat(node): log which requests a backend server was running when it ended

Event 836 names requests by attempt and by fingerprint (method, host, path, beginning of the body). A lost connection alone is no crash: the server must refuse connections within a second, or report as another run. Digests are computed for lost requests only, so a calm node pays nothing. Ruled out: a fingerprint on every line 810, which would digest each failed request and fill the logs sooner.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -92,6 +92,7 @@
   peerRowsMissing: { number: 833, level: 'warn', text: 'a peer that was asked for rows sent none that can be read' },
   peerRowsMalformed: { number: 834, level: 'warn', text: 'response of the host that reads the store is malformed' },
   storeConnectionLost: { number: 835, level: 'warn', text: 'connection to the store ended without a response; the call is repeated on a new one' },
+  backendCrashed: { number: 836, level: 'warn', text: 'backend server ended while it ran requests' },
   linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
 
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -9,6 +9,7 @@
 import { createRetryBudgets } from './entry/createRetryBudgets.js'
 import { createBackendClient } from './home/createBackendClient.js'
 import { createBackendDispatcher } from './home/createBackendDispatcher.js'
+import { createCrashGuard } from './home/createCrashGuard.js'
 import { createInstanceProber } from './home/createInstanceProber.js'
 import { createForwardingServer } from './home/createForwardingServer.js'
 import { probeInstance } from './home/probeInstance.js'
@@ -116,6 +117,7 @@
     view,
     instance,
     backend,
+    crashGuard: createCrashGuard(context),
     onChange: () => { recordPublisher.update() },
     onColdUnknown: () => { instanceProber.update() }
   })
--- a/packages/node/src/home/createBackendDispatcher.ts
+++ b/packages/node/src/home/createBackendDispatcher.ts
@@ -1,12 +1,13 @@
 import { addMilliseconds, type Milliseconds, type ServingLossReason, type ServingRefusalReason } from '@snipenotch/contracts'
 import {
-  type ColdLimit, createRequestQueue, createRouteClassifier, createVersionBreaker, type QueueLimits, type InstanceState,
-  type ReportedLoad
+  type ColdLimit, createRequestQueue, createRouteClassifier, createVersionBreaker, type InstanceRun, type InstanceState,
+  type QueueLimits, type ReportedLoad
 } from '@snipenotch/decisions'
 import type { NodeContext } from '../NodeContext.js'
 import type { MeshView } from '../rows/createMeshView.js'
 import type { BackendClient, BackendResult } from './createBackendClient.js'
 import { FIRST_FAILURE_STATUS, type BackendJob, type JobOutcome } from './BackendJob.js'
+import type { CrashGuard } from './createCrashGuard.js'
 
 /** Admits, queues and sends all requests for the backend server on this host. */
 export interface BackendDispatcher {
@@ -51,6 +52,7 @@
   readonly view: MeshView
   readonly instance: InstanceState
   readonly backend: BackendClient
+  readonly crashGuard: CrashGuard
   /** Called when the backend server refuses connections or its version is cut off. */
   readonly onChange: () => void
   /** Called when the backend server may have become cold without a report. */
@@ -67,7 +69,7 @@
 
 /** Creates the dispatcher of a node. */
 export function createBackendDispatcher (
-  { context, view, instance, backend, onChange, onColdUnknown }: BackendDispatcherOptions
+  { context, view, instance, backend, crashGuard, onChange, onColdUnknown }: BackendDispatcherOptions
 ): BackendDispatcher {
   const { settings, clock, log, counters } = context
   const requestQueue = createRequestQueue<BackendJob>(addMilliseconds(clock.now(), COLD_START_DELAY_MS))
@@ -77,7 +79,7 @@
   const startedAttempts = new Set<string>()
   let isStopping = false
   let failureShare = 0
-  let trackedRun = ''
+  let trackedRun: InstanceRun | undefined
   /** True if requests were refused at the previous computation of the limits. */
   let wasClosed = true
   let coldPerSecond: number | undefined
@@ -86,9 +88,10 @@
   /** Resets measurements when the backend server has restarted, because they apply to one run of it. */
   function resetForNewRun (): void {
     const run = instance.getRun()
-    const name = `${run?.instance ?? ''}/${run?.startedAt ?? 0}`
-    if (name === trackedRun) return
-    trackedRun = name
+    if (instance.getLeavingSince() !== undefined) crashGuard.recordLeave()
+    if (run?.instance === trackedRun?.instance && run?.startedAt === trackedRun?.startedAt) return
+    if (trackedRun !== undefined) crashGuard.recordRestart(trackedRun)
+    trackedRun = run
     requestQueue.resetTimes()
     versionBreaker.reset()
     failureShare = 0
@@ -198,8 +201,10 @@
       if (result.kind === 'unreachable') {
         log('instanceUnreachable', { detail: result.detail, instance: run?.instance, sequence: run?.sequence })
         instance.markDown(clock.now())
+        crashGuard.recordRefusedConnection(run)
         onChange()
       } else {
+        if (result.kind === 'lost') crashGuard.recordLoss(job, run)
         if (result.kind === 'lost' && RESTART_LOSSES.has(result.reason)) markColdUnknown(result.reason)
         recordResult(job, result.kind === 'lost' || result.notRun || result.status >= FIRST_FAILURE_STATUS, durationMs)
       }
@@ -211,6 +216,7 @@
       outcomeHandlers.delete(job)
       if (!job.idempotent) return false
       call.abort()
+      crashGuard.recordLoss(job, run)
       requestQueue.finish(job, undefined)
       update()
       return false
