--- a/packages/node/tests/startTestMesh.ts
+++ b/packages/node/tests/startTestMesh.ts
@@ -23,6 +23,11 @@
   coldMs: number
   isHealthy: boolean
   handle: (incoming: IncomingMessage, response: ServerResponse) => void
+  /** Wall-clock start of the current run, in milliseconds since the Unix epoch. */
+  startedAt: number
+  readonly isUp: () => boolean
+  /** Ends the server as a crash does and starts another run of it after `downMs`. */
+  readonly crash: (downMs: number) => void
   readonly close: () => void
 }
 
@@ -77,6 +82,7 @@
 
 async function startBackend (name: string): Promise<TestBackend> {
   const seen: TestBackend['seen'] = []
+  let restartTimer: NodeJS.Timeout | undefined
   const server = createServer((incoming, response) => {
     const chunks: Buffer[] = []
     incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
@@ -98,7 +104,19 @@
     coldMs: 0,
     isHealthy: true,
     handle: (incoming, response) => { answerSigned(incoming, response, name) },
+    startedAt: 1000,
+    isUp: () => server.listening,
+    crash: (downMs) => {
+      if (!server.listening) return
+      server.close()
+      server.closeAllConnections()
+      restartTimer = setTimeout(() => {
+        backend.startedAt += 1000
+        server.listen(backend.port, '127.0.0.1')
+      }, downMs)
+    },
     close: () => {
+      clearTimeout(restartTimer)
       server.closeAllConnections()
       server.close()
     }
@@ -181,7 +199,9 @@
     const report = async ({ instance = `i-${host}`, ...given }: ReportOptions = {}): Promise<number> => {
       sequence += 1
       const address = `127.0.0.1:${backend.port}`
-      const { path, body } = composeReport(instance, { address, service, dataCentre, sequence, ...given })
+      const { path, body } = composeReport(instance, {
+        address, service, dataCentre, sequence, startedAt: backend.startedAt, ...given
+      })
       return (await send(reports.port, path, {}, { method: 'POST', body })).status
     }
     const started = { settings: context.settings, context, node, backend, report }
