fix(node): refuse a request under which two backend servers have ended

Cause: the node treats each attempt as new, and an attempt at an idempotent request ended up to three servers by itself. Class: a promise kept in one of two request paths. The daemon refuses such requests, the node on the users' platform did not.

Now the node beside a server that ended reports the requests that were lost with it to the other nodes of the service, by fingerprint, at once and again every 2 s to one of them; no store is needed, and a node that starts asks two of them. After two crashes a request is refused for 60 s, doubled with each further one, and then runs on probation, one at a time on one host of the service. A success clears it. An attempt whose responses were lost twice is not sent a third time. The register of suspects is the daemon's, extended by clearing, probation and a limit that spares the proved; digests are computed only while anything is under suspicion.

Ruled out: rows in the store (priced, and not written during an outage); accusing by a lost connection alone (servers also reset single connections); the caller's service as part of the fingerprint (the same request comes at any node).

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -93,6 +93,9 @@
   peerRowsMalformed: { number: 834, level: 'warn', text: 'response of the host that reads the store is malformed' },
   storeConnectionLost: { number: 835, level: 'warn', text: 'connection to the store ended without a response; the call is repeated on a new one' },
   backendCrashed: { number: 836, level: 'warn', text: 'backend server ended while it ran requests' },
+  requestQuarantined: { number: 837, level: 'warn', text: 'request refused, as backend servers crashed while they ran it' },
+  suspectCleared: { number: 838, level: 'info', text: 'request under suspicion answered; it is refused no more' },
+  suspectReportMalformed: { number: 839, level: 'warn', text: 'report about requests that crash backend servers is malformed' },
   linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
 
--- a/packages/contracts/src/mesh/servingReasons.ts
+++ b/packages/contracts/src/mesh/servingReasons.ts
@@ -16,6 +16,8 @@
   | 'evacuated'
   | 'version-not-allowed'
   | 'version-cut'
+  /** Backend servers have crashed while they ran this request. */
+  | 'crash-suspect'
   | 'stopping'
   /** The address now belongs to a host of another service. */
   | 'wrong-service'
--- a/packages/decisions/src/serving/chooseReader.ts
+++ b/packages/decisions/src/serving/chooseReader.ts
@@ -1,3 +1,5 @@
+import { digestName } from './digestName.js'
+
 /** A host that can read the store on behalf of the other hosts of its data centre. */
 export interface ReaderCandidate {
   readonly host: string
@@ -11,16 +13,6 @@
 /** Bandwidth in megabits per second above which links count as equal: a large configuration takes 30 ms to transfer. */
 const WIDE_LINK_THRESHOLD_MBPS = 100
 
-const FNV_PRIME = 16_777_619
-const FNV_OFFSET_BASIS = 2_166_136_261
-
-/** FNV-1a hash: spreads the choice over hosts and gives the same result on all of them. */
-function digestName (text: string): number {
-  let hash = FNV_OFFSET_BASIS
-  for (let index = 0; index < text.length; index++) hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME)
-  return hash >>> 0
-}
-
 /**
  * Returns the name of the host that reads the store on behalf of `own`, which is the name of `own` if it reads the
  * store itself. Hosts with high bandwidth are preferred. Correctness does not depend on all hosts agreeing: an extra
--- a/packages/decisions/src/serving/computeRetryAfter.ts
+++ b/packages/decisions/src/serving/computeRetryAfter.ts
@@ -7,9 +7,10 @@
 
 /**
  * Formats the value of a retry-after header, in seconds, for a refused request. `waitMs` is the expected wait for a
- * free slot in milliseconds, and `random` returns a random number in [0, 1).
+ * free slot in milliseconds, and `random` returns a random number in [0, 1). `maxMs` limits the wait before the random
+ * addition.
  */
-export function computeRetryAfter (waitMs: number, random: () => number): string {
-  const delay = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs)) * (1 + JITTER * random())
+export function computeRetryAfter (waitMs: number, random: () => number, maxMs = MAX_RETRY_AFTER_MS): string {
+  const delay = Math.min(maxMs, Math.max(MIN_RETRY_AFTER_MS, waitMs)) * (1 + JITTER * random())
   return (delay / 1000).toFixed(3)
 }
--- a/packages/decisions/src/serving/createRequestQueue.ts
+++ b/packages/decisions/src/serving/createRequestQueue.ts
@@ -62,6 +62,8 @@
   readonly takeReady: (limits: QueueLimits, now: Milliseconds) => Job[]
   /** Removes and returns the waiting requests that can no longer be answered before their deadline. */
   readonly takeExpired: (now: Milliseconds) => Job[]
+  /** Removes and returns the waiting requests for which `isMatch` is true. */
+  readonly takeMatching: (isMatch: (job: Job) => boolean) => Job[]
   /** Removes and returns all waiting requests. */
   readonly takeAll: () => Job[]
   /** Removes a waiting request whose caller has disconnected; false if the request is not waiting. */
@@ -205,6 +207,12 @@
     return waitMs > computeMaxWait(job, now) ? { kind: 'refuse', reason: 'busy', waitMs } : undefined
   }
 
+  function takeMatching (isMatch: (job: Job) => boolean): Job[] {
+    const matching = waiting.filter(isMatch)
+    if (matching.length > 0) waiting = waiting.filter((job) => !matching.includes(job))
+    return matching
+  }
+
   return {
     findRefusal,
     submit: (job, limits, now) => {
@@ -227,11 +235,9 @@
       }
       return ready
     },
-    takeExpired: (now) => {
-      const expired = waiting.filter((job) => now + getServiceMs(job) * MIN_REMAINING_SERVICE_SHARE > job.deadlineAt)
-      if (expired.length > 0) waiting = waiting.filter((job) => !expired.includes(job))
-      return expired
-    },
+    takeExpired: (now) =>
+      takeMatching((job) => now + getServiceMs(job) * MIN_REMAINING_SERVICE_SHARE > job.deadlineAt),
+    takeMatching,
     takeAll: () => {
       const all = waiting
       waiting = []
--- a/packages/decisions/src/serving/index.ts
+++ b/packages/decisions/src/serving/index.ts
@@ -1,3 +1,4 @@
+export * from './chooseProbationHost.js'
 export * from './chooseReader.js'
 export * from './computeRetryAfter.js'
 export * from './createAttemptAgeEstimator.js'
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -20,6 +20,7 @@
 import { createRolloutController } from './operations/createRolloutController.js'
 import { createHostHealth } from './peers/createHostHealth.js'
 import { createPeerServer } from './peers/createPeerServer.js'
+import { createSuspectExchange } from './peers/createSuspectExchange.js'
 import { formatAddress } from './peers/parseAddress.js'
 import { createCopyAges } from './rows/createCopyAges.js'
 import { createHostRecordWriter } from './rows/createHostRecordWriter.js'
@@ -112,12 +113,25 @@
     onRows: applyRows,
     isStoreConnected
   })
+  const crashGuard = createCrashGuard({
+    context,
+    view,
+    onFinding: () => { suspectExchange.broadcast() },
+    onChange: () => { dispatcher.update() }
+  })
+  const suspectExchange = createSuspectExchange({
+    context,
+    view,
+    composeReport: crashGuard.composeReport,
+    applyReport: crashGuard.applyReport,
+    hasSuspects: crashGuard.hasSuspects
+  })
   const dispatcher = createBackendDispatcher({
     context,
     view,
     instance,
     backend,
-    crashGuard: createCrashGuard(context),
+    crashGuard,
     onChange: () => { recordPublisher.update() },
     onColdUnknown: () => { instanceProber.update() }
   })
@@ -166,7 +180,9 @@
   const rolloutController = createRolloutController({
     context, view, replica, store, health, onRows: applyRows, getStoreTime
   })
-  const peerServer = createPeerServer({ replica, cursors, copyAges, isStoreConnected: isReader, getStoreTime })
+  const peerServer = createPeerServer({
+    replica, cursors, copyAges, isStoreConnected: isReader, getStoreTime, receiveSuspects: suspectExchange.receive
+  })
   const readiness = createServer((_, response) => {
     const isReady = !isStopping && view.getConfiguration() !== undefined
     response.writeHead(isReady ? 200 : 503, { 'content-length': 0 }).end()
@@ -204,6 +220,7 @@
       for (const follower of followers) follower.start()
       reader.start()
       peerRowFetcher.start()
+      suspectExchange.start()
       rolloutController.start()
       loadLogger.start()
       await Promise.all([
@@ -241,7 +258,8 @@
       await awaitEnd(isIdle, limitAt)
       for (const follower of followers) follower.stop()
       reader.stop()
-      for (const part of [peerRowFetcher, forwardingClient, health, instanceProber, forwardingServer]) part.close()
+      const parts = [peerRowFetcher, suspectExchange, forwardingClient, health, instanceProber, forwardingServer]
+      for (const part of parts) part.close()
       await recordWriter.flush(Math.min(RECORD_FLUSH_MS, Math.max(0, limitAt - clock.now())))
       log('daemonStopped', { open: entryServer.countOpen(), running: dispatcher.countOpen(), tookMs: Math.round(clock.now() - stoppedAt) })
     }
--- a/packages/node/src/entry/createCallerResponder.ts
+++ b/packages/node/src/entry/createCallerResponder.ts
@@ -33,6 +33,12 @@
   readonly isLastOnConnection: (callerRequest: CallerRequest) => boolean
 }
 
+/**
+ * Maximum retry delays, in milliseconds, that differ from the default. Capacity may become free at any time, but a
+ * request that crashes backend servers is refused for as long as stated.
+ */
+const MAX_RETRY_AFTER_MS: Readonly<Record<string, number>> = { 'crash-suspect': Infinity }
+
 const formatDuration = (duration: number | undefined): number | undefined =>
   duration === undefined ? undefined : Math.round(duration)
 
@@ -53,7 +59,9 @@
   function sendNodeResponse (
     callerRequest: CallerRequest, status: number, reason: string, retryAfterMs?: number
   ): void {
-    const retryAfter = retryAfterMs === undefined ? [] : ['Retry-After', computeRetryAfter(retryAfterMs, random)]
+    const retryAfter = retryAfterMs === undefined
+      ? []
+      : ['Retry-After', computeRetryAfter(retryAfterMs, random, MAX_RETRY_AFTER_MS[reason])]
     const echo = [PLATFORM_HEADERS.attemptId, callerRequest.attemptId]
     send(callerRequest, status, [...echo, 'Content-Type', 'text/plain', ...retryAfter], Buffer.from(`${reason}\n`))
   }
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -28,6 +28,11 @@
 }
 /** Retry delay if no host of the service accepts requests, in milliseconds: a fraction of the report interval. */
 const NO_HOST_WAIT_MS = 400
+/**
+ * Number of runs of one request whose responses were lost after which it is not sent again: a request that crashes
+ * backend servers must not crash all of them in one attempt.
+ */
+const MAX_LOST_RUNS = 2
 /** Minimum remaining time for a retry, as a share of the route's target latency. */
 const MIN_RETRY_TIME_SHARE = 0.3
 
@@ -103,6 +108,7 @@
     let waitMs = Infinity
     let lastRefusal: ServingRefusalReason = 'no-host'
     let busyRefusals = 0
+    let lostRuns = 0
     /** Latest outcome of an attempt that ran, or may have run. */
     let lastRun: { readonly outcome: JobOutcome, readonly host: string } | undefined
 
@@ -138,11 +144,13 @@
     /** Handles a refusal: the request has not run, so any other host may run it without using the retry budget. */
     function handleRefusal (candidate: Candidate, reason: ServingRefusalReason, wait: number): void {
       lastRefusal = reason
-      if (reason === 'busy' || reason === 'expired') waitMs = Math.min(waitMs, wait)
+      if (reason === 'busy' || reason === 'expired' || reason === 'crash-suspect') waitMs = Math.min(waitMs, wait)
       if (reason === 'busy') busyRefusals += 1
       const avoidMs = AVOID_MS[reason]
       if (avoidMs !== undefined) loadBalancer.avoid(candidate.host, avoidMs, clock.now())
-      if (reason === 'expired' || busyRefusals >= computeBusyLimit(service)) {
+      // The nodes of a service agree on the requests that crash their backend servers.
+      const isFinal = reason === 'expired' || reason === 'crash-suspect'
+      if (isFinal || busyRefusals >= computeBusyLimit(service)) {
         refuse()
         return
       }
@@ -169,6 +177,7 @@
       candidate: Candidate, reason: 'not-run' | 'failed' | 'lost', attemptsMade: number
     ): boolean {
       if (reason !== 'not-run' && !route.idempotent) return false
+      if (lostRuns >= MAX_LOST_RUNS) return false
       if (attemptsMade >= route.maxAttempts || hostsAsked >= MAX_HOSTS_ASKED) return false
       if (deadlineAt - clock.now() < route.targetLatencyMs * MIN_RETRY_TIME_SHARE) return false
       if (finder.find(service, version, 0, tried).length === 0) return false
@@ -202,6 +211,7 @@
         return
       }
       tries += 1
+      if (outcome.kind === 'lost') lostRuns += 1
       const isNotRun = outcome.kind === 'answered' && outcome.notRun
       if (!isNotRun) lastRun = { outcome, host: candidate.host }
       if (takeRetryAfter(candidate, outcome)) sendToNextHost()
--- a/packages/node/src/home/createBackendDispatcher.ts
+++ b/packages/node/src/home/createBackendDispatcher.ts
@@ -151,9 +151,14 @@
     return { ...requestQueue.getLoad(computeLimits(), clock.now()), failureShare, fetchMs: 0 }
   }
 
+  function releaseJob (job: BackendJob): void {
+    outcomeHandlers.delete(job)
+    crashGuard.release(job)
+  }
+
   function end (job: BackendJob, outcome: JobOutcome, backendMs?: number): void {
     const onOutcome = outcomeHandlers.get(job)
-    outcomeHandlers.delete(job)
+    releaseJob(job)
     delete job.cancel
     if (outcome.kind === 'refused') counters.count('serving_refusals', outcome.reason)
     if (outcome.kind !== 'answered' || outcome.status >= FIRST_FAILURE_STATUS) {
@@ -197,7 +202,10 @@
       const durationMs = clock.now() - startedAt
       const hasRun = result.kind === 'answered' && !result.notRun
       requestQueue.finish(job, hasRun ? durationMs : undefined)
-      if (hasRun) counters.record('backend', durationMs)
+      if (hasRun) {
+        counters.record('backend', durationMs)
+        crashGuard.recordSuccess(job)
+      }
       if (result.kind === 'unreachable') {
         log('instanceUnreachable', { detail: result.detail, instance: run?.instance, sequence: run?.sequence })
         instance.markDown(clock.now())
@@ -213,7 +221,7 @@
     })
     job.cancel = () => {
       // A non-idempotent request is left running, because its effect would be unknown if it were aborted.
-      outcomeHandlers.delete(job)
+      releaseJob(job)
       if (!job.idempotent) return false
       call.abort()
       crashGuard.recordLoss(job, run)
@@ -233,6 +241,9 @@
     const limits = computeLimits()
     const now = clock.now()
     for (const job of requestQueue.takeExpired(now)) end(job, { kind: 'refused', reason: 'expired', waitMs: 0 })
+    for (const job of requestQueue.takeMatching((waiting) => crashGuard.findWait(waiting) !== undefined)) {
+      end(job, { kind: 'refused', reason: 'crash-suspect', waitMs: crashGuard.findWait(job) ?? 0 })
+    }
     if (!limits.isStartAllowed) {
       for (const job of requestQueue.takeAll()) end(job, { kind: 'refused', reason: limits.closedReason ?? 'busy', waitMs: 0 })
     }
@@ -257,6 +268,11 @@
       end(job, { kind: 'refused', reason: 'wrong-service', waitMs: 0 })
       return
     }
+    const suspectWaitMs = crashGuard.admit(job)
+    if (suspectWaitMs !== undefined) {
+      end(job, { kind: 'refused', reason: 'crash-suspect', waitMs: suspectWaitMs })
+      return
+    }
     const limits = computeLimits()
     const decision = requestQueue.submit(job, limits, clock.now())
     if (decision.kind === 'refuse') {
@@ -274,7 +290,7 @@
       return
     }
     job.cancel = () => {
-      outcomeHandlers.delete(job)
+      releaseJob(job)
       return requestQueue.cancel(job)
     }
     schedule(limits)
--- a/packages/node/src/home/digestJob.ts
+++ b/packages/node/src/home/digestJob.ts
@@ -9,8 +9,8 @@
 }
 
 /**
- * Returns the fingerprint of a request: a digest of method, host name, path with query, and the beginning of the body. It
- * is the same for all attempts at a request, wherever they enter the mesh.
+ * Returns the fingerprint of a request: a digest of method, host name, path with query, and the beginning of the body.
+ * It is the same for all attempts at a request, wherever they enter the mesh.
  */
 export function digestJob (job: BackendJob): string {
   let digest = digests.get(job)
--- a/packages/node/src/peers/createPeerServer.ts
+++ b/packages/node/src/peers/createPeerServer.ts
@@ -1,5 +1,5 @@
 import type { Replica } from '@snipenotch/decisions'
-import { createServer, type IncomingHttpHeaders, type Server, type ServerResponse } from 'node:http'
+import { createServer, type IncomingHttpHeaders, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { CopyAges } from '../rows/createCopyAges.js'
 import type { TableCursors } from '../rows/createTableCursors.js'
 import { encodeRows, type TableUpdate } from '../rows/rowsCodec.js'
@@ -8,7 +8,9 @@
 /** Paths of the peer server. */
 export const PEER_PATHS = {
   ping: '/ping',
-  rows: '/rows'
+  rows: '/rows',
+  /** Exchange of reports about requests that crash backend servers. */
+  suspects: '/suspects'
 } as const
 
 /**
@@ -40,6 +42,9 @@
 /** Number of cached encoded responses: the followers of a reader send the same request at the same time. */
 const MAX_CACHED_RESPONSES = 4
 
+/** Largest suspect report that is read, in bytes. */
+const MAX_REPORT_BYTES = 262_144
+
 /** Options of `createPeerServer`. */
 export interface PeerServerOptions {
   readonly replica: Replica
@@ -48,11 +53,13 @@
   readonly isStoreConnected: () => boolean
   /** Current time of the store's monotonic clock, in milliseconds; undefined if unknown. */
   readonly getStoreTime: () => number | undefined
+  /** Applies an encoded suspect report and returns the report to answer with; undefined if it is malformed. */
+  readonly receiveSuspects: (body: Buffer, peer: string) => Buffer | undefined
 }
 
 /** Creates the server that answers pings and serves rows from the local copies of the tables. */
 export function createPeerServer (
-  { replica, cursors, copyAges, isStoreConnected, getStoreTime }: PeerServerOptions
+  { replica, cursors, copyAges, isStoreConnected, getStoreTime, receiveSuspects }: PeerServerOptions
 ): Server {
   const cachedResponses = new Map<string, Buffer>()
 
@@ -104,12 +111,30 @@
     if (collect().some(hasChanges)) send()
   }
 
+  function handleSuspects (incoming: IncomingMessage, response: ServerResponse): void {
+    const chunks: Buffer[] = []
+    let size = 0
+    incoming.on('data', (chunk: Buffer) => {
+      size += chunk.length
+      if (size <= MAX_REPORT_BYTES) chunks.push(chunk)
+    })
+    incoming.on('end', () => {
+      const peer = incoming.socket.remoteAddress ?? ''
+      const answer = size > MAX_REPORT_BYTES ? undefined : receiveSuspects(Buffer.concat(chunks), peer)
+      response.writeHead(answer === undefined ? 400 : 200, { 'content-length': answer?.length ?? 0 }).end(answer)
+    })
+  }
+
   return createServer((incoming, response) => {
     const url = new URL(incoming.url ?? '/', 'http://localhost')
     if (url.pathname === PEER_PATHS.ping) {
       response.writeHead(200, { 'content-length': 0 }).end()
       return
     }
+    if (url.pathname === PEER_PATHS.suspects) {
+      handleSuspects(incoming, response)
+      return
+    }
     if (url.pathname !== PEER_PATHS.rows) {
       response.writeHead(404, { 'content-length': 0 }).end()
       return
--- a/packages/node/src/peers/requestPeer.ts
+++ b/packages/node/src/peers/requestPeer.ts
@@ -7,13 +7,16 @@
   readonly body: Buffer
 }
 
-/** Sends a GET request to a peer; returns undefined if there is no response with status 200 within `timeoutMs`. */
+/**
+ * Sends a GET request to a peer, or a POST request with `body`; returns undefined if there is no response with status
+ * 200 within `timeoutMs`.
+ */
 export function requestPeer (
-  agent: Agent, address: string, path: string, timeoutMs: number
+  agent: Agent, address: string, path: string, timeoutMs: number, body?: Buffer
 ): Promise<PeerResponse | undefined> {
   return new Promise((resolve) => {
     const { host, port } = parseAddress(address)
-    const outgoing = request({ agent, host, port, path }, (incoming) => {
+    const outgoing = request({ agent, host, port, path, method: body === undefined ? 'GET' : 'POST' }, (incoming) => {
       const chunks: Buffer[] = []
       incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
       incoming.on('error', () => { end(undefined) })
@@ -29,6 +32,6 @@
     }
     // Errors are logged by the calling code, which knows the purpose of the request.
     outgoing.on('error', () => { end(undefined) })
-    outgoing.end()
+    outgoing.end(body)
   })
 }
--- a/packages/node/tests/backgroundLoops.test.ts
+++ b/packages/node/tests/backgroundLoops.test.ts
@@ -62,7 +62,14 @@
     replica.merge([{ table: MESH_TABLE, key: 'host/krakow-9', value: '{}', version: 4 }])
     cursors.set(MESH_TABLE, { version: 4, fullReadVersion: 4 })
     const copyAges = createCopyAges(context.clock)
-    peerServer = createPeerServer({ replica, cursors, copyAges, isStoreConnected: () => true, getStoreTime: () => 1 })
+    peerServer = createPeerServer({
+      replica,
+      cursors,
+      copyAges,
+      isStoreConnected: () => true,
+      getStoreTime: () => 1,
+      receiveSuspects: () => undefined
+    })
     await new Promise<void>((resolve) => { peerServer.listen(0, '127.0.0.1', resolve) })
     peerAddress = `127.0.0.1:${(peerServer.address() as AddressInfo).port}`
   })
--- a/packages/node/tests/peers/createPeerServer.test.ts
+++ b/packages/node/tests/peers/createPeerServer.test.ts
@@ -42,7 +42,12 @@
     copyAges = createCopyAges(createSystemClock())
     isConnected = true
     server = createPeerServer({
-      replica, cursors, copyAges, isStoreConnected: () => isConnected, getStoreTime: () => 77
+      replica,
+      cursors,
+      copyAges,
+      isStoreConnected: () => isConnected,
+      getStoreTime: () => 77,
+      receiveSuspects: () => undefined
     })
     await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
     address = `127.0.0.1:${(server.address() as AddressInfo).port}`
