test(daemon): compose the key of a request when it is sent

The key was composed when the test file was loaded and is valid for 120 s. Run behind other packages' tests, the first test that sends it got 'key-expired' (seen once, after 150 s of tests of decisions and node). The checks are unchanged.

--- a/packages/daemon/tests/requests/entry/createExchangeRunner.test.ts
+++ b/packages/daemon/tests/requests/entry/createExchangeRunner.test.ts
@@ -24,7 +24,8 @@
   return arrayBuffers + heapUsed
 }
 
-const key = `far.1.${Date.now()}.${'0'.repeat(32)}`
+/** Composes the key of a request that was issued now, with its home on the host `far`. */
+const composeKey = (): string => `far.1.${Date.now()}.${'0'.repeat(32)}`
 const CLOSED_ADDRESS = '127.0.0.1:1'
 
 describe('createExchangeRunner', () => {
@@ -72,7 +73,7 @@
   it('runs a keyed request only on its home (guards against a duplicate run on another host)', async () => {
     const far = await addGoodHost('far')
     const near = await addGoodHost('near', 'krakow')
-    expect((await send(entry.requests, 'POST', '/orders', { 'idempotency-key': key }, 'abc')).body).to.equal('/orders 3')
+    expect((await send(entry.requests, 'POST', '/orders', { 'idempotency-key': composeKey() }, 'abc')).body).to.equal('/orders 3')
     expect([far.runs.length, near.runs.length]).to.deep.equal([1, 0])
   })
 
@@ -112,7 +113,7 @@
     let heads = 0
     await addRawHost('far', (socket) => { heads++; socket.destroy() })
     const { runs } = await addGoodHost()
-    const response = await send(entry.requests, 'POST', '/orders', { 'idempotency-key': key })
+    const response = await send(entry.requests, 'POST', '/orders', { 'idempotency-key': composeKey() })
     expect(describeRefusal(response)).to.equal('502 unknown backend-failed')
     expect([heads, runs.length]).to.deep.equal([1, 0])
   })
@@ -120,7 +121,7 @@
   it('retries a home that refuses connections, then reports outcome unknown (guards against a false not-run)', async () => {
     addEndpoint(mesh, 'far', CLOSED_ADDRESS)
     const { runs } = await addGoodHost()
-    const response = await send(entry.requests, 'POST', '/orders', { 'idempotency-key': key })
+    const response = await send(entry.requests, 'POST', '/orders', { 'idempotency-key': composeKey() })
     expect(describeRefusal(response)).to.equal('503 unknown backend-unreachable')
     expect(read('connect-failed')).to.equal(2)
     expect(runs).to.have.length(0)
@@ -229,7 +230,7 @@
   it('returns a not-run refusal of a keyed request to the caller (guards against a duplicate run on another host)', async () => {
     await addRefusingHost('far', 'queue-full')
     const { runs } = await addGoodHost()
-    const response = await send(entry.requests, 'POST', '/orders', { 'idempotency-key': key })
+    const response = await send(entry.requests, 'POST', '/orders', { 'idempotency-key': composeKey() })
     expect(describeRefusal(response)).to.equal('503 not-run queue-full')
     expect(runs).to.have.length(0)
   })
