--- a/packages/node/tests/entry/createExchange.test.ts
+++ b/packages/node/tests/entry/createExchange.test.ts
@@ -68,6 +68,40 @@
     })
   }
 
+  /** Sends a request of a route that allows five attempts to hosts that respond with `outcomes`. */
+  function sendOnce (outcomes: readonly JobOutcome[]): { result: ExchangeResult | undefined, asked: number } {
+    const context = createTestContext({ host: 'tarnow-1' })
+    const hosts = [1, 2, 3, 4, 5].map((number) =>
+      ({ record: createRecord(`krakow-${number}`), host: `krakow-${number}`, slots: 8, distanceMs: 0 }))
+    const results: ExchangeResult[] = []
+    let asked = 0
+    const start = createExchange({
+      context,
+      loadBalancer: createLoadBalancer(() => 0.5),
+      dispatcher: {} as never,
+      client: { send: (_job, _record, onOutcome) => { onOutcome(outcomes[asked++] ?? busy) }, close: () => undefined },
+      retryBudgets: { recordFirstAttempt: () => undefined, take: () => true },
+      finder: {
+        find: (_service, _version, _bytes, tried) => hosts.filter(({ host }) => !tried.has(host)),
+        count: () => hosts.length,
+        drawVersion: () => undefined
+      }
+    })
+    const request = { ...createRequest(context.clock.now()), route: { ...ROUTE, maxAttempts: 5 } }
+    start(request, (result) => { results.push(result) })
+    return { result: results[0], asked }
+  }
+
+  it('does not send a request a third time after two lost runs (guards against one attempt that crashes all servers)', () => {
+    expect(sendOnce([lost, lost, failed]).asked).to.equal(2)
+    expect(sendOnce([lost, failed, failed]).asked).to.equal(5)
+  })
+
+  it('asks no other host after the refusal of a request that crashes servers, and passes on how long it lasts', () => {
+    const refusal: JobOutcome = { kind: 'refused', reason: 'crash-suspect', waitMs: 40_000 }
+    expect(sendOnce([refusal])).to.deep.equal({ result: { outcome: refusal, host: undefined, tries: 0 }, asked: 1 })
+  })
+
   it('releases the load of its own host when a caller disconnects (guards against a host that appears overloaded forever)', () => {
     const context = createTestContext({ host: 'krakow-1' })
     const record = createRecord('krakow-1')
