fix(node): notice by its health probe that a backend server has ended

Callers of a service with little traffic would lose all its servers: a crash was noticed only when the next request found the connection refused, or when the next run reported some seconds later, so each further attempt found two more servers. Cause: a refused health probe, which follows each lost connection at once, was treated like an unanswered one. Evidence: the new test (nothing but one crashing request, servers that stay down) timed out before after 15 s and passes now. A refusal is ignored if a later run has reported since the probe was sent.

--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -146,7 +146,8 @@
     onChange: () => {
       recordPublisher.update()
       dispatcher.update()
-    }
+    },
+    onRefused: () => { dispatcher.handleRefusedConnection('health probe refused') }
   })
   const forwardingServer = createForwardingServer(context, dispatcher, () => peerRowFetcher.getVersions())
   const forwardingClient = createForwardingClient(context, health, peerRowFetcher)
@@ -204,8 +205,12 @@
     isProbed = true
     if (!known.serving || known.service !== settings.service) return
     const report = await probeInstance(settings.backend, path)
+    if (typeof report === 'string') {
+      log('instanceResumed', { detail: report, expected: known.instance })
+      return
+    }
     log('instanceResumed', { ...report, expected: known.instance })
-    if (report?.instance !== known.instance || !report.isHealthy) return
+    if (report.instance !== known.instance || !report.isHealthy) return
     const { startedAt, sequence, version, slots } = known
     const run = { instance: known.instance, startedAt, sequence, version, slots, state: 'serving' } as const
     if (instance.resume(run, report.coldMs, clock.now())) dispatcher.update()
--- a/packages/node/src/home/createBackendDispatcher.ts
+++ b/packages/node/src/home/createBackendDispatcher.ts
@@ -19,6 +19,8 @@
   readonly getClosedReason: () => ServingRefusalReason | undefined
   /** Processes the queue again, because the limits may have changed. */
   readonly update: () => void
+  /** Handles that the backend server refuses connections, as found without a request. */
+  readonly handleRefusedConnection: (detail: string) => void
   readonly getLoad: () => ReportedLoad
   /** Requests that are queued or running. */
   readonly countOpen: () => number
@@ -194,6 +196,14 @@
     onChange()
   }
 
+  /** Stops sending until the next report: the run that was known refuses connections. */
+  function markUnreachable (detail: string, run: InstanceRun | undefined): void {
+    log('instanceUnreachable', { detail, instance: run?.instance, sequence: run?.sequence })
+    instance.markDown(clock.now())
+    crashGuard.recordRefusedConnection(run)
+    onChange()
+  }
+
   function send (job: BackendJob): void {
     const startedAt = clock.now()
     const run = instance.getRun()
@@ -207,10 +217,7 @@
         crashGuard.recordSuccess(job)
       }
       if (result.kind === 'unreachable') {
-        log('instanceUnreachable', { detail: result.detail, instance: run?.instance, sequence: run?.sequence })
-        instance.markDown(clock.now())
-        crashGuard.recordRefusedConnection(run)
-        onChange()
+        markUnreachable(result.detail, run)
       } else {
         if (result.kind === 'lost') crashGuard.recordLoss(job, run)
         if (result.kind === 'lost' && RESTART_LOSSES.has(result.reason)) markColdUnknown(result.reason)
@@ -306,6 +313,10 @@
     },
     getClosedReason: findClosedReason,
     update,
+    handleRefusedConnection: (detail) => {
+      markUnreachable(detail, instance.getRun())
+      update()
+    },
     getLoad,
     countOpen: () => requestQueue.countRunning() + requestQueue.countWaiting(),
     countSends: () => requestQueue.countSends(clock.now()),
--- a/packages/node/src/home/createInstanceProber.ts
+++ b/packages/node/src/home/createInstanceProber.ts
@@ -19,6 +19,8 @@
   readonly countSends: () => number
   /** Called after each probe that was answered. */
   readonly onChange: () => void
+  /** Called when the backend server refuses connections. */
+  readonly onRefused: () => void
 }
 
 /** Minimum interval between probes, in milliseconds. */
@@ -31,16 +33,24 @@
 
 /** Creates a prober that checks periodically whether the state is uncertain. */
 export function createInstanceProber (options: InstanceProberOptions): InstanceProber {
-  const { context: { settings, clock, log, ticker }, instance, getHealthPath, countSends, onChange } = options
+  const { context, instance, getHealthPath, countSends, onChange, onRefused } = options
+  const { settings, clock, log, ticker } = context
   let isProbing = false
   let isClosed = false
   let nextAt = -Infinity
 
   async function probe (path: string): Promise<void> {
     const sentAt = clock.now()
+    const run = instance.getRun()
     const report = await probeInstance(settings.backend, path)
     const now = clock.now()
-    if (isClosed || report === undefined) return
+    if (isClosed || report === 'unanswered') return
+    if (report === 'refused') {
+      // A later run may have reported meanwhile.
+      const current = instance.getRun()
+      if (current?.instance === run?.instance && current?.startedAt === run?.startedAt) onRefused()
+      return
+    }
     const wasCold = instance.getColdUntil() > now
     const wasConfirmed = instance.isConfirmed()
     instance.applyProbe(report, sentAt, now)
--- a/packages/node/src/home/probeInstance.ts
+++ b/packages/node/src/home/probeInstance.ts
@@ -7,28 +7,37 @@
 const PROBE_TIMEOUT_MS = 700
 const HEALTHY_STATUS = 200
 
-/** Returns the response head of a health probe; undefined if none arrives before the timeout. */
-function fetchHealth ({ host, port }: SocketAddress, path: string): Promise<IncomingMessage | undefined> {
+/** Result of a health probe that no backend server answered. */
+export type ProbeFailure = 'refused' | 'unanswered'
+
+/** Returns the response head of a health probe, or why there is none. */
+function fetchHealth ({ host, port }: SocketAddress, path: string): Promise<IncomingMessage | ProbeFailure> {
   return new Promise((resolve) => {
     const outgoing = request({ host, port, path, agent: false, timeout: PROBE_TIMEOUT_MS }, (incoming) => {
       incoming.resume()
       resolve(incoming)
     })
     outgoing.on('timeout', () => {
-      resolve(undefined)
+      resolve('unanswered')
       outgoing.destroy()
     })
     // The prober continues without a response.
-    outgoing.on('error', () => { resolve(undefined) })
+    outgoing.on('error', (error: NodeJS.ErrnoException) => {
+      resolve(error.code === 'ECONNREFUSED' ? 'refused' : 'unanswered')
+    })
     outgoing.end()
   })
 }
 
-/** Sends a health probe to the backend server; undefined if it does not answer in time or its headers are invalid. */
-export async function probeInstance (address: SocketAddress, path: string): Promise<ProbeReport | undefined> {
+/**
+ * Sends a health probe to the backend server. `refused` means that it refuses connections, `unanswered` that it does
+ * not answer in time or that its headers are invalid.
+ */
+export async function probeInstance (address: SocketAddress, path: string): Promise<ProbeReport | ProbeFailure> {
   const incoming = await fetchHealth(address, path)
-  const instance = incoming?.headers[PLATFORM_HEADERS.instance]
-  const coldMs = Number(incoming?.headers[PLATFORM_HEADERS.coldMs] ?? 0)
-  if (typeof instance !== 'string' || !Number.isFinite(coldMs)) return undefined
-  return { instance, isHealthy: incoming?.statusCode === HEALTHY_STATUS, coldMs }
+  if (typeof incoming === 'string') return incoming
+  const instance = incoming.headers[PLATFORM_HEADERS.instance]
+  const coldMs = Number(incoming.headers[PLATFORM_HEADERS.coldMs] ?? 0)
+  if (typeof instance !== 'string' || !Number.isFinite(coldMs)) return 'unanswered'
+  return { instance, isHealthy: incoming.statusCode === HEALTHY_STATUS, coldMs }
 }
--- a/packages/node/tests/crashingRequests.test.ts
+++ b/packages/node/tests/crashingRequests.test.ts
@@ -24,6 +24,7 @@
   /** Times at which a crashing request reached a server, and at which servers ended. */
   let runs: number[]
   let crashes: number[]
+  let downMs: number
 
   let serial = 0
   async function sendTo (host: TestHost, path: string, method: string, body = ''): Promise<number> {
@@ -43,7 +44,7 @@
       runs.push(performance.now())
       setTimeout(() => {
         if (backend.isUp()) crashes.push(performance.now())
-        backend.crash(DOWN_MS)
+        backend.crash(downMs)
       }, CRASH_DELAY_MS)
     }
   }
@@ -70,6 +71,7 @@
   beforeEach(() => {
     runs = []
     crashes = []
+    downMs = DOWN_MS
   })
   afterEach(async () => {
     clearInterval(reports)
@@ -110,4 +112,64 @@
       expect(last.filter((status) => status === 200).length / last.length, 'share of the other requests served').to.be.at.least(0.9)
     })
   }
+
+  /** Ends two servers by the crashing request. */
+  async function crashTwice (): Promise<void> {
+    while (crashes.length < 2) await sendTo(entries[0] as TestHost, CRASHING_PATH, 'GET')
+    await awaitCondition('all hosts know the request', () => servers.every(({ context }) =>
+      context.events.some(({ name }) => name === 'requestQuarantined')))
+  }
+
+  it('notices a crash without another request (guards against a service with little traffic that loses all its servers)', async () => {
+    await startHosts(true)
+    downMs = 60_000
+    await sendTo(entries[0] as TestHost, CRASHING_PATH, 'GET')
+    const crashed = servers.filter(({ backend }) => !backend.isUp())
+    await awaitCondition('the crash is noticed', () => crashed.length > 0 && crashed.every(({ context }) =>
+      context.events.some(({ name }) => name === 'backendCrashed')))
+  })
+
+  it('refuses such a request after the node is restarted while the store is silent (guards against a restart that forgets)', async () => {
+    await startHosts(true)
+    await crashTwice()
+    mesh.store.fault = 'silent'
+    const restarted = await mesh.startHost('krakow-7', 'parts', { seeds: entries.map(({ settings }) => settings.peers) })
+    crashOnRequest(restarted)
+    servers.push(restarted)
+    await awaitCondition('it serves', async () => {
+      const isServed = await sendTo(restarted, '/parts/1', 'GET') === 200
+      return isServed && restarted.context.events.some(({ name }) => name === 'requestQuarantined')
+    })
+    runs.length = 0
+    for (let index = 0; index < 10; index++) expect(await sendTo(restarted, CRASHING_PATH, 'GET')).to.equal(503)
+    expect(runs).to.deep.equal([])
+  })
+
+  it('states how long such a request is refused, and still serves the same path with another body', async () => {
+    await startHosts(true)
+    await crashTwice()
+    const { port } = (entries[0] as TestHost).settings.callers
+    const answer = await send(port, CRASHING_PATH)
+    expect([answer.status, answer.body]).to.deep.equal([503, 'crash-suspect\n'])
+    expect(Number(answer.headers['retry-after'])).to.be.within(30, 90)
+    for (const host of servers) host.backend.handle = (incoming, response) => { answerSigned(incoming, response, 'ok') }
+    expect((await send(port, CRASHING_PATH, {}, { method: 'POST', body: 'other' })).status).to.equal(200)
+  })
+
+  it('serves requests whose connections servers reset without an end (guards against healthy requests blamed for lost responses)', async () => {
+    await startHosts(true)
+    let isFaulty = true
+    for (const host of servers) {
+      host.backend.handle = (incoming, response) => {
+        if (isFaulty) incoming.socket.destroy()
+        else answerSigned(incoming, response, 'ok')
+      }
+    }
+    for (let index = 0; index < 20; index++) await sendTo(entries[0] as TestHost, '/parts/popular', 'GET')
+    isFaulty = false
+    await awaitCondition('the request is served', async () =>
+      await sendTo(entries[0] as TestHost, '/parts/popular', 'GET') === 200)
+    const events = servers.flatMap(({ context }) => context.events)
+    expect(events.filter(({ name }) => name === 'backendCrashed' || name === 'requestQuarantined')).to.deep.equal([])
+  })
 })
