--- a/packages/node/tests/entry/createExchange.test.ts
+++ b/packages/node/tests/entry/createExchange.test.ts
@@ -68,18 +68,30 @@
     })
   }
 
-  /** Sends a request of a route that allows five attempts to hosts that respond with `outcomes`. */
-  function sendOnce (outcomes: readonly JobOutcome[]): { result: ExchangeResult | undefined, asked: number } {
+  interface SendResult {
+    readonly result: ExchangeResult | undefined
+    /** Requests as sent to hosts. */
+    readonly jobs: readonly BackendJob[]
+  }
+
+  /** Sends a request of a route that allows `maxAttempts` to hosts that respond with `outcomes`. */
+  function sendOnce (outcomes: readonly JobOutcome[], maxAttempts = 5): SendResult {
     const context = createTestContext({ host: 'tarnow-1' })
     const hosts = [1, 2, 3, 4, 5].map((number) =>
       ({ record: createRecord(`krakow-${number}`), host: `krakow-${number}`, slots: 8, distanceMs: 0 }))
     const results: ExchangeResult[] = []
-    let asked = 0
+    const jobs: BackendJob[] = []
     const start = createExchange({
       context,
       loadBalancer: createLoadBalancer(() => 0.5),
       dispatcher: {} as never,
-      client: { send: (_job, _record, onOutcome) => { onOutcome(outcomes[asked++] ?? busy) }, close: () => undefined },
+      client: {
+        send: (job, _record, onOutcome) => {
+          jobs.push(job)
+          onOutcome(outcomes[jobs.length - 1] ?? busy)
+        },
+        close: () => undefined
+      },
       retryBudgets: { recordFirstAttempt: () => undefined, take: () => true },
       finder: {
         find: (_service, _version, _bytes, tried) => hosts.filter(({ host }) => !tried.has(host)),
@@ -87,19 +99,32 @@
         drawVersion: () => undefined
       }
     })
-    const request = { ...createRequest(context.clock.now()), route: { ...ROUTE, maxAttempts: 5 } }
+    const request = { ...createRequest(context.clock.now()), route: { ...ROUTE, maxAttempts } }
     start(request, (result) => { results.push(result) })
-    return { result: results[0], asked }
+    return { result: results[0], jobs }
   }
 
+  it('sends a request to no more servers than its route allows (guards against attempts that multiply under failures)', () => {
+    for (const maxAttempts of [1, 2, 3]) {
+      expect(sendOnce([failed, notRun, failed, failed, failed], maxAttempts).jobs.length).to.equal(maxAttempts)
+    }
+  })
+
+  it('keeps the deadline and the attempt id of a request that is sent again (guards against time that starts anew)', () => {
+    const { jobs: [first, second] } = sendOnce([failed, failed], 2)
+    expect([second?.deadlineAt, second?.targetAt, second?.attemptId])
+      .to.deep.equal([first?.deadlineAt, first?.targetAt, first?.attemptId])
+  })
+
   it('does not send a request a third time after two lost runs (guards against one attempt that crashes all servers)', () => {
-    expect(sendOnce([lost, lost, failed]).asked).to.equal(2)
-    expect(sendOnce([lost, failed, failed]).asked).to.equal(5)
+    expect(sendOnce([lost, lost, failed]).jobs.length).to.equal(2)
+    expect(sendOnce([lost, failed, failed]).jobs.length).to.equal(5)
   })
 
   it('asks no other host after the refusal of a request that crashes servers, and passes on how long it lasts', () => {
     const refusal: JobOutcome = { kind: 'refused', reason: 'crash-suspect', waitMs: 40_000 }
-    expect(sendOnce([refusal])).to.deep.equal({ result: { outcome: refusal, host: undefined, tries: 0 }, asked: 1 })
+    const { result, jobs } = sendOnce([refusal])
+    expect([result, jobs.length]).to.deep.equal([{ outcome: refusal, host: undefined, tries: 0 }, 1])
   })
 
   it('releases the load of its own host when a caller disconnects (guards against a host that appears overloaded forever)', () => {
--- a/packages/node/tests/stopping.test.ts
+++ b/packages/node/tests/stopping.test.ts
@@ -125,6 +125,16 @@
     await stopped
   })
 
+  it('is not ready while it stops (guards against callers that keep using a node until its end)', async () => {
+    const { port } = entry.settings.readiness
+    sendBehindEachOther(['held'])
+    await awaitCondition('the request is running', () => held.length === 1)
+    const stopping = entry.node.stop()
+    expect((await send(port, '/readiness')).status).to.equal(503)
+    for (const answer of held) answer()
+    await stopping
+  })
+
   it('refuses late requests that cannot end in time (guards against a request cut off at the end of the grace period)', async () => {
     const connection = sendBehindEachOther(['early'])
     await awaitCondition('it runs', () => held.length === 1)
