refactor(node): name what the crash guard and the dispatcher track

No change of behaviour: the guard keeps the latest admitted request of each fingerprint, not only those on probation, and the dispatcher also tells the guard how a run ended.

--- a/packages/node/src/home/createBackendDispatcher.ts
+++ b/packages/node/src/home/createBackendDispatcher.ts
@@ -87,8 +87,11 @@
   let coldPerSecond: number | undefined
   let timer: NodeJS.Timeout | undefined
 
-  /** Resets measurements when the backend server has restarted, because they apply to one run of it. */
-  function resetForNewRun (): void {
+  /**
+   * Resets measurements when the backend server has restarted, because they apply to one run of it, and tells the crash
+   * guard how the run ended.
+   */
+  function updateTrackedRun (): void {
     const run = instance.getRun()
     if (instance.getLeavingSince() !== undefined) crashGuard.recordLeave()
     if (run?.instance === trackedRun?.instance && run?.startedAt === trackedRun?.startedAt) return
@@ -132,7 +135,7 @@
   }
 
   function computeLimits (): QueueLimits {
-    resetForNewRun()
+    updateTrackedRun()
     const now = clock.now()
     const leavingSince = instance.getLeavingSince()
     const closed = findClosedReason()
--- a/packages/node/src/home/createCrashGuard.ts
+++ b/packages/node/src/home/createCrashGuard.ts
@@ -57,8 +57,8 @@
   const { settings, clock, log, ticker } = context
   const detector = createCrashDetector()
   const register = createSuspectRegister()
-  /** Requests that run on probation, by fingerprint. */
-  const onProbation = new Map<string, BackendJob>()
+  /** Latest request admitted of each fingerprint while any is under suspicion; one on probation must run alone. */
+  const admitted = new Map<string, BackendJob>()
   ticker.add(EXPIRY_INTERVAL_MS, () => { register.expire(clock.now()) })
 
   function logIfQuarantined (fingerprint: string, source: string): void {
@@ -98,9 +98,9 @@
       case undefined: case 'suspect': return undefined
       case 'quarantined': return state.until - now
       case 'probation': {
-        const runsElsewhere = (onProbation.get(fingerprint) ?? job) !== job
+        const isOtherAdmitted = (admitted.get(fingerprint) ?? job) !== job
         const isChosen = chooseProbationHost(fingerprint, view.listServing(settings.service)) === settings.host
-        return isChosen && !runsElsewhere ? undefined : PROBATION_WAIT_MS
+        return isChosen && !isOtherAdmitted ? undefined : PROBATION_WAIT_MS
       }
     }
   }
@@ -108,12 +108,12 @@
   return {
     admit: (job) => {
       const waitMs = findWait(job)
-      if (waitMs === undefined && register.count() > 0) onProbation.set(digestJob(job), job)
+      if (waitMs === undefined && register.count() > 0) admitted.set(digestJob(job), job)
       return waitMs
     },
     findWait,
     release: (job) => {
-      if (onProbation.size > 0 && onProbation.get(digestJob(job)) === job) onProbation.delete(digestJob(job))
+      if (admitted.size > 0 && admitted.get(digestJob(job)) === job) admitted.delete(digestJob(job))
     },
     recordSuccess: (job) => {
       if (register.count() === 0) return
