--- a/packages/node/src/peers/createSuspectExchange.ts
+++ b/packages/node/src/peers/createSuspectExchange.ts
@@ -88,8 +88,9 @@
 
   /** Learns what other nodes knew before this process started. */
   function requestOnce (): void {
+    if (hasAsked) return
     const addresses = drawAddresses(HOSTS_ASKED_AT_START)
-    if (hasAsked || addresses.length === 0) return
+    if (addresses.length === 0) return
     hasAsked = true
     sendTo(addresses)
   }
