fix(node): bound the memory of bodies by one budget and collect small chunks in blocks

What callers saw: a backend server that sends a response in chunks of one byte without end ends the node process beside it (heap limit of 110 MB reached after about one megabyte), and with it the requests of all other callers of the host. Requests of callers sent in such chunks did the same. A health probe answered without end was read for ever.

Cause: limits counted the bytes of a body, not the memory of the Buffer of each chunk; nothing bounded all bodies together; the time limit of probes was one of idleness.

Ruled out: large chunks, unframed bodies, heads, interim responses, trailers, chunk extensions and bytes on idle connections, which were bounded before.

A complete response that is followed by bytes that are no HTTP in the same packet was lost (502) and is now returned.

--- a/packages/contracts/src/mesh/servingReasons.ts
+++ b/packages/contracts/src/mesh/servingReasons.ts
@@ -28,6 +28,8 @@
   /** Too much data is already queued for sending to the host. */
   | 'link-full'
   | 'body-too-large'
+  /** The buffers of the node are full, and this request's body was the largest one. */
+  | 'buffers-full'
   /** The caller sent data that is not a valid HTTP request. */
   | 'malformed'
 
--- a/packages/node/src/bin/snipenotchNode.ts
+++ b/packages/node/src/bin/snipenotchNode.ts
@@ -1,9 +1,11 @@
 import { createSystemClock, type NodeSettings } from '@snipenotch/contracts'
 import { createCounters, createEventLog } from '@snipenotch/daemon'
+import { createBufferBudget } from '@snipenotch/decisions'
 import { decodeSettings, SETTINGS_VARIABLE } from '@snipenotch/platform'
 import { readFileSync } from 'node:fs'
 import { pino } from 'pino'
 import { createNode } from '../createNode.js'
+import { type BufferHolder, computeBufferLimit } from '../operations/BufferHolder.js'
 import { createTicker } from '../operations/createTicker.js'
 import { createRateLimitedLog } from '../operations/createRateLimitedLog.js'
 
@@ -33,7 +35,8 @@
 const events = createEventLog({ host: settings.host, data_centre: settings.dataCentre, log: { level: 'info' } }, destination)
 const log = createRateLimitedLog(events, counters, clock)
 const ticker = createTicker(clock, (delay) => { counters.record('loop', delay) })
-const node = createNode({ settings, clock, counters, log, ticker, random: Math.random })
+const buffers = createBufferBudget<BufferHolder>(computeBufferLimit(settings.memoryMb))
+const node = createNode({ settings, clock, counters, log, ticker, buffers, random: Math.random })
 ticker.add(LOG_FLUSH_MS, () => { destination.flush() })
 
 let isStopping = false
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -7,6 +7,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { NodeContext } from '../NodeContext.js'
+import { type BufferHolder, updateBuffer } from '../operations/BufferHolder.js'
+import { createByteCollector } from '../operations/createByteCollector.js'
 import { isEventLoopDelayed, runUnlessAbandoned } from '../operations/runUnlessAbandoned.js'
 import type { MeshView } from '../rows/createMeshView.js'
 import { type CallerRequest, isClosedByCaller, listenClosed } from './CallerRequest.js'
@@ -31,6 +33,8 @@
 const DEADLINE_GRACE_MS = 60
 /** Retry delay given to callers while no configuration is known, in milliseconds. */
 const NO_CONFIGURATION_RETRY_MS = 300
+/** Retry delay given to callers whose body does not fit into the buffers, in milliseconds: a few typical requests. */
+const BUFFERS_FULL_RETRY_MS = 300
 /** Margin of the keep-alive timeout over the callers' idle timeout, in milliseconds, so that callers close first. */
 const IDLE_TIMEOUT_MARGIN_MS = 2000
 /** Keep-alive timeout until a configuration sets one, in milliseconds. */
@@ -69,7 +73,7 @@
 export function createEntryServer (
   { context, view, startExchange, retryBudgets, getCopyAgeMs }: EntryServerOptions
 ): EntryServer {
-  const { settings, clock, log, counters, ticker, random } = context
+  const { settings, clock, log, counters, ticker, buffers, random } = context
   const trafficSplitter = createTrafficSplitter(random)
   const attemptAgeEstimator = createAttemptAgeEstimator()
   let shutdownDeadlines: ShutdownDeadlines | undefined
@@ -238,30 +242,47 @@
       isFirstOfConnection: !latestRequests.has(incoming.socket)
     }
     latestRequests.set(incoming.socket, callerRequest)
+    const holder: BufferHolder = {
+      drop: () => {
+        body.takeBody()
+        counters.count('serving_refusals', 'buffers-full')
+        refuse(callerRequest, undefined, 'buffers-full', BUFFERS_FULL_RETRY_MS, 0)
+      }
+    }
     counters.count('serving_requests', 'received')
     openRequests.add(callerRequest)
     listenClosed(callerRequest, () => {
       openRequests.delete(callerRequest)
+      buffers.release(holder)
       // A connection that is no longer read is closed after its last response.
       if (closingSockets.has(incoming.socket) && countOpenOf(incoming.socket) === 0) incoming.socket.destroySoon()
     })
-    const maxBytes = view.getConfiguration()?.limits.maxBodyBytes ?? Infinity
-    const chunks: Buffer[] = []
-    let size = 0
+    const limits = view.getConfiguration()?.limits
+    const body = createByteCollector()
     incoming.on('data', (chunk: Buffer) => {
-      size += chunk.length
-      if (size <= maxBytes) chunks.push(chunk)
+      // The rest of a body whose request has been answered is read and discarded.
+      if (response.headersSent) return
+      if (limits === undefined) {
+        refuse(callerRequest, undefined, 'no-configuration', NO_CONFIGURATION_RETRY_MS, 0)
+        return
+      }
+      const growth = body.add(chunk)
+      if (body.getSize() > limits.maxBodyBytes) {
+        counters.count('serving_refusals', 'body-too-large')
+        sendNodeResponse(callerRequest, 413, 'body-too-large')
+        buffers.release(holder)
+      } else if (growth > 0) updateBuffer(buffers, holder, growth)
     })
     incoming.on('end', () => {
-      if (size > 0) counters.record('body', clock.now() - callerRequest.arrivedAt)
-      if (size > maxBytes) sendNodeResponse(callerRequest, 413, 'body-too-large')
-      else {
+      if (body.getSize() > 0) counters.record('body', clock.now() - callerRequest.arrivedAt)
+      buffers.settle(holder)
+      if (!response.headersSent) {
         const request = {
           // Node.js accepts one connection per event loop turn, so a new connection may have waited to be accepted.
           mayBeStale: callerRequest.isFirstOfConnection || isEventLoopDelayed(ticker),
           isAbandoned: () => incoming.socket.readableEnded || incoming.socket.destroyed
         }
-        runUnlessAbandoned(request, () => { handleOrFail(callerRequest, Buffer.concat(chunks)) }, () => {
+        runUnlessAbandoned(request, () => { handleOrFail(callerRequest, body.takeBody()) }, () => {
           counters.count('serving_requests', 'left')
         })
       }
--- a/packages/node/src/home/acceptForwardingConnection.ts
+++ b/packages/node/src/home/acceptForwardingConnection.ts
@@ -1,6 +1,7 @@
 import { toMilliseconds } from '@snipenotch/contracts'
 import type { WebSocket } from 'ws'
 import type { NodeContext } from '../NodeContext.js'
+import { type BufferHolder, updateBuffer } from '../operations/BufferHolder.js'
 import { isEventLoopDelayed, runUnlessAbandoned } from '../operations/runUnlessAbandoned.js'
 import { createBatchSender } from '../peers/createBatchSender.js'
 import { decodeBatch } from '../peers/forwardingCodec.js'
@@ -37,11 +38,13 @@
 /** Handles the requests that one other node forwards over `socket`, and sends their outcomes back. */
 export function acceptForwardingConnection (options: AcceptedConnectionOptions): AcceptedConnection {
   const { context, dispatcher, receiver, getVersions, socket, peer, onClose } = options
-  const { clock, counters, log, ticker } = context
+  const { buffers, clock, counters, log, ticker } = context
   const sender = createBatchSender(socket, clock)
   const openJobs = new Map<number, BackendJob>()
   /** Bodies of open requests that are still being fetched, by request id. */
   const pendingBodies = new Map<number, IncomingBody>()
+  /** Requests whose bodies were fetched, or are being fetched. */
+  const holders = new Map<number, BufferHolder>()
   /** Time of the last outgoing message, or of the first request received since then while none was open. */
   let idleSince = clock.now()
   function send (message: ForwardingMessage): void {
@@ -49,9 +52,16 @@
     sender.add(message)
   }
 
+  function releaseBuffer (id: number): void {
+    const holder = holders.get(id)
+    if (holder !== undefined) buffers.release(holder)
+    holders.delete(id)
+  }
+
   function end (id: number, job: BackendJob, outcome: JobOutcome): void {
     openJobs.delete(id)
     pendingBodies.delete(id)
+    releaseBuffer(id)
     const known = outcome.load ?? dispatcher.getLoad()
     // Requests whose bodies are still being fetched will need slots soon.
     const load = { ...known, load: known.load + receiver.count(), fetchMs: receiver.getBacklogMs() }
@@ -79,13 +89,26 @@
       request: (wanted) => { send({ kind: 'pull', id, bytes: wanted }) },
       onComplete: (whole) => {
         pendingBodies.delete(id)
+        buffers.settle(holder)
         run(id, { ...job, body: whole, isBodyFetched: true })
       },
       onDropped: (reason) => { end(id, job, { kind: 'refused', reason, waitMs: 0 }) }
     }
+    const holder: BufferHolder = {
+      drop: () => {
+        receiver.cancel(body)
+        counters.count('serving_refusals', 'buffers-full')
+        end(id, job, { kind: 'refused', reason: 'buffers-full', waitMs: 0 })
+      }
+    }
     pendingBodies.set(id, body)
+    holders.set(id, holder)
     const fetchMs = receiver.offer(body)
-    if (fetchMs !== undefined) end(id, job, { kind: 'refused', reason: 'busy', waitMs: fetchMs })
+    if (fetchMs !== undefined) {
+      end(id, job, { kind: 'refused', reason: 'busy', waitMs: fetchMs })
+      return
+    }
+    updateBuffer(buffers, holder, bytes)
   }
 
   /** Begins a request unless the other node has cancelled it meanwhile. */
@@ -108,6 +131,7 @@
     const body = pendingBodies.get(id)
     openJobs.delete(id)
     pendingBodies.delete(id)
+    releaseBuffer(id)
     if (body !== undefined) receiver.cancel(body)
     job?.cancel?.()
   }
--- a/packages/node/src/home/createBackendClient.ts
+++ b/packages/node/src/home/createBackendClient.ts
@@ -4,6 +4,8 @@
 import { request, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { NodeContext } from '../NodeContext.js'
+import { updateBuffer } from '../operations/BufferHolder.js'
+import { createByteCollector } from '../operations/createByteCollector.js'
 import type { BackendJob } from './BackendJob.js'
 
 /** Result of sending one request to the backend server. */
@@ -40,7 +42,7 @@
 /** Connection limit: above the largest slot count in use, and far below what backend servers accept. */
 const MAX_CONNECTIONS = 64
 
-/** Largest response body in bytes; one for each slot fits into the memory of the smallest machines. */
+/** Largest response body in bytes; all buffers of the node together have a lower limit on small machines. */
 const MAX_RESPONSE_BYTES = 8_388_608
 /**
  * Time past a request's deadline at which it is aborted, in milliseconds: one network hop and a stall of a busy
@@ -97,7 +99,7 @@
 }
 
 /** Creates a client for the backend server at the address in the settings. */
-export function createBackendClient ({ settings, clock, counters, ticker }: NodeContext): BackendClient {
+export function createBackendClient ({ settings, clock, counters, ticker, buffers }: NodeContext): BackendClient {
   const agent = new BoundedKeepAliveAgent(MAX_CONNECTIONS, IDLE_TIMEOUT_MS)
   const calls = new Set<OpenCall>()
 
@@ -111,7 +113,7 @@
   ): BackendCall {
     let isConnected = false
     let isDone = false
-    let hasResponse = false
+    let response: IncomingMessage | undefined
     let connectTimer: NodeJS.Timeout | undefined
     const startedAt = clock.now()
 
@@ -120,10 +122,12 @@
       isDone = true
       calls.delete(open)
       clearTimeout(connectTimer)
+      buffers.release(holder)
       if (result.kind === 'lost') counters.count('serving_losses', result.reason)
       onResult(result)
     }
 
+    const holder = { drop: () => { failCall('answer-endless', 'the buffers of this node are full') } }
     const outgoing = request({
       agent,
       host: settings.backend.host,
@@ -144,7 +148,7 @@
      */
     function checkSilence (): void {
       const isOverdue = clock.now() - startedAt >= remainingMs
-      if (outgoing.reusedSocket && !hasResponse && isOverdue) agent.closeIdleConnections()
+      if (outgoing.reusedSocket && response === undefined && isOverdue) agent.closeIdleConnections()
     }
 
     const open: OpenCall = {
@@ -175,26 +179,28 @@
       })
     })
     outgoing.on('error', (error) => {
+      // Bytes after a complete response belong to no request; the 'end' event of the response follows.
+      if (response?.complete === true && isFramed(response)) return
       end(isConnected
         ? { kind: 'lost', reason: 'connection-lost', detail: error.message }
         : { kind: 'unreachable', detail: error.message })
     })
     outgoing.on('response', (incoming) => {
-      hasResponse = true
+      response = incoming
       const fault = findResponseFault(job, incoming)
       if (fault !== undefined) {
         failCall(fault, `status ${incoming.statusCode ?? 0}`)
         return
       }
-      const chunks: Buffer[] = []
+      const body = createByteCollector()
       const { socket } = incoming
       let isComplete = isFramed(incoming)
       if (!isComplete) socket.prependOnceListener('end', () => { isComplete = isStillConnected(socket) })
-      let bytes = 0
       incoming.on('data', (chunk: Buffer) => {
-        bytes += chunk.length
-        if (bytes > MAX_RESPONSE_BYTES) failCall('answer-endless', `response body exceeds ${MAX_RESPONSE_BYTES} bytes`)
-        else chunks.push(chunk)
+        if (isDone) return
+        const growth = body.add(chunk)
+        if (body.getSize() > MAX_RESPONSE_BYTES) failCall('answer-endless', `response body exceeds ${MAX_RESPONSE_BYTES} bytes`)
+        else if (growth > 0) updateBuffer(buffers, holder, growth)
       })
       incoming.on('error', (error) => { end({ kind: 'lost', reason: 'answer-truncated', detail: error.message }) })
       incoming.on('end', () => {
@@ -207,7 +213,7 @@
           status: incoming.statusCode ?? 0,
           headers: selectHeaders(incoming.rawHeaders, incoming.headers.connection,
             (name) => name !== 'content-length'),
-          body: Buffer.concat(chunks),
+          body: body.takeBody(),
           notRun: incoming.headers[PLATFORM_HEADERS.notRun] !== undefined || incoming.statusCode === 421
         })
       })
@@ -219,6 +225,7 @@
         isDone = true
         calls.delete(open)
         clearTimeout(connectTimer)
+        buffers.release(holder)
         outgoing.destroy()
       }
     }
--- a/packages/node/src/home/probeInstance.ts
+++ b/packages/node/src/home/probeInstance.ts
@@ -13,14 +13,16 @@
 /** Returns the response head of a health probe, or why there is none. */
 function fetchHealth ({ host, port }: SocketAddress, path: string): Promise<IncomingMessage | ProbeFailure> {
   return new Promise((resolve) => {
-    const outgoing = request({ host, port, path, agent: false, timeout: PROBE_TIMEOUT_MS }, (incoming) => {
+    const outgoing = request({ host, port, path, agent: false }, (incoming) => {
       incoming.resume()
       resolve(incoming)
     })
-    outgoing.on('timeout', () => {
+    // A limit on the whole exchange: a faulty server may keep sending a head or a body without end.
+    const timer = setTimeout(() => {
       resolve('unanswered')
       outgoing.destroy()
-    })
+    }, PROBE_TIMEOUT_MS)
+    outgoing.on('close', () => { clearTimeout(timer) })
     // The prober continues without a response.
     outgoing.on('error', (error: NodeJS.ErrnoException) => {
       resolve(error.code === 'ECONNREFUSED' ? 'refused' : 'unanswered')
--- a/packages/node/tests/createTestContext.ts
+++ b/packages/node/tests/createTestContext.ts
@@ -1,5 +1,7 @@
 import { createSystemClock, type NodeSettings } from '@snipenotch/contracts'
 import { createCounters, type EventLog } from '@snipenotch/daemon'
+import { createBufferBudget } from '@snipenotch/decisions'
+import { type BufferHolder, computeBufferLimit } from '../src/operations/BufferHolder.js'
 import { createTicker } from '../src/operations/createTicker.js'
 import type { NodeContext } from '../src/NodeContext.js'
 
@@ -45,11 +47,13 @@
   const events: TestContext['events'] = []
   const log: EventLog = (name, fields = {}) => { events.push({ name, fields }) }
   const clock = createSystemClock()
+  const settings = createTestSettings(given)
   return {
-    settings: createTestSettings(given),
+    settings,
     clock,
     counters: createCounters(),
     ticker: createTicker(clock, () => undefined),
+    buffers: createBufferBudget<BufferHolder>(computeBufferLimit(settings.memoryMb)),
     random: () => 0.5,
     log,
     events
