feat(node): leave room for work of others that a backend server states

What callers saw: after a restart of a node, or of callers that left, the backend server still runs requests that the node does not know of; the node fills all slots and the server refuses what is too much, which draws on the budget of resends.

The load header (running, waiting, slots) is decoded once in platform/; a pure tracker subtracts what is not the node's own.

--- a/packages/contracts/src/mesh/servingReasons.ts
+++ b/packages/contracts/src/mesh/servingReasons.ts
@@ -44,3 +44,6 @@
   | 'host-silent'
   | 'duplicate-attempt'
   | 'deadline'
+
+/** Why the load that a backend server states in a response is ignored. */
+export type InstanceLoadFault = 'malformed' | 'repeated' | 'contradictory'
--- a/packages/daemon/src/observability/createCounters.ts
+++ b/packages/daemon/src/observability/createCounters.ts
@@ -1,5 +1,5 @@
 import type {
-  CloseReason, RefusalReason, RetryReason, RetryStopReason, ServingLossReason, ServingRefusalReason
+  CloseReason, InstanceLoadFault, RefusalReason, RetryReason, RetryStopReason, ServingLossReason, ServingRefusalReason
 } from '@snipenotch/contracts'
 import { build, type Histogram } from 'hdr-histogram-js'
 
@@ -21,6 +21,8 @@
   serving_resends: 'not-run' | 'failed' | 'lost' | 'budget-spent'
   /** Requests by result at the node that their caller is connected to. */
   serving_requests: 'received' | 'answered' | 'failed' | 'refused' | 'left' | 'cut'
+  /** Loads that the backend server stated in its responses. */
+  instance_loads: 'used' | InstanceLoadFault
   /** Log lines omitted to limit the log volume. */
   log_lines: 'omitted'
   /** Rollout steps by kind. */
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -1,5 +1,5 @@
 import { addMilliseconds, type NodeSettings, toMilliseconds } from '@snipenotch/contracts'
-import { createInstanceState, createLoadBalancer, createReplica, type ReplicaRow } from '@snipenotch/decisions'
+import { createInstanceLoadTracker, createInstanceState, createLoadBalancer, createReplica, type ReplicaRow } from '@snipenotch/decisions'
 import { createStoreClient, OPERATOR_TABLE } from '@snipenotch/platform'
 import { createServer, type Server } from 'node:http'
 import { createCandidateFinder } from './entry/createCandidateFinder.js'
@@ -76,7 +76,10 @@
   const instance = createInstanceState({
     statusLifetimeMs: settings.reportIntervalMs * MAX_MISSED_REPORTS, requiresConfirmation: true
   })
-  const backend = createBackendClient(context)
+  const instanceLoads = createInstanceLoadTracker()
+  const backend = createBackendClient(context, (load, inFlight) => {
+    instanceLoads.record(load, inFlight, clock.now())
+  })
   const health = createHostHealth(context, { getHost: (host) => view.getHost(host) })
   const view = createMeshView(context, () => {
     entryServer.updateLimits()
@@ -131,6 +134,7 @@
     view,
     instance,
     backend,
+    instanceLoads,
     crashGuard,
     onChange: () => { recordPublisher.update() },
     onColdUnknown: () => { instanceProber.update() }
--- a/packages/node/src/home/createBackendClient.ts
+++ b/packages/node/src/home/createBackendClient.ts
@@ -1,6 +1,6 @@
 import type { ServingLossReason } from '@snipenotch/contracts'
 import { BoundedKeepAliveAgent, selectHeaders } from '@snipenotch/daemon'
-import { PLATFORM_HEADERS } from '@snipenotch/platform'
+import { decodeInstanceLoad, type InstanceLoad, PLATFORM_HEADERS } from '@snipenotch/platform'
 import { request, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { NodeContext } from '../NodeContext.js'
@@ -21,6 +21,9 @@
   readonly abort: () => void
 }
 
+/** Called with the load that the backend server stated while `inFlight` calls were open, the answered one included. */
+export type OnInstanceLoad = (load: InstanceLoad, inFlight: number) => void
+
 /** HTTP client for the backend server on the same host. */
 export interface BackendClient {
   /** Sends a job to `instance`; `remainingMs` is the time until the job's deadline, in milliseconds. */
@@ -99,7 +102,9 @@
 }
 
 /** Creates a client for the backend server at the address in the settings. */
-export function createBackendClient ({ settings, clock, counters, ticker, buffers }: NodeContext): BackendClient {
+export function createBackendClient (
+  { settings, clock, counters, ticker, buffers }: NodeContext, onInstanceLoad: OnInstanceLoad = () => undefined
+): BackendClient {
   const agent = new BoundedKeepAliveAgent(MAX_CONNECTIONS, IDLE_TIMEOUT_MS)
   const calls = new Set<OpenCall>()
 
@@ -108,6 +113,13 @@
     for (const call of calls) if (now >= call.endsAt) call.end()
   })
 
+  function recordLoad (header: string | string[] | undefined): void {
+    if (header === undefined) return
+    const load = decodeInstanceLoad(String(header))
+    counters.count('instance_loads', load.isOk() ? 'used' : load.error)
+    if (load.isOk()) onInstanceLoad(load.value, calls.size)
+  }
+
   function send (
     job: BackendJob, instance: string, remainingMs: number, onResult: (result: BackendResult) => void
   ): BackendCall {
@@ -192,6 +204,7 @@
         failCall(fault, `status ${incoming.statusCode ?? 0}`)
         return
       }
+      recordLoad(incoming.headers[PLATFORM_HEADERS.instanceLoad])
       const body = createByteCollector()
       const { socket } = incoming
       let isComplete = isFramed(incoming)
--- a/packages/node/src/home/createBackendDispatcher.ts
+++ b/packages/node/src/home/createBackendDispatcher.ts
@@ -1,7 +1,7 @@
 import { addMilliseconds, type Milliseconds, type ServingLossReason, type ServingRefusalReason } from '@snipenotch/contracts'
 import {
-  type ColdLimit, createRequestQueue, createRouteClassifier, createVersionBreaker, type InstanceRun, type InstanceState,
-  type QueueLimits, type ReportedLoad
+  type ColdLimit, createRequestQueue, createRouteClassifier, createVersionBreaker, type InstanceLoadTracker,
+  type InstanceRun, type InstanceState, type QueueLimits, type ReportedLoad
 } from '@snipenotch/decisions'
 import type { NodeContext } from '../NodeContext.js'
 import type { MeshView } from '../rows/createMeshView.js'
@@ -54,6 +54,8 @@
   readonly view: MeshView
   readonly instance: InstanceState
   readonly backend: BackendClient
+  /** Load that the backend server stated. */
+  readonly instanceLoads: InstanceLoadTracker
   readonly crashGuard: CrashGuard
   /** Called when the backend server refuses connections or its version is cut off. */
   readonly onChange: () => void
@@ -71,7 +73,7 @@
 
 /** Creates the dispatcher of a node. */
 export function createBackendDispatcher (
-  { context, view, instance, backend, crashGuard, onChange, onColdUnknown }: BackendDispatcherOptions
+  { context, view, instance, backend, instanceLoads, crashGuard, onChange, onColdUnknown }: BackendDispatcherOptions
 ): BackendDispatcher {
   const { settings, clock, log, counters } = context
   const requestQueue = createRequestQueue<BackendJob>(addMilliseconds(clock.now(), COLD_START_DELAY_MS))
@@ -98,6 +100,7 @@
     if (trackedRun !== undefined) crashGuard.recordRestart(trackedRun)
     trackedRun = run
     requestQueue.resetTimes()
+    instanceLoads.reset()
     versionBreaker.reset()
     failureShare = 0
   }
@@ -145,7 +148,7 @@
     const isEarlyInDrain = leavingSince !== undefined && now < leavingSince + settings.drainMs * DRAIN_START_SHARE
     const mayFinishQueue = closed === 'stopping' || closed === 'evacuated' || isEarlyInDrain
     return {
-      slots: instance.getRun()?.slots ?? 1,
+      slots: instanceLoads.computeSlots(instance.getRun()?.slots ?? 1, now),
       cold: computeColdLimit(now),
       closedReason: closed,
       isStartAllowed: closed === undefined || mayFinishQueue
--- a/packages/node/tests/home/createBackendDispatcher.test.ts
+++ b/packages/node/tests/home/createBackendDispatcher.test.ts
@@ -1,5 +1,5 @@
 import { addMilliseconds } from '@snipenotch/contracts'
-import { createInstanceState, type InstanceState } from '@snipenotch/decisions'
+import { createInstanceLoadTracker, createInstanceState, type InstanceState } from '@snipenotch/decisions'
 import { expect } from 'chai'
 import type { BackendJob, JobOutcome } from '../../src/home/BackendJob.js'
 import { type BackendDispatcher, createBackendDispatcher } from '../../src/home/createBackendDispatcher.js'
@@ -79,6 +79,7 @@
       view,
       instance,
       crashGuard,
+      instanceLoads: createInstanceLoadTracker(),
       backend: {
         call: (job, _instance, _remainingMs, end) => {
           sent.push({ job, end })
