fix(decisions): put the operator's priority before internal calls in the queue

Cause: internal calls went before any priority; a request whose service time is over half of its target may not wait even for the next slot; and calls may wait for most of their deadline however long the overload lasts.

Now: priority, then internal calls, which get every second start while they wait behind more urgent requests; a request may wait a share of its slack while less urgent ones wait; in a queue that was not empty for 300 ms calls wait at most half of their target.

Ruled out: refusing departure-view before it runs while its calls are refused. 30% of them make no call; with room for a fifth of the calls more of them are served without it.

--- a/packages/decisions/src/serving/createRequestQueue.ts
+++ b/packages/decisions/src/serving/createRequestQueue.ts
@@ -100,6 +100,12 @@
  * read a request so late that its caller has already stopped waiting.
  */
 const MIN_REMAINING_TARGET_SHARE = 0.1
+/**
+ * Share of the time between the expected end and the target that a request may wait while less urgent ones wait. On a
+ * slow backend server `TARGET_SERVICE_TIME_FACTOR` leaves no time to wait even for the next slot, which would then go
+ * to a less urgent request.
+ */
+const OVERTAKING_SLACK_SHARE = 0.5
 /**
  * Maximum wait of a request that can no longer meet its target, as a share of the target latency: long enough for one
  * slot to become free.
@@ -107,6 +113,18 @@
 const MAX_LATE_WAIT_SHARE = 0.03
 /** Ratio of the age of the running requests to their expected service times above which the server seems stalled. */
 const STALL_FACTOR = 2
+/**
+ * Number of consecutive starts of more urgent requests while an internal call waits. Calls would otherwise get nothing
+ * while a more urgent class alone exceeds the capacity.
+ */
+const MAX_CONSECUTIVE_OVERTAKES = 1
+/** Time after which a queue that was never empty means lasting overload and not a burst, in milliseconds. */
+const STANDING_QUEUE_MS = 300
+/**
+ * Maximum wait of an internal call in a standing queue, as a share of its target latency. A longer wait would not let
+ * more calls through, and the request that makes the call occupies a slot all the time.
+ */
+const MAX_STANDING_WAIT_SHARE = 0.5
 /** Minimum delay between two checks of the queue, in milliseconds. */
 const MIN_DELAY_MS = 2
 
@@ -127,17 +145,22 @@
   let waiting: Job[] = []
   /** Running requests with their start times. */
   const running = new Map<Job, Milliseconds>()
+  /** Time since which requests have been waiting without a break; undefined while none waits. */
+  let queuedSince: Milliseconds | undefined
+  /** Consecutive starts of more urgent requests while an internal call was waiting. */
+  let overtakes = 0
 
   const getServiceMs = (job: Job): number => times.get(job.route, job.targetLatencyMs)
   const isTargetReachable = (job: Job, now: Milliseconds): boolean => now + getServiceMs(job) <= job.targetAt
 
   /**
-   * Orders waiting requests: internal calls first, then by higher priority, then those that can still meet their
-   * target, then by earlier target.
+   * Orders waiting requests: by higher priority, then internal calls first, then those that can still meet their
+   * target, then by earlier target. The operator's priorities come first, because an overload by internal calls of a
+   * less urgent class would otherwise refuse all requests of the most urgent one.
    */
   function isBefore (left: Job, right: Job, now: Milliseconds): boolean {
-    if (left.isInternal !== right.isInternal) return left.isInternal
     if (left.priority !== right.priority) return left.priority < right.priority
+    if (left.isInternal !== right.isInternal) return left.isInternal
     const isLeftReachable = isTargetReachable(left, now)
     if (isLeftReachable !== isTargetReachable(right, now)) return isLeftReachable
     return left.targetAt < right.targetAt
@@ -147,16 +170,63 @@
    * A request may wait as long as it can still meet its target afterwards: a longer queue would make all requests late
    * without increasing throughput. A request that cannot meet its target even if started now only gets leftover
    * capacity, so that it does not make others late. Internal calls and requests with a fetched body may wait until
-   * shortly before their deadline.
+   * shortly before their deadline, internal calls less while overload lasts.
    */
   function computeMaxWait (job: Job, now: Milliseconds): number {
     const serviceMs = getServiceMs(job)
     if (!job.isInternal && !job.isBodyFetched) {
-      return isTargetReachable(job, now)
-        ? job.targetAt - now - serviceMs * TARGET_SERVICE_TIME_FACTOR
-        : job.targetLatencyMs * MAX_LATE_WAIT_SHARE
+      if (!isTargetReachable(job, now)) return job.targetLatencyMs * MAX_LATE_WAIT_SHARE
+      const maxWaitMs = job.targetAt - now - serviceMs * TARGET_SERVICE_TIME_FACTOR
+      if (!waiting.some((other) => other.priority > job.priority)) return maxWaitMs
+      return Math.max(maxWaitMs, (job.targetAt - now - serviceMs) * OVERTAKING_SLACK_SHARE)
+    }
+    const untilDeadlineMs = (job.deadlineAt - now - serviceMs * MIN_REMAINING_SERVICE_SHARE) * MAX_WAIT_SHARE
+    if (!job.isInternal || !isQueueStanding(now)) return untilDeadlineMs
+    return Math.min(untilDeadlineMs, job.targetLatencyMs * MAX_STANDING_WAIT_SHARE)
+  }
+
+  const isQueueStanding = (now: Milliseconds): boolean =>
+    queuedSince !== undefined && now - queuedSince > STANDING_QUEUE_MS
+
+  /** To be called after each change of the waiting requests. */
+  function updateQueuedSince (now: Milliseconds): void {
+    if (waiting.length === 0) queuedSince = undefined
+    else queuedSince ??= now
+  }
+
+  function findFirst (jobs: readonly Job[], now: Milliseconds): Job | undefined {
+    let first: Job | undefined
+    for (const job of jobs) if (first === undefined || isBefore(job, first, now)) first = job
+    return first
+  }
+
+  /** Returns the waiting request to start next. */
+  function chooseNext (now: Milliseconds): Job | undefined {
+    const first = findFirst(waiting, now)
+    if (first === undefined || first.isInternal) {
+      overtakes = 0
+      return first
+    }
+    const passedCalls = waiting.filter((job) => job.isInternal && job.priority > first.priority)
+    if (passedCalls.length > 0 && overtakes >= MAX_CONSECUTIVE_OVERTAKES) {
+      overtakes = 0
+      return findFirst(passedCalls, now)
+    }
+    overtakes = passedCalls.length > 0 ? overtakes + 1 : 0
+    return first
+  }
+
+  /** Counts the waiting requests that start before `job`. */
+  function countAhead (job: Job, now: Milliseconds): number {
+    let urgent = 0
+    let others = 0
+    for (const other of waiting) {
+      if (isBefore(job, other, now)) continue
+      if (other.priority < job.priority) urgent += 1
+      else others += 1
     }
-    return (job.deadlineAt - now - serviceMs * MIN_REMAINING_SERVICE_SHARE) * MAX_WAIT_SHARE
+    // Internal calls take turns with more urgent requests.
+    return others + (job.isInternal ? Math.min(urgent, (others + 1) * MAX_CONSECUTIVE_OVERTAKES) : urgent)
   }
 
   function hasCapacity (limits: QueueLimits, now: Milliseconds): boolean {
@@ -181,8 +251,7 @@
   }
 
   function computeWait (job: Job, limits: QueueLimits, now: Milliseconds): number {
-    let queuedAhead = 0
-    for (const other of waiting) if (!isBefore(job, other, now)) queuedAhead += 1
+    const queuedAhead = countAhead(job, now)
     const average = computeServiceMs(now) ?? getServiceMs(job)
     const isSlotFree = running.size < limits.slots && queuedAhead === 0
     const slotWait = isSlotFree ? 0 : (queuedAhead + 1) * average / Math.max(1, limits.slots)
@@ -223,16 +292,19 @@
         return { kind: 'start' }
       }
       waiting.push(job)
+      updateQueuedSince(now)
       return { kind: 'wait' }
     },
     takeReady: (limits, now) => {
       const ready: Job[] = []
-      while (limits.isStartAllowed && waiting.length > 0 && hasCapacity(limits, now)) {
-        const best = waiting.reduce((first, job) => isBefore(job, first, now) ? job : first)
-        waiting.splice(waiting.indexOf(best), 1)
-        startJob(best, limits, now)
-        ready.push(best)
+      while (limits.isStartAllowed && hasCapacity(limits, now)) {
+        const next = chooseNext(now)
+        if (next === undefined) break
+        waiting.splice(waiting.indexOf(next), 1)
+        startJob(next, limits, now)
+        ready.push(next)
       }
+      updateQueuedSince(now)
       return ready
     },
     takeExpired: (now) =>
