fix(node): find connections that go silent together, before the deadlines of their requests

What callers saw (severed, 70% of the connections between nodes and to backend servers go silent at 9 s): for three seconds four of ten requests fail, as each silent connection is found by a request of its own: a connection to a backend server at the deadline, while its request holds a slot; a connection to a node after 600 ms, and each host is then avoided.

Now: calls on kept connections that are late and that calls sent later have overtaken, two at least, are on silent connections: idempotent ones end as connection-silent and may be sent again, the others are awaited but hold no slot. While nothing is answered at all, idle connections are replaced and up to two slots are given to new requests, which prove the server. Among nodes, a host that answers a probe at once although its connection was silent makes idle connections that have carried nothing since be replaced before their next use.

The tests of createBackendClient and createForwardingClient fail before (a request lasts until its deadline; three connections instead of four). Left: requests that were in flight on a silent connection between nodes and must not run twice still end at their deadline.

--- a/packages/node/src/entry/createForwardingClient.ts
+++ b/packages/node/src/entry/createForwardingClient.ts
@@ -26,6 +26,8 @@
 const TRANSFER_TIME_FACTOR = 4
 /** Largest number of unsent bytes on a connection: seconds of transfer on the slowest network links. */
 const MAX_UNSENT_BYTES = 1_000_000
+/** A host that answers a probe within this time was never away: only its connection is silent. In milliseconds. */
+const ALIVE_ANSWER_MS = 600
 /** Connections without a request for this time are closed, in milliseconds. */
 const IDLE_TIMEOUT_MS = 60_000
 
@@ -43,6 +45,8 @@
   const connections = new Map<string, HostConnection>()
   /** Connections that get no new requests but still have pending ones. */
   const drainingConnections = new Set<ForwardingConnection>()
+  /** Connections on which nothing has arrived since this time are replaced before their next request. */
+  let suspectBefore = -Infinity
 
   function openConnection (record: HostRecord): ForwardingConnection {
     return createForwardingConnection({
@@ -58,11 +62,14 @@
     else drainingConnections.add(connection)
   }
 
+  const isSuspect = (connection: ForwardingConnection): boolean =>
+    connection.countPending() === 0 && connection.getLastActivityAt() < suspectBefore
+
   function getConnection (record: HostRecord): ForwardingConnection {
     const known = connections.get(record.host)
     if (known !== undefined && known.address === record.requestAddress &&
-      !known.connection.isClosed()) return known.connection
-    // The host has a new address, or the connection has ended.
+      !known.connection.isClosed() && !isSuspect(known.connection)) return known.connection
+    // The host has a new address, or the connection has ended or may be silent.
     if (known !== undefined) drainConnection(known.connection)
     const connection = openConnection(record)
     connections.set(record.host, { address: record.requestAddress, linkMbps: record.linkMbps, connection })
@@ -80,7 +87,11 @@
     }
     const transferMs = computeTransferMs(connection.countPendingBytes(), linkMbps, settings.linkMbps)
     if (silentMs < SILENCE_TIMEOUT_MS + transferMs * TRANSFER_TIME_FACTOR) return true
-    health.markDown(host, 'silent while a request was open')
+    const silentSince = connection.getLastActivityAt()
+    health.markDown(host, 'silent while a request was open', (awayMs) => {
+      // Connections go silent together.
+      if (awayMs <= ALIVE_ANSWER_MS) suspectBefore = Math.max(suspectBefore, silentSince)
+    })
     connection.releaseRetryable()
     drainConnection(connection)
     return false
--- a/packages/node/src/home/createBackendClient.ts
+++ b/packages/node/src/home/createBackendClient.ts
@@ -1,5 +1,6 @@
 import type { ServingLossReason } from '@snipenotch/contracts'
 import { BoundedKeepAliveAgent, selectHeaders } from '@snipenotch/daemon'
+import { createSilenceDetector, type TrackedCall } from '@snipenotch/decisions'
 import { decodeInstanceLoad, type InstanceLoad, PLATFORM_HEADERS } from '@snipenotch/platform'
 import { request, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
@@ -26,9 +27,14 @@
 
 /** HTTP client for the backend server on the same host. */
 export interface BackendClient {
-  /** Sends a job to `instance`; `remainingMs` is the time until the job's deadline, in milliseconds. */
+  /**
+   * Sends a job to `instance`; `remainingMs` is the time until the job's deadline, in milliseconds. `onSilent` is
+   * called if the connection seems to be silent, so that the job probably occupies no slot any more; its result still
+   * follows.
+   */
   readonly call: (
-    job: BackendJob, instance: string, remainingMs: number, onResult: (result: BackendResult) => void
+    job: BackendJob, instance: string, remainingMs: number, onResult: (result: BackendResult) => void,
+    onSilent?: () => void
   ) => BackendCall
   readonly close: () => void
 }
@@ -52,7 +58,7 @@
  * process.
  */
 const DEADLINE_GRACE_MS = 300
-/** Interval between checks for requests past their deadline, in milliseconds. */
+/** Interval between checks for silent connections and for requests past their deadline, in milliseconds. */
 const DEADLINE_CHECK_INTERVAL_MS = 100
 
 interface OpenCall {
@@ -61,6 +67,12 @@
   readonly end: () => void
 }
 
+/** A call that has a connection. */
+interface ConnectedCall extends TrackedCall {
+  readonly handleDoubt: () => void
+  readonly handleSilence: () => void
+}
+
 const REPLACED_HEADERS: ReadonlySet<string> = new Set([PLATFORM_HEADERS.remainingMs, PLATFORM_HEADERS.targetInstance, 'content-length'])
 
 function composeHeaders (job: BackendJob, instance: string, remainingMs: number): string[] {
@@ -107,8 +119,19 @@
 ): BackendClient {
   const agent = new BoundedKeepAliveAgent(MAX_CONNECTIONS, IDLE_TIMEOUT_MS)
   const calls = new Set<OpenCall>()
+  const silenceDetector = createSilenceDetector<ConnectedCall>()
+
+  /** Closes the idle connections if some of the others are silent: connections go silent together. */
+  function checkSilentConnections (): void {
+    if (calls.size === 0) return
+    const { silent, doubted } = silenceDetector.check(clock.now())
+    if (silent.length > 0 || doubted !== undefined) agent.closeIdleConnections()
+    doubted?.handleDoubt()
+    for (const call of silent) call.handleSilence()
+  }
 
   const stopChecks = ticker.add(DEADLINE_CHECK_INTERVAL_MS, () => {
+    checkSilentConnections()
     const now = clock.now()
     for (const call of calls) if (now >= call.endsAt) call.end()
   })
@@ -121,20 +144,27 @@
   }
 
   function send (
-    job: BackendJob, instance: string, remainingMs: number, onResult: (result: BackendResult) => void
+    job: BackendJob, instance: string, remainingMs: number, onResult: (result: BackendResult) => void,
+    onSilent: () => void = () => undefined
   ): BackendCall {
     let isConnected = false
     let isDone = false
     let response: IncomingMessage | undefined
     let connectTimer: NodeJS.Timeout | undefined
+    let connected: ConnectedCall | undefined
     const startedAt = clock.now()
 
-    function end (result: BackendResult): void {
-      if (isDone) return
-      isDone = true
+    function releaseCall (): void {
       calls.delete(open)
       clearTimeout(connectTimer)
       buffers.release(holder)
+      if (connected !== undefined) silenceDetector.remove(connected)
+    }
+
+    function end (result: BackendResult): void {
+      if (isDone) return
+      isDone = true
+      releaseCall()
       if (result.kind === 'lost') counters.count('serving_losses', result.reason)
       onResult(result)
     }
@@ -173,6 +203,18 @@
     calls.add(open)
     function recordConnected (): void {
       isConnected = true
+      connected = {
+        isReused: outgoing.reusedSocket,
+        sentAt: clock.now(),
+        typicalMs: job.targetLatencyMs,
+        handleDoubt: onSilent,
+        handleSilence: () => {
+          onSilent()
+          // A non-idempotent request is not sent again, so its response is awaited in case it is only late.
+          if (job.idempotent) failCall('connection-silent', 'later requests on other connections were answered')
+        }
+      }
+      silenceDetector.recordSend(connected)
       counters.record('dispatch', clock.now() - startedAt)
     }
 
@@ -199,6 +241,7 @@
     })
     outgoing.on('response', (incoming) => {
       response = incoming
+      if (connected !== undefined) silenceDetector.recordAnswer(connected)
       const fault = findResponseFault(job, incoming)
       if (fault !== undefined) {
         failCall(fault, `status ${incoming.statusCode ?? 0}`)
@@ -236,9 +279,7 @@
       abort: () => {
         checkSilence()
         isDone = true
-        calls.delete(open)
-        clearTimeout(connectTimer)
-        buffers.release(holder)
+        releaseCall()
         outgoing.destroy()
       }
     }
--- a/packages/node/src/home/createBackendDispatcher.ts
+++ b/packages/node/src/home/createBackendDispatcher.ts
@@ -231,6 +231,9 @@
       }
       end(job, toOutcome(result), durationMs)
       update()
+    }, () => {
+      requestQueue.finish(job, undefined)
+      update()
     })
     job.cancel = () => {
       // A non-idempotent request is left running, because its effect would be unknown if it were aborted.
--- a/packages/node/src/peers/createHostHealth.ts
+++ b/packages/node/src/peers/createHostHealth.ts
@@ -7,8 +7,11 @@
 
 /** Tracks which hosts do not respond to this node. */
 export interface HostHealth {
-  /** Marks a host as down until it answers a probe. */
-  readonly markDown: (host: string, detail: string) => void
+  /**
+   * Marks a host as down until it answers a probe; `onReturned` is called then with the time since, in milliseconds,
+   * unless the host was down before.
+   */
+  readonly markDown: (host: string, detail: string, onReturned?: (awayMs: number) => void) => void
   readonly isDown: (host: string) => boolean
   readonly close: () => void
 }
@@ -31,7 +34,7 @@
     return await requestPeer(agent, record.peerAddress, PEER_PATHS.ping, PROBE_TIMEOUT_MS) !== undefined
   }
 
-  function startProbes (host: string): void {
+  function startProbes (host: string, onReturned: ((awayMs: number) => void) | undefined): void {
     let delayMs = FIRST_PROBE_DELAY_MS
     startLoop({
       log,
@@ -40,18 +43,20 @@
         await new Promise((resolve) => { setTimeout(resolve, delayMs) })
         delayMs = Math.min(MAX_PROBE_DELAY_MS, delayMs * 2)
         if (!await isBack(host)) return
-        log('hostReturned', { peer: host, awayMs: Math.round(clock.now() - (downSince.get(host) ?? 0)) })
+        const awayMs = Math.round(clock.now() - (downSince.get(host) ?? 0))
+        log('hostReturned', { peer: host, awayMs })
         downSince.delete(host)
+        onReturned?.(awayMs)
       }
     })
   }
 
   return {
-    markDown: (host, detail) => {
+    markDown: (host, detail, onReturned) => {
       if (downSince.has(host)) return
       downSince.set(host, clock.now())
       log('hostAvoided', { peer: host, detail })
-      startProbes(host)
+      startProbes(host, onReturned)
     },
     isDown: (host) => downSince.has(host),
     close: () => {
--- a/packages/node/tests/entry/createForwardingClient.test.ts
+++ b/packages/node/tests/entry/createForwardingClient.test.ts
@@ -4,6 +4,7 @@
 import { type WebSocket, WebSocketServer } from 'ws'
 import { createForwardingClient, type ForwardingClient } from '../../src/entry/createForwardingClient.js'
 import type { JobOutcome } from '../../src/home/BackendJob.js'
+import type { HostHealth } from '../../src/peers/createHostHealth.js'
 import { decodeBatch, encodeBatch } from '../../src/peers/forwardingCodec.js'
 import type { ForwardingMessage } from '../../src/peers/ForwardingMessage.js'
 import { createJob, createRecord } from '../createJob.js'
@@ -18,11 +19,13 @@
   let down: string[]
   let outcomes: JobOutcome[]
   let client: ForwardingClient
+  /** Reports that the host that was marked as down answers again. */
+  let returnedAfterMs: ((awayMs: number) => void) | undefined
   /** Delay of each outcome, in milliseconds; undefined sends neither outcomes nor heartbeats. */
   let answerAfterMs: number | undefined
 
-  const send = (bytes: number, linkMbps: number, attemptId = 'id-1'): void => {
-    const record = createRecord('krakow-2', { requestAddress: `127.0.0.1:${(server.address() as AddressInfo).port}`, linkMbps })
+  const send = (bytes: number, linkMbps: number, attemptId = 'id-1', host = 'krakow-2'): void => {
+    const record = createRecord(host, { requestAddress: `127.0.0.1:${(server.address() as AddressInfo).port}`, linkMbps })
     const job = createJob({ attemptId, body: Buffer.alloc(bytes), idempotent: false })
     client.send(job, record, (outcome) => { outcomes.push(outcome) })
   }
@@ -31,6 +34,7 @@
     connections = []
     received = []
     down = []
+    returnedAfterMs = undefined
     outcomes = []
     answerAfterMs = 0
     server = createServer()
@@ -50,7 +54,11 @@
       })
     })
     await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
-    client = createForwardingClient(context, { markDown: (host) => { down.push(host) } }, { observe: () => undefined })
+    const markDown: HostHealth['markDown'] = (host, _detail, onReturned) => {
+      down.push(host)
+      returnedAfterMs ??= onReturned
+    }
+    client = createForwardingClient(context, { markDown }, { observe: () => undefined })
   })
   afterEach(() => {
     client.close()
@@ -79,6 +87,26 @@
     expect(outcomes).to.be.empty
   })
 
+  const returns: Array<[string, number, number]> = [
+    ['replaces the other idle connections once a host with a silent connection answers at once', 150, 4],
+    ['keeps the other idle connections if the host answers only later, because it was away', 2000, 3]
+  ]
+  for (const [title, awayMs, expected] of returns) {
+    it(`${title} (guards against silent connections that are found one request at a time)`, async () => {
+      send(10, 140, 'a', 'krakow-3')
+      await awaitCondition('the other connection has been used', () => outcomes.length === 1)
+      answerAfterMs = undefined
+      send(10, 140, 'b')
+      await awaitCondition('the host is out', () => down.length === 1)
+      returnedAfterMs?.(awayMs)
+      answerAfterMs = 0
+      send(10, 140, 'c', 'krakow-3')
+      send(10, 140, 'd')
+      await awaitCondition('all are answered', () => outcomes.length === 3)
+      expect(connections).to.have.length(expected)
+    })
+  }
+
   it('marks a host that does not pull a body as down and refuses the request, because it has not run', async () => {
     answerAfterMs = undefined
     send(50_000, 140)
--- a/packages/node/tests/home/createBackendClient.test.ts
+++ b/packages/node/tests/home/createBackendClient.test.ts
@@ -80,6 +80,31 @@
     expect(connections).to.equal(5)
   })
 
+  it('finds silent connections together before any deadline (guards against requests held until their deadlines and slots taken by them)', async () => {
+    const silent = new Set<Socket>()
+    const open = new Set<Socket>()
+    handle = (socket, text) => {
+      open.add(socket)
+      const attemptId = /attempt-id: (\S+)/i.exec(text)?.[1] ?? ''
+      if (!silent.has(socket)) setTimeout(() => { socket.write(head(attemptId, 'Content-Length: 2\r\n') + 'ok') }, 20)
+    }
+    const callFor = (given: BackendJob, onSilent?: () => void): Promise<BackendResult> =>
+      new Promise((resolve) => { client.call(given, 'i-1', 20_000, resolve, onSilent) })
+    await Promise.all(['a', 'b', 'c', 'd'].map((id) => callFor(job(id))))
+    for (const socket of open) silent.add(socket)
+    let freed = 0
+    const lost = ['e', 'f'].map((id) => callFor(job(id), () => { freed += 1 }))
+    let isUnsafeEnded = false
+    const unsafe = job('g', { method: 'POST', idempotent: false })
+    callFor(unsafe, () => { freed += 1 }).then(() => { isUnsafeEnded = true }, () => undefined)
+    await awaitCondition('a slot is free for another request', () => freed > 0)
+    expect(await callFor(job('h'))).to.include({ kind: 'answered' })
+    for (const result of await Promise.all(lost)) expect(result).to.include({ kind: 'lost', reason: 'connection-silent' })
+    await awaitCondition('all slots are free', () => freed >= 3)
+    expect(isUnsafeEnded).to.equal(false)
+    expect(connections).to.equal(5)
+  })
+
   it('sends the instance and the remaining time, and returns the complete response', async () => {
     let seen = ''
     handle = (socket, text) => {
