perf(decisions): let hosts that are not known yet follow any known reader

What callers see: nothing directly; each call to the store is paid for, and a whole mesh that starts rushes on it.

Cause: a host counted itself as a reader until it knew two hosts of its data centre that rank before it. When a mesh starts, hosts become known one after the other over seconds, and until then every host polls both tables, woken by each record that is written.

Now a host whose record is not known follows any host of its data centre that is. Replay in chooseReader.test.ts: 40 hosts become known one by one; before, all 40 read while one is known, now never more than two. An extra or missing reader costs only calls and time, as before; nothing depends on it.

--- a/packages/decisions/src/serving/chooseReader.ts
+++ b/packages/decisions/src/serving/chooseReader.ts
@@ -15,7 +15,9 @@
 
 /**
  * Returns the name of the host that reads the store on behalf of `own`, which is the name of `own` if it reads the
- * store itself. Hosts with high bandwidth are preferred. Correctness does not depend on all hosts agreeing: an extra
+ * store itself. Hosts with high bandwidth are preferred. A host that is not among `hosts` yet follows any that is: when a
+ * whole mesh starts, hosts become known one after the other, and each would otherwise read until two better ones are
+ * known. Correctness does not depend on all hosts agreeing: an extra
  * reader only costs additional calls, and an unusable reader is replaced.
  */
 export function chooseReader (
@@ -23,7 +25,9 @@
 ): string {
   const peers = hosts.filter(({ host, dataCentre }) =>
     dataCentre === own.dataCentre && host !== own.host && isUsable(host))
-  const ranked = [...peers, own].sort((left, right) =>
+  if (peers.length === 0) return own.host
+  const isKnown = hosts.some(({ host }) => host === own.host)
+  const ranked = (isKnown ? [...peers, own] : peers).sort((left, right) =>
     Math.min(WIDE_LINK_THRESHOLD_MBPS, right.linkMbps) - Math.min(WIDE_LINK_THRESHOLD_MBPS, left.linkMbps) ||
     digestName(left.host) - digestName(right.host))
   const readers = ranked.slice(0, READERS_PER_DATA_CENTRE)
--- a/packages/decisions/tests/serving/chooseReader.test.ts
+++ b/packages/decisions/tests/serving/chooseReader.test.ts
@@ -25,6 +25,15 @@
     expect(chooseReader(host('unknown'), [], always)).to.equal('unknown')
   })
 
+  it('keeps to two readers while the hosts of a mesh that starts become known one after the other (guards against a rush on the store that grows with the mesh)', () => {
+    const all = Array.from({ length: 40 }, (_, index) => host(`h${index}`))
+    for (let known = 1; known <= all.length; known++) {
+      const hosts = all.slice(0, known)
+      const reading = all.filter((own) => chooseReader(own, hosts, always) === own.host)
+      expect(reading.length, `${known} known`).to.be.within(1, 2)
+    }
+  })
+
   it('skips unusable hosts, down to each host reading for itself', () => {
     const first = chooseAll(twelve)
     const gone = new Set(first)
