fix(node): never end a request because its connection seems silent

Idempotent calls that were late and overtaken by later ones were ended as connection-silent. A slow server with several slots answers late and out of order too, so neither is evidence.

Now a call is late after three times the longest of the last eight answers, late calls only make idle connections be replaced and, once overtaken, free their slots; their results are awaited.

--- a/packages/contracts/src/mesh/servingReasons.ts
+++ b/packages/contracts/src/mesh/servingReasons.ts
@@ -36,8 +36,6 @@
 /** Why it is unknown whether a request ran, or why its response cannot be used. */
 export type ServingLossReason =
   | 'connection-lost'
-  /** The kept connection to the backend server does not carry data any more, without having been closed. */
-  | 'connection-silent'
   | 'answer-truncated'
   | 'answer-mismatched'
   | 'answer-unsigned'
--- a/packages/decisions/src/serving/chooseReader.ts
+++ b/packages/decisions/src/serving/chooseReader.ts
@@ -15,10 +15,10 @@
 
 /**
  * Returns the name of the host that reads the store on behalf of `own`, which is the name of `own` if it reads the
- * store itself. Hosts with high bandwidth are preferred. A host that is not among `hosts` yet follows any that is: when a
- * whole mesh starts, hosts become known one after the other, and each would otherwise read until two better ones are
- * known. Correctness does not depend on all hosts agreeing: an extra
- * reader only costs additional calls, and an unusable reader is replaced.
+ * store itself. Hosts with high bandwidth are preferred. A host that is not among `hosts` yet follows any that is:
+ * when a whole mesh starts, hosts become known one after the other, and each would otherwise read until two better
+ * ones are known. Correctness does not depend on all hosts agreeing: an extra reader only costs additional calls, and
+ * an unusable reader is replaced.
  */
 export function chooseReader (
   own: ReaderCandidate, hosts: readonly ReaderCandidate[], isUsable: (host: string) => boolean
--- a/packages/decisions/src/serving/createSilenceDetector.ts
+++ b/packages/decisions/src/serving/createSilenceDetector.ts
@@ -11,22 +11,23 @@
 
 /** Result of a check for silent connections. */
 export interface SilenceCheck<Call> {
-  /** Calls that will not be answered: their connections have gone silent. */
+  /** True if calls have become late, so that kept connections may be silent. */
+  readonly isSuspicious: boolean
+  /** Late calls whose connections have gone silent, as others that were sent later have been answered. */
   readonly silent: readonly Call[]
-  /** A call that shows that kept connections may be silent, while nothing is answered that could prove it. */
-  readonly doubted: Call | undefined
 }
 
 /**
  * Finds kept connections that have gone silent together without a reset, from what is answered and what is not, long
- * before the deadlines of their calls. A single late call is never enough: it may only be slow.
+ * before the deadlines of their calls. A server that has become slow answers late as well, so the times of its latest
+ * answers count, and a single late call is never enough.
  */
 export interface SilenceDetector<Call extends TrackedCall> {
   readonly recordSend: (call: Call) => void
-  readonly recordAnswer: (call: Call) => void
+  readonly recordAnswer: (call: Call, now: Milliseconds) => void
   /** Removes a call that ended without an answer. */
   readonly remove: (call: Call) => void
-  /** Returns each call at most once. */
+  /** Returns each silent call once, and a suspicion once for the same late calls. */
   readonly check: (now: Milliseconds) => SilenceCheck<Call>
 }
 
@@ -34,45 +35,48 @@
 const MIN_LATE_MS = 200
 /** Number of late calls at the same time that are evidence of silent connections. */
 const MIN_LATE_CALLS = 2
-/** Calls that may be doubted at the same time: each lets another call reach a server that may be full. */
-const MAX_DOUBTED = 2
+/** Number of latest answers that tell how slow the server is at present. */
+const REMEMBERED_ANSWERS = 8
+/** Age of a late call as a multiple of the longest of the latest answers. */
+const LATE_FACTOR = 3
 
 /** Creates a detector without calls. */
 export function createSilenceDetector<Call extends TrackedCall> (): SilenceDetector<Call> {
   const open = new Set<Call>()
-  const doubted = new Set<Call>()
+  const reported = new Set<Call>()
+  let durations: number[] = []
   /** Time at which the latest of the answered calls was sent. */
   let answeredUpTo = -Infinity
 
-  const isLate = ({ isReused, sentAt, typicalMs }: Call, now: Milliseconds): boolean =>
-    isReused && now - sentAt >= Math.max(MIN_LATE_MS, typicalMs)
-
   function remove (call: Call): void {
     open.delete(call)
-    doubted.delete(call)
+    reported.delete(call)
+  }
+
+  function findLate (now: Milliseconds): Call[] {
+    const usualMs = Math.max(MIN_LATE_MS, ...durations.map((duration) => duration * LATE_FACTOR))
+    return [...open].filter(({ isReused, sentAt, typicalMs }) =>
+      isReused && now - sentAt >= Math.max(usualMs, typicalMs))
   }
 
   return {
     recordSend: (call) => { open.add(call) },
-    recordAnswer: (call) => {
+    recordAnswer: (call, now) => {
       remove(call)
+      durations = [...durations, now - call.sentAt].slice(-REMEMBERED_ANSWERS)
       answeredUpTo = Math.max(answeredUpTo, call.sentAt)
     },
     remove,
     check: (now) => {
-      const late = [...open].filter((call) => isLate(call, now))
-      // Calls that were sent later have been answered, so the server works and these connections are silent.
+      if (open.size < MIN_LATE_CALLS) return { isSuspicious: false, silent: [] }
+      const late = findLate(now)
+      if (late.length < MIN_LATE_CALLS) return { isSuspicious: false, silent: [] }
+      const isSuspicious = late.filter((call) => !reported.has(call)).length >= MIN_LATE_CALLS
+      if (isSuspicious) for (const call of late) reported.add(call)
       const overtaken = late.filter(({ sentAt }) => sentAt < answeredUpTo)
-      if (overtaken.length >= MIN_LATE_CALLS) {
-        for (const call of overtaken) remove(call)
-        return { silent: overtaken, doubted: undefined }
-      }
-      const next = late.find((call) => !doubted.has(call))
-      if (late.length < MIN_LATE_CALLS || next === undefined || doubted.size >= MAX_DOUBTED) {
-        return { silent: [], doubted: undefined }
-      }
-      doubted.add(next)
-      return { silent: [], doubted: next }
+      const silent = overtaken.length >= MIN_LATE_CALLS ? overtaken : []
+      for (const call of silent) remove(call)
+      return { isSuspicious, silent }
     }
   }
 }
--- a/packages/node/src/home/createBackendClient.ts
+++ b/packages/node/src/home/createBackendClient.ts
@@ -29,8 +29,7 @@
 export interface BackendClient {
   /**
    * Sends a job to `instance`; `remainingMs` is the time until the job's deadline, in milliseconds. `onSilent` is
-   * called if the connection seems to be silent, so that the job probably occupies no slot any more; its result still
-   * follows.
+   * called if the connection seems to be silent, so that the job occupies no slot any more; its result still follows.
    */
   readonly call: (
     job: BackendJob, instance: string, remainingMs: number, onResult: (result: BackendResult) => void,
@@ -69,8 +68,7 @@
 
 /** A call that has a connection. */
 interface ConnectedCall extends TrackedCall {
-  readonly handleDoubt: () => void
-  readonly handleSilence: () => void
+  readonly onSilent: () => void
 }
 
 const REPLACED_HEADERS: ReadonlySet<string> = new Set([PLATFORM_HEADERS.remainingMs, PLATFORM_HEADERS.targetInstance, 'content-length'])
@@ -121,13 +119,11 @@
   const calls = new Set<OpenCall>()
   const silenceDetector = createSilenceDetector<ConnectedCall>()
 
-  /** Closes the idle connections if some of the others are silent: connections go silent together. */
+  /** Closes the idle connections if some of the others may be silent: connections go silent together. */
   function checkSilentConnections (): void {
-    if (calls.size === 0) return
-    const { silent, doubted } = silenceDetector.check(clock.now())
-    if (silent.length > 0 || doubted !== undefined) agent.closeIdleConnections()
-    doubted?.handleDoubt()
-    for (const call of silent) call.handleSilence()
+    const { isSuspicious, silent } = silenceDetector.check(clock.now())
+    if (isSuspicious || silent.length > 0) agent.closeIdleConnections()
+    for (const call of silent) call.onSilent()
   }
 
   const stopChecks = ticker.add(DEADLINE_CHECK_INTERVAL_MS, () => {
@@ -207,12 +203,7 @@
         isReused: outgoing.reusedSocket,
         sentAt: clock.now(),
         typicalMs: job.targetLatencyMs,
-        handleDoubt: onSilent,
-        handleSilence: () => {
-          onSilent()
-          // A non-idempotent request is not sent again, so its response is awaited in case it is only late.
-          if (job.idempotent) failCall('connection-silent', 'later requests on other connections were answered')
-        }
+        onSilent
       }
       silenceDetector.recordSend(connected)
       counters.record('dispatch', clock.now() - startedAt)
@@ -241,7 +232,7 @@
     })
     outgoing.on('response', (incoming) => {
       response = incoming
-      if (connected !== undefined) silenceDetector.recordAnswer(connected)
+      if (connected !== undefined) silenceDetector.recordAnswer(connected, clock.now())
       const fault = findResponseFault(job, incoming)
       if (fault !== undefined) {
         failCall(fault, `status ${incoming.statusCode ?? 0}`)
