test(soak): connections that go silent for good while new ones work

The fault proxy silences existing connections: they stay open and carry nothing, also once the other side closes them. The soak does so to the store and to backend servers. Regression seeds keep drawing from the kinds that existed when they failed.

--- a/packages/node/tests/soak/runSoak.ts
+++ b/packages/node/tests/soak/runSoak.ts
@@ -17,6 +17,8 @@
   readonly seed: number
   /** Duration of the fault phase, in milliseconds. */
   readonly faultMs: number
+  /** Number of kinds of faults to draw from, in the order of `FAULTS`; all by default. */
+  readonly kinds?: number | undefined
 }
 
 /** Violations, number of responses by status, and the faults that were injected. */
@@ -108,7 +110,10 @@
     for (const host of cold) host.turnCold(1000 + random() * 1500)
     await evacuate(dataCentre, false)
   },
-  'configuration changes': ({ publish }) => publish()
+  'configuration changes': ({ publish }) => publish(),
+  // New kinds follow here: the draws of older seeds depend on the number of kinds.
+  'store connections silent': (_, { storeProxy }) => { storeProxy.silenceAll() },
+  'backend connections silent': (_, { backendProxy }) => { backendProxy.silenceAll() }
 }
 
 /** Sends one request to a node and records how it ends; resolves with the HTTP status, or 0 without a response. */
@@ -260,7 +265,7 @@
     const playing: Array<Promise<void>> = []
     const endsAt = performance.now() + options.faultMs
     while (performance.now() < endsAt) {
-      const names = Object.keys(FAULTS)
+      const names = Object.keys(FAULTS).slice(0, options.kinds)
       const name = names[Math.floor(environment.random() * names.length)] ?? ''
       const host = environment.hosts[Math.floor(environment.random() * environment.hosts.length)]
       if (host === undefined) break
--- a/packages/node/tests/soak/soak.test.ts
+++ b/packages/node/tests/soak/soak.test.ts
@@ -4,8 +4,8 @@
 import { runSoak } from './runSoak.js'
 
 /** Seeds that once failed, with the cause. */
-const REGRESSIONS: ReadonlyArray<{ readonly seed: number, readonly cause: string }> = [
-  { seed: 3029, cause: 'a second stop signal ended a stopping node at once' }
+const REGRESSIONS: ReadonlyArray<{ readonly seed: number, readonly cause: string, readonly kinds: number }> = [
+  { seed: 3029, cause: 'a second stop signal ended a stopping node at once', kinds: 17 }
 ]
 /** Time limit for bundling the node on a busy machine, in milliseconds. */
 const BUILD_TIMEOUT_MS = 60_000
@@ -29,12 +29,12 @@
   })
 
   const cases = handSeeds.length > 0
-    ? handSeeds.map((seed) => ({ seed, cause: 'by hand' }))
-    : [{ seed: CI_SEED, cause: 'in CI' }, ...REGRESSIONS]
-  for (const { seed, cause } of cases) {
+    ? handSeeds.map((seed) => ({ seed, cause: 'by hand', kinds: undefined }))
+    : [{ seed: CI_SEED, cause: 'in CI', kinds: undefined }, ...REGRESSIONS]
+  for (const { seed, cause, kinds } of cases) {
     it(`violates no guarantee with seed ${seed} (${cause})`, async function () {
       this.timeout(faultMs + 60_000)
-      const { broken, answers, faults } = await runSoak({ bundle, otherBundle, seed, faultMs })
+      const { broken, answers, faults } = await runSoak({ bundle, otherBundle, seed, faultMs, kinds })
       expect(broken, JSON.stringify({ answers, faults })).to.deep.equal([])
       expect(answers[200] ?? 0).to.be.greaterThan(100)
     })
--- a/packages/stand-ins/src/proxy/createFaultProxy.ts
+++ b/packages/stand-ins/src/proxy/createFaultProxy.ts
@@ -39,6 +39,8 @@
   readonly resume: () => void
   /** Resets all existing connections. */
   readonly resetAll: () => void
+  /** Makes existing connections carry nothing any more, without closing them; new ones work. */
+  readonly silenceAll: () => void
   /**
    * Stops listening, so that the operating system refuses new connections; existing ones stay open. The rule `refuse`
    * accepts each connection and then resets it.
@@ -88,6 +90,7 @@
     bytesToClient: 0
   }
   const connections = new Set<ProxiedConnection>()
+  const silentConnections = new WeakSet<ProxiedConnection>()
   const resumeCallbacks: Array<() => void> = []
   let destination = parseSocketAddress(target)
   let rules: readonly WeightedRuleInput[] = []
@@ -131,7 +134,7 @@
       const chunk = data as Buffer
       if (isPaused) await new Promise<void>((resolve) => resumeCallbacks.push(resolve))
       if (rule.delayMs > 0) await new Promise((resolve) => setTimeout(resolve, rule.delayMs))
-      if (rule.lose === direction) { counts.bytesLost += chunk.length; continue }
+      if (rule.lose === direction || silentConnections.has(connection)) { counts.bytesLost += chunk.length; continue }
       if (rule.dropAnswers && direction === 'to-client') {
         counts.answersDropped += 1
         resetConnection(connection)
@@ -143,7 +146,7 @@
       if (to?.writableNeedDrain === true) await awaitDrain(to)
     }
     const to = direction === 'to-server' ? connection.server : connection.client
-    if (rule.lose !== direction) to?.end()
+    if (rule.lose !== direction && !silentConnections.has(connection)) to?.end()
   }
 
   function awaitDrain (socket: Socket): Promise<void> {
@@ -155,15 +158,14 @@
 
   function attachConnection (connection: ProxiedConnection): void {
     connections.add(connection)
-    const end = (): void => {
+    connection.client.on('close', () => {
       connections.delete(connection)
-      connection.client.destroy()
       connection.server?.destroy()
-    }
-    for (const socket of [connection.client, connection.server]) {
-      socket?.on('error', () => undefined)
-      socket?.on('close', end)
-    }
+    })
+    connection.server?.on('close', () => {
+      if (!silentConnections.has(connection)) connection.client.destroy()
+    })
+    for (const socket of [connection.client, connection.server]) socket?.on('error', () => undefined)
   }
 
   function acceptConnection (client: Socket): void {
@@ -185,7 +187,7 @@
     const connection = { client, server }
     attachConnection(connection)
     // If the server cannot be reached, the client sees a reset connection.
-    server.on('error', () => client.resetAndDestroy())
+    server.on('error', () => { if (!silentConnections.has(connection)) client.resetAndDestroy() })
     forwardBytes(connection, rule, 'to-server', client).catch(() => undefined)
     forwardBytes(connection, rule, 'to-client', server).catch(() => undefined)
   }
@@ -222,6 +224,7 @@
     pause: () => { isPaused = true },
     resume: releaseHeldData,
     resetAll,
+    silenceAll: () => { for (const connection of connections) silentConnections.add(connection) },
     refuseAll: closeListener,
     acceptAll: async () => {
       if (listener.listening) return
--- a/packages/stand-ins/tests/proxy/createFaultProxy.test.ts
+++ b/packages/stand-ins/tests/proxy/createFaultProxy.test.ts
@@ -132,6 +132,22 @@
     expect(proxy.counts.resets).to.equal(2)
   })
 
+  it('makes existing connections silent for good, also once the server closes them, while new ones work', async () => {
+    const silent = open()
+    silent.client.write('question')
+    await awaitCondition(() => silent.read() === RESPONSE)
+    proxy.silenceAll()
+    silent.client.write('more')
+    const { client, read } = open()
+    client.write('question')
+    await awaitCondition(() => read() === RESPONSE)
+    for (const socket of sockets) if (socket !== silent.client) socket.destroy()
+    await delay()
+    expect({ received, read: silent.read(), isOpen: !silent.client.destroyed })
+      .to.deep.equal({ received: 'questionquestion', read: RESPONSE, isOpen: true })
+    silent.client.destroy()
+  })
+
   it('picks the same rules for the same seed (guards against failures that cannot be reproduced)', () => {
     const rules = [{ share: 0.3, rule: { blackHole: true } }, { share: 0.2, rule: { dropAnswers: true } }]
     const list = (seed: number): string[] => {
