--- a/packages/node/tests/bench/measureRequestPath.ts
+++ b/packages/node/tests/bench/measureRequestPath.ts
@@ -7,17 +7,17 @@
  * this process and are not counted.
  */
 import { createStoreClient, PLATFORM_HEADERS } from '@snipenotch/platform'
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, rmSync } from 'node:fs'
 import { Agent, createServer, type IncomingMessage, request, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { findFreePort } from '../../../emulator/src/mesh/findFreePort.js'
 import { startProcess, type StartedProcess } from '../../../emulator/src/mesh/startProcess.js'
-import { composePlatformConfiguration, composeReport, composeSettings, HEALTH_PATH } from '../../../../platform/tests/composeWire.js'
+import { composePlatformConfiguration, composeReport, HEALTH_PATH } from '../../../../platform/tests/composeWire.js'
 import { startStoreStandIn } from '../../../../platform/tests/startStoreStandIn.js'
+import { NODE_BUNDLE, startNodeProcess } from '../startNodeProcess.js'
 import { readProcessUsage, sumUsage } from './readProcessUsage.js'
 
-const DEFAULT_BUNDLE = 'target/snipenotch-node.mjs'
 const FORWARDER = 'packages/node/tests/bench/startBareForwarder.mjs'
 const RATES = [30, 300, 1000]
 const MEASURE_MS = 6000
@@ -119,41 +119,32 @@
   const configuration = composePlatformConfiguration(1, ['clocks', 'parts'], { coldPerSecond: 0 })
   await client.write([], [{ table: 'op', key: 'config', value: JSON.stringify(configuration) }])
   client.close()
-  const ports = await Promise.all(Array.from({ length: HOST_COUNT * 6 }, findFreePort))
   const hosts = await Promise.all(Array.from({ length: HOST_COUNT }, async (_, index) => {
     const host = `krakow-${index + 1}`
     const service = index < HOST_COUNT / 2 ? 'clocks' : 'parts'
-    const [callers = 0, requests = 0, readiness = 0, reports = 0, peers = 0, metrics = 0] = ports.slice(index * 6)
     const backend = await startBackend(host)
-    const at = (port: number): string => `127.0.0.1:${port}`
-    const file = `${directory}/${host}.toml`
-    writeFileSync(file, composeSettings({
+    const node = await startNodeProcess({
+      directory,
+      bundle,
       host,
-      dataCentre: 'krakow',
       service,
-      callers: at(callers),
-      requests: at(requests),
-      readiness: at(readiness),
-      reports: at(reports),
-      backend: at(getPort(backend)),
-      store: `${store.address.host}:${store.address.port}`,
-      ports: [peers, metrics]
-    }))
-    const node = startProcess(bundle, [], { env: { SNIPENOTCH_NODE_FILE: file } })
-    return { host, service, callers, reports, backend, node }
+      backend: `127.0.0.1:${getPort(backend)}`,
+      store: `${store.address.host}:${store.address.port}`
+    })
+    return { host, service, backend, node }
   }))
   let sequence = 0
   const reporter = setInterval(() => {
     sequence += 1
-    for (const { host, service, reports, backend } of hosts) {
+    for (const { host, service, node, backend } of hosts) {
       const fields = { address: `127.0.0.1:${getPort(backend)}`, service, dataCentre: 'krakow', sequence }
       const { path, body } = composeReport(`i-${host}`, fields)
-      const outgoing = request({ host: '127.0.0.1', port: reports, path, method: 'POST' }, (incoming) => { incoming.resume() })
+      const outgoing = request({ host: '127.0.0.1', port: node.reports, path, method: 'POST' }, (incoming) => { incoming.resume() })
       outgoing.on('error', () => undefined)
       outgoing.end(body)
     }
   }, REPORT_INTERVAL_MS)
-  const entries = hosts.filter(({ service }) => service === 'clocks').map(({ callers }) => callers)
+  const entries = hosts.filter(({ service }) => service === 'clocks').map(({ node }) => node.callers)
   const processes = hosts.map(({ node }) => node)
   await awaitPause(4000)
   await measureIdle(bundle, processes)
@@ -190,6 +181,6 @@
 }
 
 const bundles = process.argv.slice(2)
-for (const bundle of bundles.length > 0 ? bundles : [DEFAULT_BUNDLE]) await measureBundle(bundle)
+for (const bundle of bundles.length > 0 ? bundles : [NODE_BUNDLE]) await measureBundle(bundle)
 await measureForwarder()
 process.exit(0)
--- a/packages/node/tests/endlessResponses.test.ts
+++ b/packages/node/tests/endlessResponses.test.ts
@@ -1,13 +1,12 @@
 import { createStoreClient, PLATFORM_HEADERS } from '@snipenotch/platform'
 import { expect } from 'chai'
 import { execFileSync } from 'node:child_process'
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, readFileSync, rmSync } from 'node:fs'
 import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net'
 import { tmpdir } from 'node:os'
-import { findFreePort } from '../../emulator/src/mesh/findFreePort.js'
-import { startProcess, type StartedProcess } from '../../emulator/src/mesh/startProcess.js'
-import { composePlatformConfiguration, composeReport, composeSettings, HEALTH_PATH } from '../../../platform/tests/composeWire.js'
+import { composePlatformConfiguration, composeReport, HEALTH_PATH } from '../../../platform/tests/composeWire.js'
 import { type StoreStandIn, startStoreStandIn } from '../../../platform/tests/startStoreStandIn.js'
+import { type NodeProcess, startNodeProcess } from './startNodeProcess.js'
 import { awaitCondition, send } from './startTestMesh.js'
 
 /** Time limit for bundling the node on a busy machine, in milliseconds. */
@@ -65,10 +64,8 @@
 describe('endless responses', () => {
   let store: StoreStandIn
   let server: Server
-  let node: StartedProcess
+  let node: NodeProcess
   let directory: string
-  let callers: number
-  let readMetrics: () => Promise<string>
   let reporter: NodeJS.Timeout
   let respond: Respond
   let respondToProbe: (socket: Socket) => void
@@ -81,7 +78,7 @@
     socket.write(`HTTP/1.1 200 OK\r\n${PLATFORM_HEADERS.instance}: i-1\r\nContent-Length: 0\r\n\r\n`)
   }
   const ask = async (id: string): Promise<number> =>
-    (await send(callers, '/clocks/1', { [PLATFORM_HEADERS.attemptId]: id })).status
+    (await send(node.callers, '/clocks/1', { [PLATFORM_HEADERS.attemptId]: id })).status
 
   async function awaitServed (): Promise<void> {
     respond = respondWell
@@ -125,34 +122,22 @@
     })
     await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
     const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
-    const ports = await Promise.all(Array.from({ length: 6 }, findFreePort))
-    const [requests = 0, readiness = 0, reports = 0, peers = 0, metrics = 0] = ports
-    callers = ports[5] ?? 0
-    const at = (port: number): string => `127.0.0.1:${port}`
     directory = mkdtempSync(`${tmpdir()}/snipenotch-endless-`)
-    const file = `${directory}/settings.toml`
-    writeFileSync(file, composeSettings({
+    node = await startNodeProcess({
+      directory,
+      nodeOptions: NODE_OPTIONS,
       host: 'krakow-1',
-      dataCentre: 'krakow',
-      service: 'clocks',
-      callers: at(callers),
-      requests: at(requests),
-      readiness: at(readiness),
-      reports: at(reports),
       backend: address,
       store: `${store.address.host}:${store.address.port}`,
-      ports: [peers, metrics],
       memoryMb: MACHINE_MEMORY_MB
-    }))
-    node = startProcess('target/snipenotch-node.mjs', [], { nodeOptions: NODE_OPTIONS, env: { SNIPENOTCH_NODE_FILE: file } })
+    })
     let sequence = 0
     reporter = setInterval(() => {
       sequence += 1
       const fields = { address, service: 'clocks', dataCentre: 'krakow', sequence }
       const { path, body } = composeReport('i-1', fields)
-      send(reports, path, {}, { method: 'POST', body }).catch(() => undefined)
+      send(node.reports, path, {}, { method: 'POST', body }).catch(() => undefined)
     }, REPORT_INTERVAL_MS)
-    readMetrics = async () => (await send(metrics, '/metrics')).body
     await awaitServed()
   })
 
@@ -188,7 +173,7 @@
       expect(peaks[title], JSON.stringify(peaks)).to.be.lessThan(MACHINE_MEMORY_MB)
     }
     await awaitServed()
-    expect(await readMetrics()).to.include('answer-endless')
+    expect((await send(node.metrics, '/metrics')).body).to.include('answer-endless')
   }).timeout(TEST_TIMEOUT_MS)
 
   const endlessProbes: Array<[string, (socket: Socket) => void]> = [
@@ -214,7 +199,7 @@
 
   it('bounds the memory of requests that callers send in chunks of one byte (guards against a node that runs out of memory)', async () => {
     const total = 90_000
-    const sockets = Array.from({ length: 20 }, (_, index) => connect(callers, '127.0.0.1', () => {
+    const sockets = Array.from({ length: 20 }, (_, index) => connect(node.callers, '127.0.0.1', () => {
       sockets[index]?.on('error', () => undefined).write(`POST /clocks/1 HTTP/1.1\r\nHost: a.example\r\n${PLATFORM_HEADERS.attemptId}: c-${index}\r\n` +
         `Transfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(total)}`)
     }))
--- a/packages/node/tests/home/createBackendClient.test.ts
+++ b/packages/node/tests/home/createBackendClient.test.ts
@@ -65,7 +65,8 @@
   const call = (given: BackendJob): Promise<BackendResult> =>
     new Promise((resolve) => { client.call(given, 'i-1', 500, resolve) })
 
-  it('uses new connections after one that is silent (guards against requests lost on each silent connection)', async () => {
+  /** Answers requests on all connections but those in `silent`; `open` are the ones seen so far. */
+  function answerUnlessSilent (): { readonly silent: Set<Socket>, readonly open: Set<Socket> } {
     const silent = new Set<Socket>()
     const open = new Set<Socket>()
     handle = (socket, text) => {
@@ -73,6 +74,11 @@
       const attemptId = /attempt-id: (\S+)/i.exec(text)?.[1] ?? ''
       if (!silent.has(socket)) setTimeout(() => { socket.write(head(attemptId, 'Content-Length: 2\r\n') + 'ok') }, 20)
     }
+    return { silent, open }
+  }
+
+  it('uses new connections after one that is silent (guards against requests lost on each silent connection)', async () => {
+    const { silent, open } = answerUnlessSilent()
     await Promise.all(['a', 'b', 'c', 'd'].map((id) => call(job(id))))
     for (const socket of open) silent.add(socket)
     expect((await call(job('e'))).kind).to.equal('lost')
@@ -81,13 +87,7 @@
   })
 
   it('finds silent connections together before any deadline (guards against slots taken by lost requests and idle connections that lose more)', async () => {
-    const silent = new Set<Socket>()
-    const open = new Set<Socket>()
-    handle = (socket, text) => {
-      open.add(socket)
-      const attemptId = /attempt-id: (\S+)/i.exec(text)?.[1] ?? ''
-      if (!silent.has(socket)) setTimeout(() => { socket.write(head(attemptId, 'Content-Length: 2\r\n') + 'ok') }, 20)
-    }
+    const { silent, open } = answerUnlessSilent()
     const callFor = (given: BackendJob, onSilent?: () => void): Promise<BackendResult> =>
       new Promise((resolve) => { client.call(given, 'i-1', 20_000, resolve, onSilent) })
     await Promise.all(['a', 'b', 'c', 'd'].map((id) => callFor(job(id))))
--- a/packages/node/tests/signals.test.ts
+++ b/packages/node/tests/signals.test.ts
@@ -1,10 +1,9 @@
 import { expect } from 'chai'
 import { execFileSync } from 'node:child_process'
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { findFreePort } from '../../emulator/src/mesh/findFreePort.js'
-import { startProcess } from '../../emulator/src/mesh/startProcess.js'
-import { composeSettings } from '../../../platform/tests/composeWire.js'
+import { startNodeProcess } from './startNodeProcess.js'
 import { awaitCondition, send } from './startTestMesh.js'
 
 /** Time limit for bundling the node on a busy machine, in milliseconds. */
@@ -18,25 +17,11 @@
 
   it('shuts down gracefully once despite repeated signals (guards against open requests cut by a second signal)', async () => {
     const directory = mkdtempSync(`${tmpdir()}/snipenotch-signals-`)
-    const ports = await Promise.all(Array.from({ length: 8 }, findFreePort))
-    const [callers = 0, requests = 0, readiness = 0, reports = 0, ...others] = ports
-    const [backend = 0, store = 0, peers = 0, metrics = 0] = others
-    const file = `${directory}/settings.toml`
-    const at = (port: number): string => `127.0.0.1:${port}`
-    writeFileSync(file, composeSettings({
-      host: 'krakow-1',
-      dataCentre: 'krakow',
-      service: 'clocks',
-      callers: at(callers),
-      requests: at(requests),
-      readiness: at(readiness),
-      reports: at(reports),
-      backend: at(backend),
-      store: at(store),
-      ports: [peers, metrics]
-    }))
-    const node = startProcess('target/snipenotch-node.mjs', [], { env: { SNIPENOTCH_NODE_FILE: file } })
-    await awaitCondition('it listens', () => send(readiness, '/').then(() => true, () => false))
+    const [backend, store] = await Promise.all([findFreePort(), findFreePort()])
+    const node = await startNodeProcess({
+      directory, host: 'krakow-1', backend: `127.0.0.1:${backend}`, store: `127.0.0.1:${store}`
+    })
+    await awaitCondition('it listens', () => send(node.readiness, '/').then(() => true, () => false))
     node.child.kill('SIGTERM')
     await awaitCondition('it is stopping', () => node.readOutput().includes('"event":101'))
     node.child.kill('SIGTERM')
