fix(decisions): a queue that was emptied by cancelled requests does not stand

Found by reading the change: the time since which requests wait was not reset when the last of them was cancelled or taken out, so that a queue that forms later counted as lasting overload at once and calls were refused early. The new test is refused at the first call before. Likewise a body that its receiver dropped as it was offered is not counted.

--- a/packages/decisions/src/serving/createRequestQueue.ts
+++ b/packages/decisions/src/serving/createRequestQueue.ts
@@ -1,4 +1,4 @@
-import { type Milliseconds, type ServingRefusalReason } from '@snipenotch/contracts'
+import { type Milliseconds, type ServingRefusalReason, toMilliseconds } from '@snipenotch/contracts'
 import { computeColdInterval, createColdPacer, type ColdLimit } from './createColdPacer.js'
 import { createServiceTimes } from './createServiceTimes.js'
 
@@ -145,8 +145,8 @@
   let waiting: Job[] = []
   /** Running requests with their start times. */
   const running = new Map<Job, Milliseconds>()
-  /** Time since which requests have been waiting without a break; undefined while none waits. */
-  let queuedSince: Milliseconds | undefined
+  /** Time since which requests have been waiting without a break; unused while none waits. */
+  let queuedSince = toMilliseconds(0)
   /** Consecutive starts of more urgent requests while an internal call was waiting. */
   let overtakes = 0
 
@@ -186,13 +186,7 @@
   }
 
   const isQueueStanding = (now: Milliseconds): boolean =>
-    queuedSince !== undefined && now - queuedSince > STANDING_QUEUE_MS
-
-  /** To be called after each change of the waiting requests. */
-  function updateQueuedSince (now: Milliseconds): void {
-    if (waiting.length === 0) queuedSince = undefined
-    else queuedSince ??= now
-  }
+    waiting.length > 0 && now - queuedSince > STANDING_QUEUE_MS
 
   function findFirst (jobs: readonly Job[], now: Milliseconds): Job | undefined {
     let first: Job | undefined
@@ -291,8 +285,8 @@
         startJob(job, limits, now)
         return { kind: 'start' }
       }
+      if (waiting.length === 0) queuedSince = now
       waiting.push(job)
-      updateQueuedSince(now)
       return { kind: 'wait' }
     },
     takeReady: (limits, now) => {
@@ -304,7 +298,6 @@
         startJob(next, limits, now)
         ready.push(next)
       }
-      updateQueuedSince(now)
       return ready
     },
     takeExpired: (now) =>
--- a/packages/decisions/tests/serving/createRequestQueue.test.ts
+++ b/packages/decisions/tests/serving/createRequestQueue.test.ts
@@ -194,6 +194,20 @@
     expect(queue.submit(inner('next', 360), OPEN, toMilliseconds(360)).kind).to.equal('wait')
   })
 
+  it('does not take a queue for standing whose requests were cancelled meanwhile (guards against calls refused although there is no overload)', () => {
+    const queue = createRequestQueue<NamedJob>()
+    fillSlots(queue)
+    const inner = (name: string, now: number): NamedJob => job(name, now, {
+      isInternal: true, targetLatencyMs: 10, targetAt: toMilliseconds(now + 1000), deadlineAt: toMilliseconds(now + 400)
+    })
+    const left = inner('left', 0)
+    queue.submit(left, OPEN, toMilliseconds(0))
+    queue.cancel(left)
+    for (let count = 0; count < 6; count++) {
+      expect(queue.submit(inner(`call-${count}`, 350), OPEN, toMilliseconds(350)).kind).to.equal('wait')
+    }
+  })
+
   it('refuses a request at once if it cannot be served in time, with the expected wait (guards against requests held until their deadline)', () => {
     const queue = createRequestQueue<NamedJob>()
     fillSlots(queue)
--- a/packages/node/src/home/acceptForwardingConnection.ts
+++ b/packages/node/src/home/acceptForwardingConnection.ts
@@ -108,7 +108,8 @@
       end(id, job, { kind: 'refused', reason: 'busy', waitMs: fetchMs })
       return
     }
-    updateBuffer(buffers, holder, bytes)
+    // The receiver may have dropped the body at once.
+    if (holders.get(id) === holder) updateBuffer(buffers, holder, bytes)
   }
 
   /** Begins a request unless the other node has cancelled it meanwhile. */
