feat(node): log the traffic and the results of a version under rollout

Cause: the logs could not tell why a bad version got many requests: neither how many were sent to it, nor whether they were drawn for it, nor what its hosts saw before one of them cut it. Change: events 840 (requests sent to the new version, and those sent there without having been drawn) and 841 (requests, failures and slow responses of each host by route), each at most once a second while a rollout runs; counter rollout_sends. No decision is changed.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -96,6 +96,8 @@
   requestQuarantined: { number: 837, level: 'warn', text: 'request refused, as backend servers crashed while they ran it' },
   suspectCleared: { number: 838, level: 'info', text: 'request under suspicion answered; it is refused no more' },
   suspectReportMalformed: { number: 839, level: 'warn', text: 'report about requests that crash backend servers is malformed' },
+  rolloutTraffic: { number: 840, level: 'info', text: 'requests sent from here to a version under rollout' },
+  versionEvidence: { number: 841, level: 'info', text: 'results of the backend server beside this node during a rollout' },
   linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
 
--- a/packages/daemon/src/observability/createCounters.ts
+++ b/packages/daemon/src/observability/createCounters.ts
@@ -25,6 +25,8 @@
   instance_loads: 'used' | InstanceLoadFault
   /** Log lines omitted to limit the log volume. */
   log_lines: 'omitted'
+  /** Requests sent to a version under rollout: drawn for it, or sent there because no other host was left. */
+  rollout_sends: 'drawn' | 'undrawn'
   /** Rollout steps by kind. */
   rollouts: string
 }
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -1,5 +1,5 @@
 import { addMilliseconds, type NodeSettings, toMilliseconds } from '@snipenotch/contracts'
-import { createInstanceLoadTracker, createInstanceState, createLoadBalancer, createReplica, type ReplicaRow } from '@snipenotch/decisions'
+import { createInstanceLoadTracker, createInstanceState, createLoadBalancer, createReplica, createVersionEvidence, type ReplicaRow } from '@snipenotch/decisions'
 import { createStoreClient, OPERATOR_TABLE } from '@snipenotch/platform'
 import { createServer, type Server } from 'node:http'
 import { createCandidateFinder } from './entry/createCandidateFinder.js'
@@ -7,9 +7,11 @@
 import { createExchange } from './entry/createExchange.js'
 import { createForwardingClient } from './entry/createForwardingClient.js'
 import { createRetryBudgets } from './entry/createRetryBudgets.js'
+import { createRolloutTraffic } from './entry/createRolloutTraffic.js'
 import { createBackendClient } from './home/createBackendClient.js'
 import { createBackendDispatcher } from './home/createBackendDispatcher.js'
 import { createCrashGuard } from './home/createCrashGuard.js'
+import { createEvidenceLogger } from './home/createEvidenceLogger.js'
 import { createInstanceProber } from './home/createInstanceProber.js'
 import { createForwardingServer } from './home/createForwardingServer.js'
 import { probeInstance } from './home/probeInstance.js'
@@ -129,6 +131,7 @@
     applyReport: crashGuard.applyReport,
     hasSuspects: crashGuard.hasSuspects
   })
+  const evidence = createVersionEvidence()
   const dispatcher = createBackendDispatcher({
     context,
     view,
@@ -136,6 +139,7 @@
     backend,
     instanceLoads,
     crashGuard,
+    evidence,
     onChange: () => { recordPublisher.update() },
     onColdUnknown: () => { instanceProber.update() }
   })
@@ -157,11 +161,14 @@
   const forwardingClient = createForwardingClient(context, health, peerRowFetcher)
   const retryBudgets = createRetryBudgets(context, () =>
     cursors.get(MESH_TABLE) === undefined ? undefined : view.listHosts().length)
+  const stopEvidenceLog = createEvidenceLogger(context, view, evidence, () => instance.getRun()?.version)
+  const rolloutTraffic = createRolloutTraffic(context, view)
   const startExchange = createExchange({
     context,
     dispatcher,
     client: forwardingClient,
     retryBudgets,
+    rolloutTraffic,
     finder: createCandidateFinder(context, view, health),
     loadBalancer: createLoadBalancer(random)
   })
@@ -267,6 +274,8 @@
       await awaitEnd(isIdle, limitAt)
       for (const follower of followers) follower.stop()
       reader.stop()
+      rolloutTraffic.stop()
+      stopEvidenceLog()
       const parts = [peerRowFetcher, suspectExchange, forwardingClient, health, instanceProber, forwardingServer]
       for (const part of parts) part.close()
       await recordWriter.flush(Math.min(RECORD_FLUSH_MS, Math.max(0, limitAt - clock.now())))
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -7,6 +7,7 @@
 import type { Candidate, CandidateFinder } from './createCandidateFinder.js'
 import type { ForwardingClient } from './createForwardingClient.js'
 import type { RetryBudgets } from './createRetryBudgets.js'
+import type { RolloutTraffic } from './createRolloutTraffic.js'
 
 /** Maximum number of hosts that one request is sent to, including those that refuse it. */
 const MAX_HOSTS_ASKED = 6
@@ -79,6 +80,7 @@
   readonly finder: CandidateFinder
   readonly loadBalancer: LoadBalancer
   readonly retryBudgets: RetryBudgets
+  readonly rolloutTraffic: Pick<RolloutTraffic, 'record'>
 }
 
 /** Sends a request to a host, and to further hosts where a retry is allowed, until there is a final result. */
@@ -86,7 +88,7 @@
 
 /** Creates the function that starts exchanges on a node. */
 export function createExchange (
-  { context, dispatcher, client, finder, loadBalancer, retryBudgets }: ExchangeOptions
+  { context, dispatcher, client, finder, loadBalancer, retryBudgets, rolloutTraffic }: ExchangeOptions
 ): StartExchange {
   const { settings, clock, log, counters } = context
 
@@ -235,6 +237,7 @@
       hostsAsked += 1
       tried.add(candidate.host)
       loadBalancer.recordSend(candidate.host)
+      rolloutTraffic.record(service, candidate.record.version, version)
       const job = createJob(candidate)
       current = job
       currentHost = candidate.host
--- a/packages/node/src/home/createBackendDispatcher.ts
+++ b/packages/node/src/home/createBackendDispatcher.ts
@@ -1,7 +1,7 @@
 import { addMilliseconds, type Milliseconds, type ServingLossReason, type ServingRefusalReason } from '@snipenotch/contracts'
 import {
   type ColdLimit, createRequestQueue, createRouteClassifier, createVersionBreaker, type InstanceLoadTracker,
-  type InstanceRun, type InstanceState, type QueueLimits, type ReportedLoad
+  type InstanceRun, type InstanceState, type QueueLimits, type ReportedLoad, type VersionEvidence
 } from '@snipenotch/decisions'
 import type { NodeContext } from '../NodeContext.js'
 import type { MeshView } from '../rows/createMeshView.js'
@@ -57,6 +57,7 @@
   /** Load that the backend server stated. */
   readonly instanceLoads: InstanceLoadTracker
   readonly crashGuard: CrashGuard
+  readonly evidence: Pick<VersionEvidence, 'record'>
   /** Called when the backend server refuses connections or its version is cut off. */
   readonly onChange: () => void
   /** Called when the backend server may have become cold without a report. */
@@ -73,8 +74,9 @@
 
 /** Creates the dispatcher of a node. */
 export function createBackendDispatcher (
-  { context, view, instance, backend, instanceLoads, crashGuard, onChange, onColdUnknown }: BackendDispatcherOptions
+  options: BackendDispatcherOptions
 ): BackendDispatcher {
+  const { context, view, instance, backend, instanceLoads, crashGuard, evidence, onChange, onColdUnknown } = options
   const { settings, clock, log, counters } = context
   const requestQueue = createRequestQueue<BackendJob>(addMilliseconds(clock.now(), COLD_START_DELAY_MS))
   const versionBreaker = createVersionBreaker()
@@ -193,11 +195,13 @@
     failureShare += FAILURE_WEIGHT * ((failed ? 1 : 0) - failureShare)
     const version = instance.getRun()?.version
     const rollout = view.getRelease(settings.service)?.rollout
-    if (rollout?.state !== 'running' || rollout.to !== version) return
+    if (rollout?.state !== 'running') return
     const isCold = instance.getColdSince(clock.now()) !== undefined
     const { route, targetLatencyMs } = job
     // A cold backend server is slow regardless of its version.
-    if (!versionBreaker.record({ route, failed, durationMs: isCold ? 0 : durationMs, targetLatencyMs })) return
+    const versionResult = { route, failed, durationMs: isCold ? 0 : durationMs, targetLatencyMs }
+    evidence.record(rollout.order, versionResult)
+    if (rollout.to !== version || !versionBreaker.record(versionResult)) return
     log('versionCutOff', { service: settings.service, version, route: job.route })
     onChange()
   }
--- a/packages/node/tests/entry/createExchange.test.ts
+++ b/packages/node/tests/entry/createExchange.test.ts
@@ -52,6 +52,7 @@
       const left = [...outcomes]
       const results: ExchangeResult[] = []
       const start = createExchange({
+        rolloutTraffic: { record: () => undefined },
         context,
         loadBalancer: createLoadBalancer(() => 0.5),
         dispatcher: {} as never,
@@ -82,6 +83,7 @@
     const results: ExchangeResult[] = []
     const jobs: BackendJob[] = []
     const start = createExchange({
+      rolloutTraffic: { record: () => undefined },
       context,
       loadBalancer: createLoadBalancer(() => 0.5),
       dispatcher: {} as never,
@@ -133,6 +135,7 @@
     const loadBalancer = createLoadBalancer(() => 0.5)
     const jobs: BackendJob[] = []
     const start = createExchange({
+      rolloutTraffic: { record: () => undefined },
       context,
       loadBalancer,
       dispatcher: {
--- a/packages/node/tests/home/createBackendDispatcher.test.ts
+++ b/packages/node/tests/home/createBackendDispatcher.test.ts
@@ -1,5 +1,5 @@
 import { addMilliseconds } from '@snipenotch/contracts'
-import { createInstanceLoadTracker, createInstanceState, type InstanceState } from '@snipenotch/decisions'
+import { createInstanceLoadTracker, createInstanceState, createVersionEvidence, type InstanceState } from '@snipenotch/decisions'
 import { expect } from 'chai'
 import type { BackendJob, JobOutcome } from '../../src/home/BackendJob.js'
 import { type BackendDispatcher, createBackendDispatcher } from '../../src/home/createBackendDispatcher.js'
@@ -75,6 +75,7 @@
       onChange: () => { dispatcher.update() }
     })
     dispatcher = createBackendDispatcher({
+      evidence: createVersionEvidence(),
       context,
       view,
       instance,
