--- a/packages/decisions/tests/serving/rollouts.test.ts
+++ b/packages/decisions/tests/serving/rollouts.test.ts
@@ -36,7 +36,35 @@
   return steps
 }
 
+/** Requests per second of the service in `measureExposure`. */
+const REQUESTS_PER_SECOND = 300
+/** Exposure allowed by the platform: a share of all requests until the deadline, and a number of requests. */
+const ALLOWED_SHARE = 0.1
+const ALLOWED_REQUESTS = 50
+/** Time from the first bad response to the end of the exposure at full share, in milliseconds. */
+const DETECTION_MS = 550
+
+/** Counts the requests to a version that turns bad at `badFrom`, beyond the allowed exposure of the whole duration. */
+function measureExcessExposure (durationMs: number, badFrom: number): number {
+  const steps = replaySteps(durationMs, badFrom + DETECTION_MS)
+  let exposed = 0
+  for (const [index, [at, kind, share]] of steps.entries()) {
+    const until = Math.min(durationMs, steps[index + 1]?.[0] ?? durationMs)
+    if (kind !== 'roll-back') exposed += share * Math.max(0, until - at) / 1000 * REQUESTS_PER_SECOND
+  }
+  return exposed - (ALLOWED_SHARE * durationMs / 1000 * REQUESTS_PER_SECOND + ALLOWED_REQUESTS)
+}
+
 describe('decideRolloutStep', () => {
+  it('keeps the exposure within its bound whenever a version turns bad (guards against a schedule that spends it without evidence)', () => {
+    for (const durationMs of [12_000, 15_000, 30_000]) {
+      for (let tenth = 0; tenth <= 10; tenth++) {
+        const excess = measureExcessExposure(durationMs, durationMs * tenth / 10)
+        expect(excess, `turns bad at ${tenth}/10 of ${durationMs} ms`).to.be.at.most(0)
+      }
+    }
+  })
+
   for (const durationMs of [12_000, 15_000, 30_000]) {
     it(`completes a good version within ${durationMs} ms, after a minimum time at full share`, () => {
       const steps = replaySteps(durationMs)
--- a/packages/node/tests/entry/createCandidateFinder.test.ts
+++ b/packages/node/tests/entry/createCandidateFinder.test.ts
@@ -26,4 +26,21 @@
   it('gives hosts of one data centre the same cost for a request without a body, whatever their bandwidth', () => {
     expect(measure(0)).to.deep.equal({ 'krakow-1': 0, wide: 10, narrow: 10, far: 17 })
   })
+
+  it('returns no host of the new version for a request drawn for the old one (guards against retries past the share of a rollout)', () => {
+    const mixed = [createRecord('old'), createRecord('new', { version: 'v2' })]
+    const rollout = {
+      order: 1, to: 'v2', state: 'running' as const, share: 0.1, startedAt: 0, durationMs: 15_000, steppedAt: 0, controller: 'a', reason: ''
+    }
+    const mixedFinder = createCandidateFinder(createTestContext(), {
+      listServing: () => mixed,
+      isEvacuated: () => false,
+      isVersionAllowed: () => true,
+      getRelease: () => ({ service: 'parts', stable: 'v1', denied: [], rollout })
+    }, { isDown: () => false })
+    const findHosts = (version: string, tried: string[]): string[] =>
+      mixedFinder.find('parts', version, 0, new Set(tried)).map(({ host }) => host)
+    expect(findHosts('v1', ['old'])).to.deep.equal([])
+    expect(findHosts('v2', ['new'])).to.deep.equal(['old'])
+  })
 })
--- a/packages/node/tests/rollouts.test.ts
+++ b/packages/node/tests/rollouts.test.ts
@@ -61,4 +61,32 @@
     for (let index = 0; index < 40; index++) await sendOne()
     expect(fresh.backend.seen.length).to.equal(exposed)
   })
+
+  it('rolls back a version that fails one of eight requests (guards against a fixed threshold that a rare fault stays below)', async () => {
+    let seen = 0
+    fresh.backend.handle = (incoming, response) => {
+      seen += 1
+      answerSigned(incoming, response, 'no', seen % 8 === 0 ? 500 : 200)
+    }
+    await mesh.putOperatorRow('rollout/parts', composeRolloutOrder('parts', 'v2', 6))
+    await sendUntil('completed', 'rolled_back')
+    expect(await readState()).to.equal('rolled_back')
+  })
+
+  it('does not complete the rollout of a version that got no request (guards against taking no evidence for good evidence)', async () => {
+    await mesh.putOperatorRow('rollout/parts', composeRolloutOrder('parts', 'v2', 2))
+    await awaitCondition('the rollout has ended', async () => ['completed', 'rolled_back'].includes(await readState() ?? ''))
+    expect(await readState()).to.equal('rolled_back')
+  })
+
+  it('completes a version that is ordered again after it was repaired (guards against a cut that outlives its rollout)', async () => {
+    fresh.backend.handle = (incoming, response) => { answerSigned(incoming, response, 'no', 500) }
+    await mesh.putOperatorRow('rollout/parts', composeRolloutOrder('parts', 'v2', 6))
+    await sendUntil('rolled_back')
+    fresh.backend.handle = (incoming, response) => { answerSigned(incoming, response, 'repaired') }
+    await mesh.putOperatorRow('rollout/parts', composeRolloutOrder('parts', 'v2', 3))
+    await sendUntil('running')
+    await sendUntil('completed', 'rolled_back')
+    expect(await readState()).to.equal('completed')
+  })
 })
