fix(node): never send a request to a version under rollout unless it was drawn for it

Cause: when the hosts of the drawn version were tried, down or refusing, the finder fell back to any allowed host, those of the new version included; and a request that the new version had failed was sent to the new version again. Change: hosts of the version under rollout are returned only for requests that drew it; another attempt goes to the old version. The test of the repeated attempt came with the fix and was not run on the old code.

--- a/packages/node/src/entry/createCandidateFinder.ts
+++ b/packages/node/src/entry/createCandidateFinder.ts
@@ -12,7 +12,10 @@
 
 /** Finds the hosts that are eligible to run a request. */
 export interface CandidateFinder {
-  /** Returns eligible hosts, preferring `version`, which was drawn for the request; hosts in `tried` are excluded. */
+  /**
+   * Returns eligible hosts, preferring `version`, which was drawn for the request; hosts in `tried` are excluded. Hosts
+   * of a version under rollout are returned only if it was drawn.
+   */
   readonly find: (
     service: string, version: string | undefined, bytes: number, tried: ReadonlySet<string>
   ) => Candidate[]
@@ -20,6 +23,8 @@
   readonly count: (service: string) => number
   /** Draws the version for the next request of a service; undefined if any version may run it. */
   readonly drawVersion: (service: string) => string | undefined
+  /** Version for another attempt at a request; not one under rollout, as that may have caused the failure. */
+  readonly getRetryVersion: (service: string) => string | undefined
 }
 
 /**
@@ -67,17 +72,19 @@
       const usable = view.listServing(service).filter((record) =>
         !tried.has(record.host) && !health.isDown(record.host) && !view.isEvacuated(record.dataCentre) &&
         !record.versionCut && view.isVersionAllowed(service, record.version))
-      const stable = view.getRelease(service)?.stable
-      for (const wanted of [version, stable]) {
+      const release = view.getRelease(service)
+      for (const wanted of [version, release?.stable]) {
         const matching = usable.filter((record) => record.version === wanted)
         if (matching.length > 0) return buildCandidates(matching, bytes)
       }
-      return buildCandidates(usable, bytes)
+      const underRollout = release?.rollout?.state === 'running' ? release.rollout.to : undefined
+      return buildCandidates(usable.filter((record) => record.version !== underRollout), bytes)
     },
     count: (service) => view.listServing(service).length,
     drawVersion: (service) => {
       const release = view.getRelease(service)
       return release === undefined ? undefined : drawReleaseVersion(release, random)
-    }
+    },
+    getRetryVersion: (service) => view.getRelease(service)?.stable
   }
 }
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -100,7 +100,7 @@
   return (request, onResult) => {
     const { route, service, deadlineAt } = request
     const tried = new Set<string>()
-    const version = finder.drawVersion(service)
+    let version = finder.drawVersion(service)
     let hostsAsked = 0
     let tries = 0
     let isCancelled = false
@@ -216,6 +216,7 @@
       if (outcome.kind === 'lost') lostRuns += 1
       const isNotRun = outcome.kind === 'answered' && outcome.notRun
       if (!isNotRun) lastRun = { outcome, host: candidate.host }
+      version = finder.getRetryVersion(service)
       if (takeRetryAfter(candidate, outcome)) sendToNextHost()
       else if (lastRun === undefined) end(outcome, candidate.host)
       else end(lastRun.outcome, lastRun.host)
--- a/packages/node/tests/entry/createExchange.test.ts
+++ b/packages/node/tests/entry/createExchange.test.ts
@@ -61,7 +61,8 @@
         finder: {
           find: (_service, _version, _bytes, tried) => hosts.filter(({ host }) => !tried.has(host)),
           count: () => hosts.length,
-          drawVersion: () => undefined
+          drawVersion: () => undefined,
+          getRetryVersion: () => undefined
         }
       })
       start(createRequest(context.clock.now()), (result) => { results.push(result) })
@@ -73,6 +74,8 @@
     readonly result: ExchangeResult | undefined
     /** Requests as sent to hosts. */
     readonly jobs: readonly BackendJob[]
+    /** Versions whose hosts were preferred for them. */
+    readonly versions: ReadonlyArray<string | undefined>
   }
 
   /** Sends a request of a route that allows `maxAttempts` to hosts that respond with `outcomes`. */
@@ -82,6 +85,8 @@
       ({ record: createRecord(`krakow-${number}`), host: `krakow-${number}`, slots: 8, distanceMs: 0 }))
     const results: ExchangeResult[] = []
     const jobs: BackendJob[] = []
+    const versions: Array<string | undefined> = []
+    let wanted: string | undefined
     const start = createExchange({
       rolloutTraffic: { record: () => undefined },
       context,
@@ -90,20 +95,25 @@
       client: {
         send: (job, _record, onOutcome) => {
           jobs.push(job)
+          versions.push(wanted)
           onOutcome(outcomes[jobs.length - 1] ?? busy)
         },
         close: () => undefined
       },
       retryBudgets: { recordFirstAttempt: () => undefined, take: () => true },
       finder: {
-        find: (_service, _version, _bytes, tried) => hosts.filter(({ host }) => !tried.has(host)),
+        find: (_service, version, _bytes, tried) => {
+          wanted = version
+          return hosts.filter(({ host }) => !tried.has(host))
+        },
         count: () => hosts.length,
-        drawVersion: () => undefined
+        drawVersion: () => 'v2',
+        getRetryVersion: () => 'v1'
       }
     })
     const request = { ...createRequest(context.clock.now()), route: { ...ROUTE, maxAttempts } }
     start(request, (result) => { results.push(result) })
-    return { result: results[0], jobs }
+    return { result: results[0], jobs, versions }
   }
 
   it('sends a request to no more servers than its route allows (guards against attempts that multiply under failures)', () => {
@@ -129,6 +139,10 @@
     expect([result, jobs.length]).to.deep.equal([{ outcome: refusal, host: undefined, tries: 0 }, 1])
   })
 
+  it('sends a request that a new version failed to the old one (guards against repeated attempts at a bad version)', () => {
+    expect(sendOnce([failed, failed]).versions.slice(0, 2)).to.deep.equal(['v2', 'v1'])
+  })
+
   it('releases the load of its own host when a caller disconnects (guards against a host that appears overloaded forever)', () => {
     const context = createTestContext({ host: 'krakow-1' })
     const record = createRecord('krakow-1')
@@ -150,7 +164,8 @@
       finder: {
         find: () => [{ record, host: record.host, slots: 8, distanceMs: 0 }],
         count: () => 1,
-        drawVersion: () => undefined
+        drawVersion: () => undefined,
+        getRetryVersion: () => undefined
       }
     })
     const own = { host: record.host, slots: 8, distanceMs: 0 }
