fix: find a bad version by comparing it with the old one, over all hosts that run it

Cause: each host judged its version alone, by five bad of its last 24 and a share of 0.3, whatever the old version did meanwhile. Nothing pooled the hosts' counts, they were lost with the backend server's run, and a cut was not tied to the rollout's order. Change: each node counts the results of its backend server since the order and reports them with every outcome that it sends to another node; every node pools the reports and compares both versions by route and in total (exact binomial test of failures and slow responses, Welch's test of logarithmic latencies). A node that finds a fault stops sending to the version at once; the cut is carried by the reports and by the host record with its order, so it needs no store and survives a restart of a node. Refusals of an overloaded server say nothing about the version and are not counted; losses count once a second. Pooled over four hosts, a version failing one of 2, 3, 5, 8, 10 is cut within 20, 30, 60, 100 and 150 requests; one that is no worse than the old one is kept, also when both fail or are slow. Tests: the breaker's tests are replaced by ones of the evidence. 'Stays closed if only few requests fail' held whatever the old version did; it now states the old version's rate, as 5% against none is a fault.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -77,7 +77,7 @@
   recordNotWritten: { number: 817, level: 'warn', text: 'record of this host not written; tried again' },
   evacuationsChanged: { number: 818, level: 'warn', text: 'evacuated data centres changed' },
   releaseChanged: { number: 819, level: 'info', text: 'release of a service changed' },
-  versionCutOff: { number: 820, level: 'warn', text: 'version under rollout fails here; it gets no more requests' },
+  versionCutOff: { number: 820, level: 'warn', text: 'version under rollout is worse; it gets no more requests from here' },
   instanceResumed: { number: 822, level: 'info', text: 'backend server probed after the start of this process' },
   readerChosen: { number: 824, level: 'info', text: 'host that reads the store for this one changed' },
   readerLost: { number: 825, level: 'warn', text: 'host that reads the store for this one brought nothing; another one is chosen' },
--- a/packages/contracts/src/mesh/hostRecordSchema.ts
+++ b/packages/contracts/src/mesh/hostRecordSchema.ts
@@ -34,7 +34,9 @@
    * True if the node sends no requests to the backend server on this host, because its version, which is under rollout,
    * fails.
    */
-  versionCut: z.boolean()
+  versionCut: z.boolean(),
+  /** Row version of the rollout order in whose course the version was cut; 0 if unknown or not cut. */
+  cutOrder: z.number().nonnegative().default(0)
 })
 
 /** Published record of a host and its backend server. */
--- a/packages/decisions/src/serving/createVersionEvidence.ts
+++ b/packages/decisions/src/serving/createVersionEvidence.ts
@@ -1,25 +1,55 @@
+import type { Release } from '@snipenotch/contracts'
+import { describeVersionFault, findVersionFault, type VersionFault } from './findVersionFault.js'
+import { addLatency, NO_ROUTE_EVIDENCE, type RouteEvidence, sumRoutes } from './RouteEvidence.js'
+
 /** Result of one request to a backend server whose service is being rolled out. */
 export interface VersionResult {
   readonly route: string
   readonly failed: boolean
-  readonly durationMs: number
+  /** Time at the backend server in milliseconds; undefined if it says nothing about the version. */
+  readonly durationMs: number | undefined
   readonly targetLatencyMs: number
 }
 
-/** Results of one backend server on one route since the order of a rollout. */
-export interface RouteEvidence {
-  readonly requests: number
-  readonly failures: number
-  /** Responses that took far longer than the route's target latency. */
-  readonly slow: number
+/** Cumulative results of one backend server during a rollout, as its node reports them to others. */
+export interface EvidenceReport {
+  /** Row version of the rollout's order. */
+  readonly order: number
+  /** Version that the backend server runs. */
+  readonly version: string
+  /** Distinguishes the processes of a node: a new one counts from zero. */
+  readonly run: number
+  /** True if this node sends no requests to the version under rollout. */
+  readonly isCut: boolean
+  readonly routes: ReadonlyMap<string, RouteEvidence>
+}
+
+/** Why a version under rollout gets no more requests from this node. */
+export interface VersionCut {
+  readonly order: number
+  readonly reason: string
 }
 
-/** Evidence of one rollout on the version of a service. */
+/** Evidence on versions under rollout, pooled over the backend servers of their services. */
 export interface VersionEvidence {
-  /** Records a result of the backend server beside this node; `order` is the row version of the rollout's order. */
-  readonly record: (order: number, result: VersionResult) => void
-  /** Returns the results of the backend server beside this node by route; empty for another order. */
-  readonly getOwn: (order: number) => ReadonlyMap<string, RouteEvidence>
+  /** Records a result of the backend server beside this node, which runs `version`. */
+  readonly record: (release: Release, version: string, result: VersionResult) => void
+  /** Takes over what another node reports; a report about an earlier order is ignored. */
+  readonly merge: (release: Release, host: string, report: EvidenceReport) => void
+  /** Stops requests to the version under rollout because another node has found a fault. */
+  readonly markCut: (release: Release, reason: string) => void
+  /** Returns the cut of the service's latest rollout; undefined if there is none. */
+  readonly findCut: (release: Release) => VersionCut | undefined
+  /** Report on the backend server beside this node; undefined without results of the latest rollout. */
+  readonly composeReport: (release: Release | undefined) => EvidenceReport | undefined
+}
+
+/** Options of `createVersionEvidence`. */
+export interface VersionEvidenceOptions {
+  /** Number that distinguishes this process from earlier ones of the node. */
+  readonly run: number
+  /** Called when a version under rollout is cut. */
+  readonly onCut: (service: string, version: string, cut: VersionCut) => void
 }
 
 /**
@@ -27,26 +57,86 @@
  * the target itself.
  */
 const SLOW_TARGET_FACTOR = 1.5
+/** Share of the new version up to which latencies are compared: above, the old version is too idle to compare with. */
+const MAX_COMPARED_SHARE = 0.5
+/** Most backend servers and runs of them that are kept for one rollout. */
+const MAX_REPORTS = 1024
+/** Key of the results of the backend server beside this node. */
+const OWN_KEY = ''
+
+type ReportedResults = Pick<EvidenceReport, 'version' | 'routes'>
+
+interface RolloutEvidence {
+  readonly order: number
+  readonly reports: Map<string, ReportedResults>
+  cut: VersionCut | undefined
+}
 
-const NO_EVIDENCE: RouteEvidence = { requests: 0, failures: 0, slow: 0 }
+/** Creates evidence without results. A newer order of a service discards the evidence of earlier ones. */
+export function createVersionEvidence ({ run, onCut }: VersionEvidenceOptions): VersionEvidence {
+  const rollouts = new Map<string, RolloutEvidence>()
+
+  function getEvidence ({ service, rollout }: Release): RolloutEvidence {
+    const order = rollout?.order ?? 0
+    const known = rollouts.get(service)
+    if (known?.order === order) return known
+    const evidence: RolloutEvidence = { order, reports: new Map(), cut: undefined }
+    rollouts.set(service, evidence)
+    return evidence
+  }
+
+  function applyCut (release: Release, evidence: RolloutEvidence, reason: string): void {
+    if (evidence.cut !== undefined || release.rollout?.state !== 'running') return
+    evidence.cut = { order: evidence.order, reason }
+    onCut(release.service, release.rollout.to, evidence.cut)
+  }
+
+  function compareVersions (release: Release, evidence: RolloutEvidence): void {
+    const { rollout, stable } = release
+    if (evidence.cut !== undefined || rollout?.state !== 'running') return
+    const reports = [...evidence.reports.values()]
+    const sumVersion = (version: string): Map<string, RouteEvidence> =>
+      sumRoutes(reports.filter((report) => report.version === version).map(({ routes }) => routes))
+    const fault: VersionFault | undefined = findVersionFault(sumVersion(rollout.to), sumVersion(stable))
+    if (fault !== undefined) applyCut(release, evidence, describeVersionFault(rollout.to, stable, fault))
+  }
 
-/** Creates evidence without results. A newer order discards the results of earlier ones. */
-export function createVersionEvidence (): VersionEvidence {
-  let ownOrder = 0
-  let own = new Map<string, RouteEvidence>()
   return {
-    record: (order, { route, failed, durationMs, targetLatencyMs }) => {
-      if (order !== ownOrder) {
-        ownOrder = order
-        own = new Map()
+    record: (release, version, { route, failed, durationMs, targetLatencyMs }) => {
+      const evidence = getEvidence(release)
+      const known = evidence.reports.get(OWN_KEY)
+      const routes = new Map(known?.version === version ? known.routes : undefined)
+      const before = routes.get(route) ?? NO_ROUTE_EVIDENCE
+      const isSlow = durationMs !== undefined && durationMs > targetLatencyMs * SLOW_TARGET_FACTOR
+      const isCompared = durationMs !== undefined && !failed && (release.rollout?.share ?? 1) <= MAX_COMPARED_SHARE
+      const counted = {
+        ...before,
+        requests: before.requests + 1,
+        failures: before.failures + (failed ? 1 : 0),
+        slow: before.slow + (isSlow ? 1 : 0)
       }
-      const { requests, failures, slow } = own.get(route) ?? NO_EVIDENCE
-      own.set(route, {
-        requests: requests + 1,
-        failures: failures + (failed ? 1 : 0),
-        slow: slow + (durationMs > targetLatencyMs * SLOW_TARGET_FACTOR ? 1 : 0)
-      })
+      routes.set(route, isCompared ? addLatency(counted, durationMs) : counted)
+      evidence.reports.set(OWN_KEY, { version, routes })
+      if (version === release.rollout?.to) compareVersions(release, evidence)
+    },
+    merge: (release, host, report) => {
+      if (report.order !== release.rollout?.order) return
+      const evidence = getEvidence(release)
+      const key = `${host}/${report.run}`
+      if (!evidence.reports.has(key) && evidence.reports.size >= MAX_REPORTS) return
+      evidence.reports.set(key, { version: report.version, routes: report.routes })
+      if (report.isCut) applyCut(release, evidence, `${host} reports that it cut the version`)
+      else if (report.version === release.rollout.to) compareVersions(release, evidence)
     },
-    getOwn: (order) => order === ownOrder ? own : new Map()
+    markCut: (release, reason) => { applyCut(release, getEvidence(release), reason) },
+    findCut: (release) => getEvidence(release).cut,
+    composeReport: (release) => {
+      if (release?.rollout?.state !== 'running') return undefined
+      const evidence = getEvidence(release)
+      const isCut = evidence.cut !== undefined
+      const own = evidence.reports.get(OWN_KEY)
+      if (own === undefined && !isCut) return undefined
+      return { order: evidence.order, run, isCut, ...(own ?? { version: '', routes: new Map() }) }
+    }
   }
 }
--- a/packages/decisions/src/serving/decideRolloutStep.ts
+++ b/packages/decisions/src/serving/decideRolloutStep.ts
@@ -7,8 +7,8 @@
   readonly storeNow: number
   /** Number of hosts that serve the new version. */
   readonly newVersionHosts: number
-  /** Number of hosts whose circuit breaker for the new version is open because of its failures. */
-  readonly trippedHosts: number
+  /** Why nodes have stopped sending requests to the new version; undefined while they do. */
+  readonly fault: string | undefined
 }
 
 /** The next action of a rollout; `reason` is recorded with it. */
@@ -41,10 +41,10 @@
 
 /** Decides the next step of a running rollout. */
 export function decideRolloutStep (view: RolloutView): RolloutStep {
-  const { rollout, storeNow, newVersionHosts, trippedHosts } = view
+  const { rollout, storeNow, newVersionHosts, fault } = view
   const elapsed = storeNow - rollout.startedAt
   const sinceStep = storeNow - rollout.steppedAt
-  if (trippedHosts > 0) return { kind: 'roll-back', reason: `${trippedHosts} hosts cut the new version for its failures` }
+  if (fault !== undefined) return { kind: 'roll-back', reason: fault }
   if (newVersionHosts === 0) {
     return elapsed > rollout.durationMs * GIVE_UP_FROM
       ? { kind: 'roll-back', reason: 'no host serves the new version' }
--- a/packages/decisions/tests/serving/rollouts.test.ts
+++ b/packages/decisions/tests/serving/rollouts.test.ts
@@ -1,6 +1,6 @@
 import type { MeshRollout, Release } from '@snipenotch/contracts'
 import { expect } from 'chai'
-import { createVersionBreaker } from '../../src/serving/createVersionBreaker.js'
+import { createVersionEvidence, type VersionEvidence } from '../../src/serving/createVersionEvidence.js'
 import { drawReleaseVersion, getVersionShare, isVersionAllowed } from '../../src/serving/decideRelease.js'
 import { decideRolloutStep } from '../../src/serving/decideRolloutStep.js'
 
@@ -25,7 +25,7 @@
   let current = rollout({ durationMs })
   for (let storeNow = 0; storeNow <= durationMs * 1.2 && current.state === 'running'; storeNow += 200) {
     const step = decideRolloutStep({
-      rollout: current, storeNow, newVersionHosts: 4, trippedHosts: storeNow >= cutFrom ? 1 : 0
+      rollout: current, storeNow, newVersionHosts: 4, fault: storeNow >= cutFrom ? 'a host cut it' : undefined
     })
     if (step.kind === 'hold') continue
     const share = step.kind === 'share' ? step.share : current.share
@@ -77,46 +77,146 @@
     })
   }
 
-  it('rolls back once the circuit breaker of one host is open', () => {
+  it('rolls back once a fault is found', () => {
     expect(replaySteps(15_000, 3000).at(-1)).to.deep.equal([3000, 'roll-back', 0.05])
   })
 
   it('rolls back a version that no host serves before the end of the duration', () => {
-    const view = { rollout: rollout(), newVersionHosts: 0, trippedHosts: 0 }
+    const view = { rollout: rollout(), newVersionHosts: 0, fault: undefined }
     expect(decideRolloutStep({ ...view, storeNow: 10_000 }).kind).to.equal('hold')
     expect(decideRolloutStep({ ...view, storeNow: 14_500 }).kind).to.equal('roll-back')
   })
 })
 
-describe('createVersionBreaker', () => {
-  const answer = (failed: boolean, route = 'r', durationMs = 60) => ({ route, failed, durationMs, targetLatencyMs: 200 })
+describe('createVersionEvidence', () => {
+  const running = release({ rollout: rollout({ share: 0.02 }) })
+  const answer = (failed: boolean, route = 'r', durationMs = 60): Parameters<VersionEvidence['record']>[2] =>
+    ({ route, failed, durationMs, targetLatencyMs: 200 })
+  const createEvidence = (run = 1): VersionEvidence => createVersionEvidence({ run, onCut: () => undefined })
+  const isCut = (evidence: VersionEvidence): boolean => evidence.findCut(running) !== undefined
 
-  it('opens before four hosts together see fifty failures of a version that fails half of its requests (guards against long exposure)', () => {
-    const breaker = createVersionBreaker()
-    let bad = 0
-    for (let index = 0; !breaker.isOpen() && index < 100; index++) {
-      if (index % 2 === 0) bad += 1
-      breaker.record(answer(index % 2 === 0))
+  interface Replayed { readonly requests: number, readonly failures: number }
+
+  /**
+   * Replays requests spread over four hosts of the new version until it is cut. Every `oneOf`th request fails, and one
+   * of 200 to the old version. Each host reports to the first one.
+   */
+  function replayFault (oneOf: number, maxRequests: number): Replayed {
+    const [pool = createEvidence(), ...others] = [1, 2, 3, 4].map(createEvidence)
+    const stableHost = createEvidence(9)
+    for (let index = 0; index < 2000; index++) stableHost.record(running, 'v1', answer(index % 200 === 0))
+    const reportTo = (from: VersionEvidence, host: string): void => {
+      const report = from.composeReport(running)
+      if (report !== undefined) pool.merge(running, host, report)
+    }
+    reportTo(stableHost, 'old')
+    let requests = 0
+    let failures = 0
+    while (!isCut(pool) && requests < maxRequests) {
+      requests += 1
+      const failed = requests % oneOf === 0
+      if (failed) failures += 1
+      const host = requests % 4
+      const home = others[host - 1] ?? pool
+      home.record(running, 'v2', answer(failed))
+      if (home !== pool) reportTo(home, `new-${host}`)
     }
-    expect(bad * 4).to.be.lessThan(50)
+    return { requests, failures }
+  }
+
+  it('cuts before four hosts together see fifty failures of a version that fails half of its requests (guards against long exposure)', () => {
+    expect(replayFault(2, 200).failures).to.be.lessThan(50)
   })
 
-  it('opens on a fault of one route among many good responses, and on slow responses', () => {
-    const oneRoute = createVersionBreaker()
+  const faults = [
+    { oneOf: 2, most: 20 }, { oneOf: 3, most: 30 }, { oneOf: 5, most: 60 }, { oneOf: 8, most: 100 },
+    { oneOf: 10, most: 150 }
+  ]
+  for (const { oneOf, most } of faults) {
+    it(`cuts a version that fails one of ${oneOf} requests within ${most} of them, pooled over its hosts (guards against counts that each host keeps to itself)`, () => {
+      expect(replayFault(oneOf, 1000).requests).to.be.at.most(most)
+    })
+  }
+
+  it('cuts on a fault of one route among many good responses, and on slow responses', () => {
+    const oneRoute = createEvidence()
+    const slow = createEvidence()
+    for (let index = 0; index < 40; index++) {
+      oneRoute.record(running, 'v1', answer(false, 'bad'))
+      slow.record(running, 'v1', answer(false))
+    }
+    // The results of another host: one node has one backend server.
+    const merged = (evidence: VersionEvidence): VersionEvidence => {
+      const pool = createEvidence(2)
+      const report = evidence.composeReport(running)
+      if (report !== undefined) pool.merge(running, 'old', report)
+      return pool
+    }
+    const faulty = merged(oneRoute)
     for (let index = 0; index < 20; index++) {
-      oneRoute.record(answer(false, 'good'))
-      oneRoute.record(answer(index % 2 === 0, 'bad'))
+      faulty.record(running, 'v2', answer(false, 'good'))
+      faulty.record(running, 'v2', answer(index % 2 === 0, 'bad'))
+    }
+    expect(isCut(faulty)).to.equal(true)
+    const late = merged(slow)
+    for (let index = 0; index < 10; index++) late.record(running, 'v2', answer(false, 'r', 480))
+    expect(isCut(late)).to.equal(true)
+  })
+
+  const compare = (stableMs: number, candidateMs: number, stableFailsOneOf: number): boolean => {
+    const stable = createEvidence(2)
+    const pool = createEvidence()
+    const draw = (mean: number, index: number): number => mean * (0.5 + (index * 7 % 11) / 10)
+    for (let index = 0; index < 500; index++) {
+      stable.record(running, 'v1', answer(index % stableFailsOneOf === 0, 'r', draw(stableMs, index)))
+    }
+    const report = stable.composeReport(running)
+    if (report !== undefined) pool.merge(running, 'old', report)
+    for (let index = 0; index < 300; index++) {
+      pool.record(running, 'v2', answer(index % 20 === 0, 'r', draw(candidateMs, index)))
+    }
+    return isCut(pool)
+  }
+
+  it('cuts a version that is several times slower than the old one though within the target latency', () => {
+    expect([compare(40, 80, 20), compare(40, 160, 20)]).to.deep.equal([true, true])
+  })
+
+  it('keeps a version that is no worse than the old one beside it (guards against good versions rolled back for troubles of all)', () => {
+    expect([compare(40, 40, 20), compare(160, 160, 20), compare(400, 400, 20)]).to.deep.equal([false, false, false])
+  })
+
+  it('keeps a version of which only few requests fail', () => {
+    const pool = createEvidence()
+    const stable = createEvidence(2)
+    for (let index = 0; index < 2000; index++) stable.record(running, 'v1', answer(index % 20 === 0))
+    const report = stable.composeReport(running)
+    if (report !== undefined) pool.merge(running, 'old', report)
+    for (let index = 0; index < 2000; index++) pool.record(running, 'v2', answer(index % 20 === 0))
+    expect(isCut(pool)).to.equal(false)
+  })
+
+  it('adopts the cut of another host, and keeps earlier results of one whose node has restarted (guards against forgotten evidence)', () => {
+    const pool = createEvidence()
+    const first = createEvidence(1)
+    const second = createEvidence(2)
+    for (const home of [first, second]) for (let index = 0; index < 4; index++) home.record(running, 'v2', answer(true))
+    for (const home of [first, second]) {
+      const report = home.composeReport(running)
+      if (report !== undefined) pool.merge(running, 'new', report)
     }
-    expect(oneRoute.isOpen()).to.equal(true)
-    const slow = createVersionBreaker()
-    for (let index = 0; index < 10; index++) slow.record(answer(false, 'r', 480))
-    expect(slow.isOpen()).to.equal(true)
+    expect(isCut(pool)).to.equal(true)
+    const other = createEvidence()
+    const report = pool.composeReport(running)
+    if (report !== undefined) other.merge(running, 'new', report)
+    expect(isCut(other)).to.equal(true)
   })
 
-  it('stays closed if only few requests fail', () => {
-    const breaker = createVersionBreaker()
-    for (let index = 0; index < 2000; index++) breaker.record(answer(index % 20 === 0))
-    expect(breaker.isOpen()).to.equal(false)
+  it('discards the evidence of an earlier order (guards against a cut that outlives its rollout)', () => {
+    const evidence = createEvidence()
+    for (let index = 0; index < 20; index++) evidence.record(running, 'v2', answer(true))
+    expect(isCut(evidence)).to.equal(true)
+    expect(evidence.findCut(release({ rollout: rollout({ order: 2 }) }))).to.equal(undefined)
   })
 })
 
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -58,6 +58,8 @@
 const LAST_RESPONSES_MS = 150
 /** Number of missed status reports after which the backend server is probed. */
 const MAX_MISSED_REPORTS = 3
+/** Upper bound of the numbers that distinguish the processes of a node. */
+const MAX_RUN_NUMBER = 2 ** 31
 /** Interval at which the shutdown checks whether all requests have ended, in milliseconds. */
 const STOP_POLL_MS = 25
 /** Longest time for removing the host's record if its backend server is gone, in milliseconds. */
@@ -85,10 +87,31 @@
   const health = createHostHealth(context, { getHost: (host) => view.getHost(host) })
   const view = createMeshView(context, () => {
     entryServer.updateLimits()
+    applyRecordedCuts()
     recordPublisher.applyRecordedDrain()
     dispatcher.update()
     probeRecordedInstance().catch((error: unknown) => { log('internalError', { error: String(error) }) })
   })
+  const evidence = createVersionEvidence({
+    run: Math.floor(random() * MAX_RUN_NUMBER),
+    onCut: (service, version, { reason }) => {
+      log('versionCutOff', { service, version, reason })
+      recordPublisher.update()
+      dispatcher.update()
+    }
+  })
+
+  /** Cuts the versions that another node, or an earlier process of this one, has cut in the course of their rollout. */
+  function applyRecordedCuts (): void {
+    for (const { host, service, version, versionCut, cutOrder } of view.listHosts()) {
+      const release = versionCut ? view.getRelease(service) : undefined
+      if (release?.rollout?.to !== version) continue
+      // Nodes of earlier builds do not record the order.
+      if (cutOrder !== 0 && cutOrder !== release.rollout.order) continue
+      evidence.markCut(release, `${host} has recorded that it cut the version`)
+    }
+  }
+
   const applyRows = (rows: readonly ReplicaRow[]): void => { view.apply(rows) }
   const recordWriter = createHostRecordWriter({ context, store, replica, onRows: applyRows })
   const cursors = createTableCursors()
@@ -131,7 +154,6 @@
     applyReport: crashGuard.applyReport,
     hasSuspects: crashGuard.hasSuspects
   })
-  const evidence = createVersionEvidence()
   const dispatcher = createBackendDispatcher({
     context,
     view,
@@ -144,7 +166,7 @@
     onColdUnknown: () => { instanceProber.update() }
   })
   const recordPublisher = createHostRecordPublisher({
-    context, view, instance, recordWriter, isVersionCircuitOpen: dispatcher.isVersionCircuitOpen
+    context, view, instance, recordWriter, evidence
   })
   const instanceProber = createInstanceProber({
     context,
@@ -161,7 +183,7 @@
   const forwardingClient = createForwardingClient(context, health, peerRowFetcher)
   const retryBudgets = createRetryBudgets(context, () =>
     cursors.get(MESH_TABLE) === undefined ? undefined : view.listHosts().length)
-  const stopEvidenceLog = createEvidenceLogger(context, view, evidence, () => instance.getRun()?.version)
+  const stopEvidenceLog = createEvidenceLogger(context, view, evidence)
   const rolloutTraffic = createRolloutTraffic(context, view)
   const startExchange = createExchange({
     context,
@@ -169,7 +191,11 @@
     client: forwardingClient,
     retryBudgets,
     rolloutTraffic,
-    finder: createCandidateFinder(context, view, health),
+    onEvidence: (service, host, report) => {
+      const release = view.getRelease(service)
+      if (release !== undefined) evidence.merge(release, host, report)
+    },
+    finder: createCandidateFinder(context, view, health, evidence),
     loadBalancer: createLoadBalancer(random)
   })
   const entryServer = createEntryServer({
@@ -190,7 +216,7 @@
   }
   const loadLogger = createLoadLogger(context, entryServer, dispatcher, copies)
   const rolloutController = createRolloutController({
-    context, view, replica, store, health, onRows: applyRows, getStoreTime
+    context, view, replica, store, health, evidence, onRows: applyRows, getStoreTime
   })
   const peerServer = createPeerServer({
     replica, cursors, copyAges, isStoreConnected: isReader, getStoreTime, receiveSuspects: suspectExchange.receive
--- a/packages/node/src/entry/createCandidateFinder.ts
+++ b/packages/node/src/entry/createCandidateFinder.ts
@@ -1,5 +1,5 @@
 import type { HostRecord } from '@snipenotch/contracts'
-import { drawReleaseVersion, type BalancerCandidate } from '@snipenotch/decisions'
+import { drawReleaseVersion, type BalancerCandidate, type VersionEvidence } from '@snipenotch/decisions'
 import type { NodeContext } from '../NodeContext.js'
 import { computeTransferMs } from '../peers/computeTransferMs.js'
 import type { HostHealth } from '../peers/createHostHealth.js'
@@ -51,7 +51,8 @@
 
 /** Creates the candidate finder of a node. */
 export function createCandidateFinder (
-  { settings, random }: NodeContext, view: FinderView, health: Pick<HostHealth, 'isDown'>
+  { settings, random }: NodeContext, view: FinderView, health: Pick<HostHealth, 'isDown'>,
+  evidence: Pick<VersionEvidence, 'findCut'>
 ): CandidateFinder {
   function computeDistanceMs (record: HostRecord, bytes: number): number {
     if (record.host === settings.host) return 0
@@ -69,10 +70,12 @@
 
   return {
     find: (service, version, bytes, tried) => {
+      const release = view.getRelease(service)
+      const isCut = release !== undefined && evidence.findCut(release) !== undefined
+      const cutVersion = isCut ? release.rollout?.to : undefined
       const usable = view.listServing(service).filter((record) =>
         !tried.has(record.host) && !health.isDown(record.host) && !view.isEvacuated(record.dataCentre) &&
-        !record.versionCut && view.isVersionAllowed(service, record.version))
-      const release = view.getRelease(service)
+        view.isVersionAllowed(service, record.version) && record.version !== cutVersion)
       for (const wanted of [version, release?.stable]) {
         const matching = usable.filter((record) => record.version === wanted)
         if (matching.length > 0) return buildCandidates(matching, bytes)
@@ -83,7 +86,8 @@
     count: (service) => view.listServing(service).length,
     drawVersion: (service) => {
       const release = view.getRelease(service)
-      return release === undefined ? undefined : drawReleaseVersion(release, random)
+      if (release === undefined) return undefined
+      return evidence.findCut(release) === undefined ? drawReleaseVersion(release, random) : release.stable
     },
     getRetryVersion: (service) => view.getRelease(service)?.stable
   }
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -1,5 +1,5 @@
 import type { MeshRoute, Milliseconds, ServingRefusalReason } from '@snipenotch/contracts'
-import type { LoadBalancer } from '@snipenotch/decisions'
+import type { EvidenceReport, LoadBalancer } from '@snipenotch/decisions'
 import type { NodeContext } from '../NodeContext.js'
 import type { BackendDispatcher } from '../home/createBackendDispatcher.js'
 import { FIRST_FAILURE_STATUS, type BackendJob, type JobOutcome } from '../home/BackendJob.js'
@@ -81,6 +81,8 @@
   readonly loadBalancer: LoadBalancer
   readonly retryBudgets: RetryBudgets
   readonly rolloutTraffic: Pick<RolloutTraffic, 'record'>
+  /** Called with what another node reports on a version under rollout. */
+  readonly onEvidence: (service: string, host: string, report: EvidenceReport) => void
 }
 
 /** Sends a request to a host, and to further hosts where a retry is allowed, until there is a final result. */
@@ -88,7 +90,7 @@
 
 /** Creates the function that starts exchanges on a node. */
 export function createExchange (
-  { context, dispatcher, client, finder, loadBalancer, retryBudgets, rolloutTraffic }: ExchangeOptions
+  { context, dispatcher, client, finder, loadBalancer, retryBudgets, rolloutTraffic, onEvidence }: ExchangeOptions
 ): StartExchange {
   const { settings, clock, log, counters } = context
 
@@ -207,6 +209,9 @@
 
     function handleOutcome (candidate: Candidate, outcome: JobOutcome): void {
       loadBalancer.recordEnd(candidate.host, outcome.load, clock.now())
+      if (outcome.evidence !== undefined && candidate.host !== settings.host) {
+        onEvidence(service, candidate.host, outcome.evidence)
+      }
       if (isCancelled) return
       if (outcome.kind === 'refused') {
         handleRefusal(candidate, outcome.reason, outcome.waitMs)
--- a/packages/node/src/home/BackendJob.ts
+++ b/packages/node/src/home/BackendJob.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds, ServingLossReason, ServingRefusalReason } from '@snipenotch/contracts'
-import type { QueueJob, ReportedLoad } from '@snipenotch/decisions'
+import type { EvidenceReport, QueueJob, ReportedLoad } from '@snipenotch/decisions'
 
 /** A request to be run by the backend server of a chosen host. */
 export interface BackendJob extends QueueJob {
@@ -33,6 +33,8 @@
 export type JobOutcome = JobResult & {
   /** Network time to the other node and back, in milliseconds; undefined if the job was not forwarded. */
   readonly transitMs?: number | undefined
+  /** Results of the backend server since the order of a running rollout of its service. */
+  readonly evidence?: EvidenceReport | undefined
 }
 
 type JobResult =
--- a/packages/node/src/home/createBackendDispatcher.ts
+++ b/packages/node/src/home/createBackendDispatcher.ts
@@ -1,6 +1,6 @@
 import { addMilliseconds, type Milliseconds, type ServingLossReason, type ServingRefusalReason } from '@snipenotch/contracts'
 import {
-  type ColdLimit, createRequestQueue, createRouteClassifier, createVersionBreaker, type InstanceLoadTracker,
+  type ColdLimit, createRequestQueue, createRouteClassifier, type InstanceLoadTracker,
   type InstanceRun, type InstanceState, type QueueLimits, type ReportedLoad, type VersionEvidence
 } from '@snipenotch/decisions'
 import type { NodeContext } from '../NodeContext.js'
@@ -28,7 +28,6 @@
   readonly countSends: () => number
   /** Refuses all new requests from now on. */
   readonly stop: () => void
-  readonly isVersionCircuitOpen: () => boolean
 }
 
 /** Share of the drain time, counted from its acknowledgement, in which queued requests may still start. */
@@ -42,6 +41,8 @@
 const DEFAULT_COLD_PER_SECOND = 1
 /** Weight of a new result in the moving average of the failure share. */
 const FAILURE_WEIGHT = 0.08
+/** Interval within which lost requests count as one failure of the version, in milliseconds. */
+const LOSS_INTERVAL_MS = 1000
 /** Attempt identifiers remembered so that a non-idempotent request is never sent twice. */
 const MAX_REMEMBERED_ATTEMPTS = 5000
 
@@ -57,8 +58,8 @@
   /** Load that the backend server stated. */
   readonly instanceLoads: InstanceLoadTracker
   readonly crashGuard: CrashGuard
-  readonly evidence: Pick<VersionEvidence, 'record'>
-  /** Called when the backend server refuses connections or its version is cut off. */
+  readonly evidence: Pick<VersionEvidence, 'record' | 'findCut' | 'composeReport'>
+  /** Called when the backend server refuses connections. */
   readonly onChange: () => void
   /** Called when the backend server may have become cold without a report. */
   readonly onColdUnknown: () => void
@@ -79,12 +80,12 @@
   const { context, view, instance, backend, instanceLoads, crashGuard, evidence, onChange, onColdUnknown } = options
   const { settings, clock, log, counters } = context
   const requestQueue = createRequestQueue<BackendJob>(addMilliseconds(clock.now(), COLD_START_DELAY_MS))
-  const versionBreaker = createVersionBreaker()
   const routeClassifier = createRouteClassifier(view.getHostShare)
   const outcomeHandlers = new Map<BackendJob, (outcome: JobOutcome) => void>()
   const startedAttempts = new Set<string>()
   let isStopping = false
   let failureShare = 0
+  let lastLossAt = -Infinity
   let trackedRun: InstanceRun | undefined
   /** True if requests were refused at the previous computation of the limits. */
   let wasClosed = true
@@ -103,7 +104,6 @@
     trackedRun = run
     requestQueue.resetTimes()
     instanceLoads.reset()
-    versionBreaker.reset()
     failureShare = 0
   }
 
@@ -116,7 +116,12 @@
     if (!instance.isServing()) return 'instance-unknown'
     if (view.isEvacuated(settings.dataCentre)) return 'evacuated'
     if (!view.isVersionAllowed(settings.service, run.version)) return 'version-not-allowed'
-    return versionBreaker.isOpen() ? 'version-cut' : undefined
+    return isVersionCut(run.version) ? 'version-cut' : undefined
+  }
+
+  function isVersionCut (version: string): boolean {
+    const release = view.getRelease(settings.service)
+    return release?.rollout?.to === version && evidence.findCut(release) !== undefined
   }
 
   function markColdUnknown (reason: 'reopened' | ServingLossReason): void {
@@ -188,22 +193,28 @@
         configuration: view.getConfiguration()?.version
       })
     }
-    onOutcome?.({ ...outcome, load: getLoad() })
+    onOutcome?.({
+      ...outcome, load: getLoad(), evidence: evidence.composeReport(view.getRelease(settings.service))
+    })
   }
 
-  function recordResult (job: BackendJob, failed: boolean, durationMs: number): void {
+  function recordResult (job: BackendJob, result: Exclude<BackendResult, { kind: 'unreachable' }>, durationMs: number): void {
+    const isLost = result.kind === 'lost'
+    const failed = isLost || result.notRun || result.status >= FIRST_FAILURE_STATUS
     failureShare += FAILURE_WEIGHT * ((failed ? 1 : 0) - failureShare)
+    const now = clock.now()
     const version = instance.getRun()?.version
-    const rollout = view.getRelease(settings.service)?.rollout
-    if (rollout?.state !== 'running') return
-    const isCold = instance.getColdSince(clock.now()) !== undefined
-    const { route, targetLatencyMs } = job
+    const release = view.getRelease(settings.service)
+    if (release?.rollout?.state !== 'running' || version === undefined) return
+    // An overloaded backend server refuses requests whatever its version.
+    if (!isLost && result.notRun) return
+    // Losses come together, from one connection or one end of the backend server.
+    if (isLost && now - lastLossAt < LOSS_INTERVAL_MS) return
+    if (isLost) lastLossAt = now
     // A cold backend server is slow regardless of its version.
-    const versionResult = { route, failed, durationMs: isCold ? 0 : durationMs, targetLatencyMs }
-    evidence.record(rollout.order, versionResult)
-    if (rollout.to !== version || !versionBreaker.record(versionResult)) return
-    log('versionCutOff', { service: settings.service, version, route: job.route })
-    onChange()
+    const isTimed = !isLost && instance.getColdSince(now) === undefined
+    const { route, targetLatencyMs } = job
+    evidence.record(release, version, { route, failed, durationMs: isTimed ? durationMs : undefined, targetLatencyMs })
   }
 
   /** Stops sending until the next report: the run that was known refuses connections. */
@@ -231,7 +242,7 @@
       } else {
         if (result.kind === 'lost') crashGuard.recordLoss(job, run)
         if (result.kind === 'lost' && RESTART_LOSSES.has(result.reason)) markColdUnknown(result.reason)
-        recordResult(job, result.kind === 'lost' || result.notRun || result.status >= FIRST_FAILURE_STATUS, durationMs)
+        recordResult(job, result, durationMs)
       }
       end(job, toOutcome(result), durationMs)
       update()
@@ -333,7 +344,6 @@
     getLoad,
     countOpen: () => requestQueue.countRunning() + requestQueue.countWaiting(),
     countSends: () => requestQueue.countSends(clock.now()),
-    stop: () => { isStopping = true },
-    isVersionCircuitOpen: () => versionBreaker.isOpen()
+    stop: () => { isStopping = true }
   }
 }
--- a/packages/node/src/operations/createRolloutController.ts
+++ b/packages/node/src/operations/createRolloutController.ts
@@ -1,5 +1,5 @@
 import type { MeshRollout, Release } from '@snipenotch/contracts'
-import { decideRolloutStep, type Replica } from '@snipenotch/decisions'
+import { decideRolloutStep, type Replica, type VersionEvidence } from '@snipenotch/decisions'
 import { encodeRolloutStatus, type StoreClient } from '@snipenotch/platform'
 import type { NodeContext } from '../NodeContext.js'
 import type { HostHealth } from '../peers/createHostHealth.js'
@@ -26,6 +26,7 @@
   readonly replica: Replica
   readonly store: StoreClient
   readonly health: HostHealth
+  readonly evidence: Pick<VersionEvidence, 'findCut'>
   /** Current time of the store's clock, in milliseconds; undefined if unknown. */
   readonly getStoreTime: () => number | undefined
   readonly onRows: (rows: ReturnType<Replica['merge']>) => void
@@ -35,7 +36,7 @@
 
 /** Creates the rollout controller of a node. */
 export function createRolloutController (options: RolloutControllerOptions): RolloutController {
-  const { context, view, replica, store, health, getStoreTime, onRows } = options
+  const { context, view, replica, store, health, evidence, getStoreTime, onRows } = options
   const { settings, clock, log, counters, ticker } = context
   /** The step that is due for each service, and the time since which it has been due. */
   const dueSince = new Map<string, { readonly step: string, readonly at: number }>()
@@ -81,7 +82,7 @@
       rollout,
       storeNow,
       newVersionHosts: versionHosts.filter(({ host }) => !health.isDown(host)).length,
-      trippedHosts: versionHosts.filter(({ versionCut }) => versionCut).length
+      fault: evidence.findCut(release)?.reason
     })
     const next = { ...rollout, steppedAt: storeNow, controller: settings.host }
     switch (step.kind) {
--- a/packages/node/src/peers/forwardingCodec.ts
+++ b/packages/node/src/peers/forwardingCodec.ts
@@ -2,6 +2,7 @@
 import type { ReportedLoad } from '@snipenotch/decisions'
 import { Packr } from 'msgpackr'
 import type { JobOutcome } from '../home/BackendJob.js'
+import { decodeEvidence, encodeEvidence } from './evidenceCodec.js'
 import type { ForwardedJob, ForwardingMessage } from './ForwardingMessage.js'
 
 const packr = new Packr({ useRecords: false })
@@ -33,11 +34,15 @@
         Math.round(load.fetchMs)
       ]
   const common = [id, encodedLoad, versions, Math.round(processingMs)]
+  // The last field, so that nodes of earlier builds pass over it.
+  const evidence = outcome.evidence === undefined ? [] : [encodeEvidence(outcome.evidence)]
   switch (outcome.kind) {
-    case 'answered':
-      return [KIND_CODES.answered, ...common, outcome.status, outcome.headers, outcome.body, outcome.notRun]
-    case 'refused': return [KIND_CODES.refused, ...common, outcome.reason, Math.round(outcome.waitMs)]
-    case 'lost': return [KIND_CODES.lost, ...common, outcome.reason]
+    case 'answered': {
+      const { status, headers, body, notRun } = outcome
+      return [KIND_CODES.answered, ...common, status, headers, body, notRun, ...evidence]
+    }
+    case 'refused': return [KIND_CODES.refused, ...common, outcome.reason, Math.round(outcome.waitMs), ...evidence]
+    case 'lost': return [KIND_CODES.lost, ...common, outcome.reason, ...evidence]
   }
 }
 
@@ -97,15 +102,17 @@
 }
 
 function decodeOutcome (code: number, fields: readonly unknown[]): JobOutcome | undefined {
-  const [encodedLoad, , , first, second, body, notRun] = fields
+  const [encodedLoad, , , first, second, body, notRun, answeredEvidence] = fields
   const load = decodeLoad(encodedLoad)
   if (code === KIND_CODES.answered) {
     if (!isNumber(first) || !isHeaderList(second) || !Buffer.isBuffer(body)) return undefined
-    return { kind: 'answered', status: first, headers: second, body, notRun: notRun === true, load }
+    const evidence = decodeEvidence(answeredEvidence)
+    return { kind: 'answered', status: first, headers: second, body, notRun: notRun === true, load, ...evidence }
   }
   if (!isString(first)) return undefined
-  if (code === KIND_CODES.lost) return { kind: 'lost', reason: first as ServingLossReason, load }
-  return isNumber(second) ? { kind: 'refused', reason: first as ServingRefusalReason, waitMs: second, load } : undefined
+  if (code === KIND_CODES.lost) return { kind: 'lost', reason: first as ServingLossReason, load, ...decodeEvidence(second) }
+  if (!isNumber(second)) return undefined
+  return { kind: 'refused', reason: first as ServingRefusalReason, waitMs: second, load, ...decodeEvidence(body) }
 }
 
 type Decoder = (id: number, fields: readonly unknown[], now: Milliseconds) => ForwardingMessage | undefined
--- a/packages/node/src/rows/createHostRecordPublisher.ts
+++ b/packages/node/src/rows/createHostRecordPublisher.ts
@@ -1,5 +1,5 @@
 import type { HostRecord } from '@snipenotch/contracts'
-import type { InstanceState } from '@snipenotch/decisions'
+import type { InstanceState, VersionEvidence } from '@snipenotch/decisions'
 import type { NodeContext } from '../NodeContext.js'
 import { formatAddress } from '../peers/parseAddress.js'
 import type { HostRecordWriter } from './createHostRecordWriter.js'
@@ -16,15 +16,15 @@
 /** Options of `createHostRecordPublisher`. */
 export interface HostRecordPublisherOptions {
   readonly context: NodeContext
-  readonly view: Pick<MeshView, 'getHost'>
+  readonly view: Pick<MeshView, 'getHost' | 'getRelease'>
   readonly instance: InstanceState
   readonly recordWriter: HostRecordWriter
-  readonly isVersionCircuitOpen: () => boolean
+  readonly evidence: Pick<VersionEvidence, 'findCut'>
 }
 
 /** Creates a publisher for the host in the settings; it publishes nothing until the backend server is known. */
 export function createHostRecordPublisher (
-  { context, view, instance, recordWriter, isVersionCircuitOpen }: HostRecordPublisherOptions
+  { context, view, instance, recordWriter, evidence }: HostRecordPublisherOptions
 ): HostRecordPublisher {
   const { settings, clock, log } = context
 
@@ -32,6 +32,8 @@
     const run = instance.getRun()
     if (run === undefined) return undefined
     const leaving = instance.getLeavingSince() !== undefined
+    const release = view.getRelease(settings.service)
+    const cut = release?.rollout?.to === run.version ? evidence.findCut(release) : undefined
     if (!leaving && !instance.isConfirmed()) return undefined
     return {
       host: settings.host,
@@ -47,7 +49,8 @@
       sequence: run.sequence,
       version: run.version,
       slots: run.slots,
-      versionCut: isVersionCircuitOpen()
+      versionCut: cut !== undefined,
+      cutOrder: cut?.order ?? 0
     }
   }
 
--- a/packages/node/tests/backgroundLoops.test.ts
+++ b/packages/node/tests/backgroundLoops.test.ts
@@ -34,7 +34,8 @@
   sequence: 1,
   version: 'v1',
   slots: 1,
-  versionCut: false
+  versionCut: false,
+  cutOrder: 0
 }
 
 /** Throws once, as a defect or an odd input would, and then calls `run`. */
@@ -184,6 +185,7 @@
       replica: createReplica(),
       store: createStore(failOnce(done)),
       health: { isDown: () => false, markDown: () => undefined, close: () => undefined },
+      evidence: { findCut: () => undefined },
       getStoreTime: () => 1,
       onRows: () => undefined
     })
--- a/packages/node/tests/createJob.ts
+++ b/packages/node/tests/createJob.ts
@@ -41,6 +41,7 @@
     version: 'v1',
     slots: 8,
     versionCut: false,
+    cutOrder: 0,
     ...given
   }
 }
--- a/packages/node/tests/entry/createCandidateFinder.test.ts
+++ b/packages/node/tests/entry/createCandidateFinder.test.ts
@@ -15,7 +15,7 @@
     isEvacuated: () => false,
     isVersionAllowed: () => true,
     getRelease: () => undefined
-  }, { isDown: () => false })
+  }, { isDown: () => false }, { findCut: () => undefined })
   const measure = (bytes: number): Record<string, number> => Object.fromEntries(
     finder.find('parts', undefined, bytes, new Set()).map(({ host, distanceMs }) => [host, Math.round(distanceMs)]))
 
@@ -37,7 +37,7 @@
       isEvacuated: () => false,
       isVersionAllowed: () => true,
       getRelease: () => ({ service: 'parts', stable: 'v1', denied: [], rollout })
-    }, { isDown: () => false })
+    }, { isDown: () => false }, { findCut: () => undefined })
     const findHosts = (version: string, tried: string[]): string[] =>
       mixedFinder.find('parts', version, 0, new Set(tried)).map(({ host }) => host)
     expect(findHosts('v1', ['old'])).to.deep.equal([])
--- a/packages/node/tests/entry/createExchange.test.ts
+++ b/packages/node/tests/entry/createExchange.test.ts
@@ -53,6 +53,7 @@
       const results: ExchangeResult[] = []
       const start = createExchange({
         rolloutTraffic: { record: () => undefined },
+        onEvidence: () => undefined,
         context,
         loadBalancer: createLoadBalancer(() => 0.5),
         dispatcher: {} as never,
@@ -89,6 +90,7 @@
     let wanted: string | undefined
     const start = createExchange({
       rolloutTraffic: { record: () => undefined },
+      onEvidence: () => undefined,
       context,
       loadBalancer: createLoadBalancer(() => 0.5),
       dispatcher: {} as never,
@@ -150,6 +152,7 @@
     const jobs: BackendJob[] = []
     const start = createExchange({
       rolloutTraffic: { record: () => undefined },
+      onEvidence: () => undefined,
       context,
       loadBalancer,
       dispatcher: {
--- a/packages/node/tests/home/createBackendDispatcher.test.ts
+++ b/packages/node/tests/home/createBackendDispatcher.test.ts
@@ -75,7 +75,7 @@
       onChange: () => { dispatcher.update() }
     })
     dispatcher = createBackendDispatcher({
-      evidence: createVersionEvidence(),
+      evidence: createVersionEvidence({ run: 1, onCut: () => undefined }),
       context,
       view,
       instance,
--- a/packages/node/tests/peers/forwardingCodec.test.ts
+++ b/packages/node/tests/peers/forwardingCodec.test.ts
@@ -1,4 +1,5 @@
 import { toMilliseconds } from '@snipenotch/contracts'
+import type { EvidenceReport } from '@snipenotch/decisions'
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { pack } from 'msgpackr'
@@ -56,6 +57,27 @@
     expect(decodeBatch(encodeBatch(MESSAGES, toMilliseconds(0)), toMilliseconds(0))).to.deep.equal(MESSAGES)
   })
 
+  const EVIDENCE: EvidenceReport = {
+    order: 21,
+    version: 'v2',
+    run: 77,
+    isCut: true,
+    routes: new Map([['r-parts', { requests: 40, failures: 5, slow: 1, timed: 30, logSum: 120.5, logSquareSum: 490.25 }]])
+  }
+
+  it('decodes the evidence on a version with every outcome, and without what is malformed', () => {
+    const kinds = MESSAGES.filter((message) => message.kind === 'outcome')
+    const withEvidence = kinds.map((message) => ({ ...message, outcome: { ...message.outcome, evidence: EVIDENCE } }))
+    expect(decodeBatch(encodeBatch(withEvidence, toMilliseconds(0)), toMilliseconds(0))).to.deep.equal(withEvidence)
+    const wrongRoutes = [['r', -1, 0, 0, 0, 0, 0], ['r', 1, 2, 0, 0, 0, 0], ['r', 1], [3, 1, 0, 0, 0, 0, 0], 'r', null]
+    for (const wrong of [null, 'x', [], [1, 2, 3, 4, 5], ...wrongRoutes.map((route) => [21, 'v2', 7, false, [route]])]) {
+      const frame = pack([[4, 6, null, [], 0, 'connection-lost', wrong]])
+      expect(decodeBatch(frame, toMilliseconds(0))).to.deep.equal([
+        { kind: 'outcome', id: 6, versions: [], processingMs: 0, outcome: { kind: 'lost', reason: 'connection-lost', load: undefined } }
+      ])
+    }
+  })
+
   it('rejects malformed frames without an exception (guards against a peer that crashes a node)', () => {
     const wrong = [
       {}, 'x', [1], [[0]], [['run', 1]], [[0, 1, 'parts']], [[9, 1]],
