fix: keep the exposure of a version within its bound whenever it turns bad, and complete on evidence only

Cause: shares rose with time alone. By 0.66 of the duration 0.11 of all requests had gone to the new version, so that a fault that began later, or one that is hard to tell, had no allowance left. No evidence counted as good evidence: a version that had answered no request was completed. Change: 2% until the last tenth of the duration, then 30% and all requests, completed shortly before the deadline: what is sent to the version until then stays below a tenth of the requests of the whole duration even if no fault is found. The controller checks each 100 ms and counts the time for which the order may have waited. A host writes into its record, once, that its server has answered requests since the order; without that the share rises while there are few requests, and the version is never completed. At the deadline a version that is not shown good, or not moved, is rolled back with the reason. Tests: a good version had to have all requests for 1.5 s before completion; together with the time up to the deadline that alone spends 0.13 of a 15 s rollout, more than is allowed. The bound is now 4% of the duration, 400 ms at least. What remains: requests to the old version that run longer than that are broken off when its servers stop.

--- a/packages/contracts/src/mesh/hostRecordSchema.ts
+++ b/packages/contracts/src/mesh/hostRecordSchema.ts
@@ -36,7 +36,9 @@
    */
   versionCut: z.boolean(),
   /** Row version of the rollout order in whose course the version was cut; 0 if unknown or not cut. */
-  cutOrder: z.number().nonnegative().default(0)
+  cutOrder: z.number().nonnegative().default(0),
+  /** Row version of the rollout order since which the backend server has answered requests; 0 if it has not. */
+  provenOrder: z.number().nonnegative().default(0)
 })
 
 /** Published record of a host and its backend server. */
--- a/packages/decisions/src/serving/createVersionEvidence.ts
+++ b/packages/decisions/src/serving/createVersionEvidence.ts
@@ -40,6 +40,8 @@
   readonly markCut: (release: Release, reason: string) => void
   /** Returns the cut of the service's latest rollout; undefined if there is none. */
   readonly findCut: (release: Release) => VersionCut | undefined
+  /** True if the backend server beside this node has answered enough requests since the order of the latest rollout. */
+  readonly isProven: (release: Release) => boolean
   /** Report on the backend server beside this node; undefined without results of the latest rollout. */
   readonly composeReport: (release: Release | undefined) => EvidenceReport | undefined
 }
@@ -48,6 +50,8 @@
 export interface VersionEvidenceOptions {
   /** Number that distinguishes this process from earlier ones of the node. */
   readonly run: number
+  /** Called when the backend server beside this node has answered enough requests of a rollout to count as evidence. */
+  readonly onProven: () => void
   /** Called when a version under rollout is cut. */
   readonly onCut: (service: string, version: string, cut: VersionCut) => void
 }
@@ -59,6 +63,8 @@
 const SLOW_TARGET_FACTOR = 1.5
 /** Share of the new version up to which latencies are compared: above, the old version is too idle to compare with. */
 const MAX_COMPARED_SHARE = 0.5
+/** Minimum number of successful requests to one backend server that count as evidence on its version. */
+const MIN_PROVEN_REQUESTS = 5
 /** Most backend servers and runs of them that are kept for one rollout. */
 const MAX_REPORTS = 1024
 /** Key of the results of the backend server beside this node. */
@@ -73,7 +79,7 @@
 }
 
 /** Creates evidence without results. A newer order of a service discards the evidence of earlier ones. */
-export function createVersionEvidence ({ run, onCut }: VersionEvidenceOptions): VersionEvidence {
+export function createVersionEvidence ({ run, onProven, onCut }: VersionEvidenceOptions): VersionEvidence {
   const rollouts = new Map<string, RolloutEvidence>()
 
   function getEvidence ({ service, rollout }: Release): RolloutEvidence {
@@ -85,6 +91,14 @@
     return evidence
   }
 
+  function countSuccesses (release: Release): number {
+    let successes = 0
+    for (const { requests, failures } of getEvidence(release).reports.get(OWN_KEY)?.routes.values() ?? []) {
+      successes += requests - failures
+    }
+    return successes
+  }
+
   function applyCut (release: Release, evidence: RolloutEvidence, reason: string): void {
     if (evidence.cut !== undefined || release.rollout?.state !== 'running') return
     evidence.cut = { order: evidence.order, reason }
@@ -117,7 +131,9 @@
       }
       routes.set(route, isCompared ? addLatency(counted, durationMs) : counted)
       evidence.reports.set(OWN_KEY, { version, routes })
-      if (version === release.rollout?.to) compareVersions(release, evidence)
+      if (version !== release.rollout?.to) return
+      if (!failed && countSuccesses(release) === MIN_PROVEN_REQUESTS) onProven()
+      compareVersions(release, evidence)
     },
     merge: (release, host, report) => {
       if (report.order !== release.rollout?.order) return
@@ -130,6 +146,7 @@
     },
     markCut: (release, reason) => { applyCut(release, getEvidence(release), reason) },
     findCut: (release) => getEvidence(release).cut,
+    isProven: (release) => countSuccesses(release) >= MIN_PROVEN_REQUESTS,
     composeReport: (release) => {
       if (release?.rollout?.state !== 'running') return undefined
       const evidence = getEvidence(release)
--- a/packages/decisions/src/serving/decideRolloutStep.ts
+++ b/packages/decisions/src/serving/decideRolloutStep.ts
@@ -7,6 +7,8 @@
   readonly storeNow: number
   /** Number of hosts that serve the new version. */
   readonly newVersionHosts: number
+  /** Number of those hosts that have answered requests since the order. */
+  readonly provenHosts: number
   /** Why nodes have stopped sending requests to the new version; undefined while they do. */
   readonly fault: string | undefined
 }
@@ -19,43 +21,86 @@
   | { readonly kind: 'roll-back', readonly reason: string }
 
 /**
- * Traffic shares of a rollout, each starting at a fraction `from` of its duration. The first phase leaves time for
- * faults that appear late and keeps exposure far below a tenth. The others are short, because a fault under load
- * appears within a second of each.
+ * Share of requests for most of the duration. A fault may begin at any time, so that the requests sent before it are
+ * bounded by this share, and the requests sent after the share is raised by the short time that is left.
  */
-const PHASES = [
-  { from: 0, share: 0.05 },
-  { from: 0.45, share: 0.15 },
-  { from: 0.52, share: 0.35 },
-  { from: 0.59, share: 0.7 },
-  { from: 0.66, share: 1 }
+const CANARY_SHARE = 0.02
+/** Share between the first one and all requests, at which a fault under load shows. */
+const RAMP_SHARE = 0.3
+/** Fractions of the duration, at its end, for which the ramp share and all requests are held before completion. */
+const RAMP_FRACTION = 0.03
+const FULL_FRACTION = 0.04
+/** Fraction of the duration after completion: time for a write that is late. */
+const RESERVE_FRACTION = 0.033
+/** Minimum lengths of these times, in milliseconds: the time in which a fault at that share is found. */
+const MIN_RAMP_MS = 300
+const MIN_FULL_MS = 400
+const MIN_RESERVE_MS = 500
+/**
+ * Shares while no host has answered a request, each from a fraction of the duration on: with so few requests, the
+ * exposure remains small at any share.
+ */
+const UNPROVEN_SHARES = [
+  { from: 0, share: CANARY_SHARE },
+  { from: 0.2, share: 0.05 },
+  { from: 0.3, share: 0.1 },
+  { from: 0.4, share: 0.25 },
+  { from: 0.5, share: 0.5 },
+  { from: 0.6, share: 1 }
 ] as const
-/** Fraction of the duration after which a rollout at full share may complete. */
-const COMPLETE_FROM = 0.83
 /** Fraction of the duration after which a version that no host serves is rolled back. */
 const GIVE_UP_FROM = 0.94
-/** Minimum time between two steps in milliseconds, so that a delayed controller does not skip a phase. */
-const MIN_STEP_MS = 700
-/** Minimum time at full share before completion, in milliseconds: requests to the old version have ended by then. */
-const MIN_FULL_SHARE_MS = 1500
+
+interface Schedule { readonly rampFrom: number, readonly fullFrom: number, readonly completeFrom: number }
+
+/** Computes the times since the order, in milliseconds, at which the share of a proven version is raised. */
+function computeSchedule (durationMs: number): Schedule {
+  const completeFrom = durationMs - Math.max(MIN_RESERVE_MS, durationMs * RESERVE_FRACTION)
+  const fullFrom = completeFrom - Math.max(MIN_FULL_MS, durationMs * FULL_FRACTION)
+  return { completeFrom, fullFrom, rampFrom: fullFrom - Math.max(MIN_RAMP_MS, durationMs * RAMP_FRACTION) }
+}
+
+/** Chooses the share for a time since the order; all requests follow only after the ramp share. */
+function chooseShare ({ rollout: { durationMs, share }, provenHosts }: RolloutView, elapsed: number): number {
+  if (provenHosts === 0) {
+    return UNPROVEN_SHARES.reduce((chosen, phase) => elapsed >= durationMs * phase.from ? phase.share : chosen, 0)
+  }
+  const { rampFrom, fullFrom } = computeSchedule(durationMs)
+  if (elapsed >= fullFrom && share >= RAMP_SHARE) return 1
+  return elapsed >= rampFrom ? RAMP_SHARE : CANARY_SHARE
+}
+
+function decideAtFullShare ({ rollout, storeNow, provenHosts }: RolloutView, elapsed: number): RolloutStep {
+  const { fullFrom, completeFrom } = computeSchedule(rollout.durationMs)
+  // Requests to the old version have ended by then.
+  const isDue = elapsed >= completeFrom && storeNow - rollout.steppedAt >= completeFrom - fullFrom
+  if (!isDue || provenHosts === 0) return { kind: 'hold' }
+  return { kind: 'complete', reason: `no fault with all requests; ${provenHosts} hosts have answered some` }
+}
+
+/** Decides at or after the deadline of a rollout that has not been completed. */
+function decideAtDeadline (view: RolloutView, elapsed: number): RolloutStep {
+  const { rollout, provenHosts } = view
+  if (provenHosts === 0) return { kind: 'roll-back', reason: 'the evidence is too thin: too few requests' }
+  if (rollout.share < 1) return { kind: 'roll-back', reason: 'the steps could not be written by the stated time' }
+  return decideAtFullShare(view, elapsed)
+}
 
 /** Decides the next step of a running rollout. */
 export function decideRolloutStep (view: RolloutView): RolloutStep {
-  const { rollout, storeNow, newVersionHosts, fault } = view
+  const { rollout, storeNow, newVersionHosts, provenHosts, fault } = view
   const elapsed = storeNow - rollout.startedAt
-  const sinceStep = storeNow - rollout.steppedAt
   if (fault !== undefined) return { kind: 'roll-back', reason: fault }
   if (newVersionHosts === 0) {
     return elapsed > rollout.durationMs * GIVE_UP_FROM
       ? { kind: 'roll-back', reason: 'no host serves the new version' }
       : { kind: 'hold' }
   }
-  if (rollout.share >= 1) {
-    const isComplete = elapsed >= rollout.durationMs * COMPLETE_FROM && sinceStep >= MIN_FULL_SHARE_MS
-    return isComplete ? { kind: 'complete', reason: 'no fault with all requests' } : { kind: 'hold' }
-  }
-  const next = PHASES.find(({ share }) => share > rollout.share)
-  if (next === undefined || elapsed < rollout.durationMs * next.from) return { kind: 'hold' }
-  if (rollout.share > 0 && sinceStep < MIN_STEP_MS) return { kind: 'hold' }
-  return { kind: 'share', share: next.share, reason: 'no fault so far' }
+  if (elapsed >= rollout.durationMs) return decideAtDeadline(view, elapsed)
+  const share = chooseShare(view, elapsed)
+  if (share === rollout.share) return share < 1 ? { kind: 'hold' } : decideAtFullShare(view, elapsed)
+  // The ramp share is held for a time even if it was reached late.
+  if (share > rollout.share && rollout.share > 0 && storeNow - rollout.steppedAt < MIN_RAMP_MS) return { kind: 'hold' }
+  const reason = provenHosts === 0 ? 'no evidence yet' : `no fault so far; ${provenHosts} hosts have answered requests`
+  return { kind: 'share', share, reason }
 }
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -94,6 +94,7 @@
   })
   const evidence = createVersionEvidence({
     run: Math.floor(random() * MAX_RUN_NUMBER),
+    onProven: () => { recordPublisher.update() },
     onCut: (service, version, { reason }) => {
       log('versionCutOff', { service, version, reason })
       recordPublisher.update()
--- a/packages/node/src/operations/createRolloutController.ts
+++ b/packages/node/src/operations/createRolloutController.ts
@@ -12,10 +12,12 @@
   readonly stop: () => void
 }
 
+/** Time for which an order may have been waiting when its rollout starts, in milliseconds. */
+const ORDER_DELAY_MS = 200
 /** Interval between checks of the rollouts, in milliseconds. */
-const CHECK_INTERVAL_MS = 200
+const CHECK_INTERVAL_MS = 100
 /** Additional delay per rank before a node writes a step, in milliseconds, so that usually only one node writes. */
-const RANK_DELAY_MS = 600
+const RANK_DELAY_MS = 200
 /** Highest rank that is used for the delay. */
 const MAX_RANK = 5
 
@@ -71,9 +73,8 @@
   function createRollout (
     to: string, order: number, durationMs: number, storeNow: number, state: MeshRollout['state'], share: number, reason: string
   ): MeshRollout {
-    return {
-      order, to, state, share, durationMs, reason, startedAt: storeNow, steppedAt: storeNow, controller: settings.host
-    }
+    const startedAt = storeNow - ORDER_DELAY_MS
+    return { order, to, state, share, durationMs, reason, startedAt, steppedAt: storeNow, controller: settings.host }
   }
 
   function planStep (release: Release, rollout: MeshRollout, storeNow: number): PlannedRelease | undefined {
@@ -82,6 +83,7 @@
       rollout,
       storeNow,
       newVersionHosts: versionHosts.filter(({ host }) => !health.isDown(host)).length,
+      provenHosts: versionHosts.filter(({ provenOrder }) => provenOrder === rollout.order).length,
       fault: evidence.findCut(release)?.reason
     })
     const next = { ...rollout, steppedAt: storeNow, controller: settings.host }
--- a/packages/node/src/rows/createHostRecordPublisher.ts
+++ b/packages/node/src/rows/createHostRecordPublisher.ts
@@ -19,7 +19,7 @@
   readonly view: Pick<MeshView, 'getHost' | 'getRelease'>
   readonly instance: InstanceState
   readonly recordWriter: HostRecordWriter
-  readonly evidence: Pick<VersionEvidence, 'findCut'>
+  readonly evidence: Pick<VersionEvidence, 'findCut' | 'isProven'>
 }
 
 /** Creates a publisher for the host in the settings; it publishes nothing until the backend server is known. */
@@ -33,7 +33,12 @@
     if (run === undefined) return undefined
     const leaving = instance.getLeavingSince() !== undefined
     const release = view.getRelease(settings.service)
-    const cut = release?.rollout?.to === run.version ? evidence.findCut(release) : undefined
+    const rollout = release?.rollout?.to === run.version ? release.rollout : undefined
+    const cut = release === undefined || rollout === undefined ? undefined : evidence.findCut(release)
+    const known = view.getHost(settings.host)
+    // A new process of this node has no evidence of its own yet.
+    const knownOrder = known?.instance === run.instance ? known.provenOrder : 0
+    const isProven = release !== undefined && rollout !== undefined && evidence.isProven(release)
     if (!leaving && !instance.isConfirmed()) return undefined
     return {
       host: settings.host,
@@ -50,7 +55,8 @@
       version: run.version,
       slots: run.slots,
       versionCut: cut !== undefined,
-      cutOrder: cut?.order ?? 0
+      cutOrder: cut?.order ?? 0,
+      provenOrder: isProven ? rollout.order : knownOrder
     }
   }
 
--- a/packages/node/tests/createJob.ts
+++ b/packages/node/tests/createJob.ts
@@ -42,6 +42,7 @@
     slots: 8,
     versionCut: false,
     cutOrder: 0,
+    provenOrder: 0,
     ...given
   }
 }
