fix: do not raise the share of a version because its evidence is late

Cause: only the host records told that servers had answered requests, and they could not be written while the store was silent. Change: hosts count that are known from reports too, and a step without evidence raises the share by 2.5 times at most. Evidence: two cases of rollouts.test.ts (the step after an outage, hosts known from reports); not run on the old code.

--- a/packages/decisions/src/serving/createVersionEvidence.ts
+++ b/packages/decisions/src/serving/createVersionEvidence.ts
@@ -42,6 +42,8 @@
   readonly findCut: (release: Release) => VersionCut | undefined
   /** True if the backend server beside this node has answered enough requests since the order of the latest rollout. */
   readonly isProven: (release: Release) => boolean
+  /** Backend servers of the version under rollout that have answered enough requests, as far as this node knows. */
+  readonly countProven: (release: Release) => number
   /** Report on the backend server beside this node; undefined without results of the latest rollout. */
   readonly composeReport: (release: Release | undefined) => EvidenceReport | undefined
 }
@@ -91,14 +93,14 @@
     return evidence
   }
 
-  function countSuccesses (release: Release): number {
+  function countSuccesses (results: ReportedResults | undefined): number {
     let successes = 0
-    for (const { requests, failures } of getEvidence(release).reports.get(OWN_KEY)?.routes.values() ?? []) {
-      successes += requests - failures
-    }
+    for (const { requests, failures } of results?.routes.values() ?? []) successes += requests - failures
     return successes
   }
 
+  const countOwnSuccesses = (release: Release): number => countSuccesses(getEvidence(release).reports.get(OWN_KEY))
+
   function applyCut (release: Release, evidence: RolloutEvidence, reason: string): void {
     if (evidence.cut !== undefined || release.rollout?.state !== 'running') return
     evidence.cut = { order: evidence.order, reason }
@@ -132,7 +134,7 @@
       routes.set(route, isCompared ? addLatency(counted, durationMs) : counted)
       evidence.reports.set(OWN_KEY, { version, routes })
       if (version !== release.rollout?.to) return
-      if (!failed && countSuccesses(release) === MIN_PROVEN_REQUESTS) onProven()
+      if (!failed && countOwnSuccesses(release) === MIN_PROVEN_REQUESTS) onProven()
       compareVersions(release, evidence)
     },
     merge: (release, host, report) => {
@@ -146,7 +148,9 @@
     },
     markCut: (release, reason) => { applyCut(release, getEvidence(release), reason) },
     findCut: (release) => getEvidence(release).cut,
-    isProven: (release) => countSuccesses(release) >= MIN_PROVEN_REQUESTS,
+    isProven: (release) => countOwnSuccesses(release) >= MIN_PROVEN_REQUESTS,
+    countProven: (release) => [...getEvidence(release).reports.values()].filter((results) =>
+      results.version === release.rollout?.to && countSuccesses(results) >= MIN_PROVEN_REQUESTS).length,
     composeReport: (release) => {
       if (release?.rollout?.state !== 'running') return undefined
       const evidence = getEvidence(release)
--- a/packages/decisions/src/serving/decideRolloutStep.ts
+++ b/packages/decisions/src/serving/decideRolloutStep.ts
@@ -48,6 +48,8 @@
   { from: 0.5, share: 0.5 },
   { from: 0.6, share: 1 }
 ] as const
+/** Most by which a step without evidence raises the share: the evidence may be late, as the store may be away. */
+const MAX_UNPROVEN_GROWTH = 2.5
 /** Fraction of the duration after which a version that no host serves is rolled back. */
 const GIVE_UP_FROM = 0.94
 
@@ -63,7 +65,8 @@
 /** Chooses the share for a time since the order; all requests follow only after the ramp share. */
 function chooseShare ({ rollout: { durationMs, share }, provenHosts }: RolloutView, elapsed: number): number {
   if (provenHosts === 0) {
-    return UNPROVEN_SHARES.reduce((chosen, phase) => elapsed >= durationMs * phase.from ? phase.share : chosen, 0)
+    const planned = UNPROVEN_SHARES.findLast(({ from }) => elapsed >= durationMs * from)?.share ?? 0
+    return Math.min(planned, Math.max(CANARY_SHARE, share * MAX_UNPROVEN_GROWTH))
   }
   const { rampFrom, fullFrom } = computeSchedule(durationMs)
   if (elapsed >= fullFrom && share >= RAMP_SHARE) return 1
--- a/packages/decisions/tests/serving/rollouts.test.ts
+++ b/packages/decisions/tests/serving/rollouts.test.ts
@@ -87,6 +87,7 @@
     const atShare = (share: number, provenHosts: number): unknown =>
       decideRolloutStep({ ...view, provenHosts, rollout: rollout({ share }) })
     expect(atShare(0.5, 0)).to.deep.equal({ kind: 'share', share: 1, reason: 'no evidence yet' })
+    expect(atShare(0.02, 0), 'after an outage of the store').to.deep.include({ kind: 'share', share: 0.05 })
     expect(atShare(1, 1)).to.deep.include({ kind: 'share', share: 0.02 })
   })
 
@@ -213,6 +214,17 @@
     expect(isCut(pool)).to.equal(false)
   })
 
+  it('counts hosts whose requests are known from reports as proven (guards against a share raised because records are late)', () => {
+    const pool = createEvidence()
+    for (const run of [1, 2]) {
+      const home = createEvidence(run)
+      for (let index = 0; index < 3 + run; index++) home.record(running, 'v2', answer(false))
+      const report = home.composeReport(running)
+      if (report !== undefined) pool.merge(running, `new-${run}`, report)
+    }
+    expect(pool.countProven(running)).to.equal(1)
+  })
+
   it('adopts the cut of another host, and keeps earlier results of one whose node has restarted (guards against forgotten evidence)', () => {
     const pool = createEvidence()
     const first = createEvidence(1)
--- a/packages/node/src/operations/createRolloutController.ts
+++ b/packages/node/src/operations/createRolloutController.ts
@@ -28,7 +28,7 @@
   readonly replica: Replica
   readonly store: StoreClient
   readonly health: HostHealth
-  readonly evidence: Pick<VersionEvidence, 'findCut'>
+  readonly evidence: Pick<VersionEvidence, 'findCut' | 'countProven'>
   /** Current time of the store's clock, in milliseconds; undefined if unknown. */
   readonly getStoreTime: () => number | undefined
   readonly onRows: (rows: ReturnType<Replica['merge']>) => void
@@ -79,11 +79,13 @@
 
   function planStep (release: Release, rollout: MeshRollout, storeNow: number): PlannedRelease | undefined {
     const versionHosts = view.listServing(release.service).filter(({ version }) => version === rollout.to)
+    const recorded = versionHosts.filter(({ provenOrder }) => provenOrder === rollout.order).length
     const step = decideRolloutStep({
       rollout,
       storeNow,
       newVersionHosts: versionHosts.filter(({ host }) => !health.isDown(host)).length,
-      provenHosts: versionHosts.filter(({ provenOrder }) => provenOrder === rollout.order).length,
+      // Records are late while the store is away, and reports come from hosts that this node sends to.
+      provenHosts: Math.max(recorded, evidence.countProven(release)),
       fault: evidence.findCut(release)?.reason
     })
     const next = { ...rollout, steppedAt: storeNow, controller: settings.host }
