fix(decisions): do not complete a rollout before the responses to all requests can show a fault

Its requests take 0.2 to 0.3 s, so that hardly any sent with the share of 1 had been answered when the rollout was completed 0.75 s later. And the order was taken up 1.2 s late, by a node that waited for those before it, which counted the time from then on. Change: all requests are held for four typical latencies of the old version at least, and for twenty requests more; the time counts from when the node first knew of the order. Ruled out: evidence that is not pooled; 11 hosts had answered.

--- a/packages/decisions/src/serving/createVersionEvidence.ts
+++ b/packages/decisions/src/serving/createVersionEvidence.ts
@@ -1,6 +1,6 @@
 import type { Release } from '@snipenotch/contracts'
 import { describeVersionFault, findVersionFault, type VersionFault } from './findVersionFault.js'
-import { addLatency, NO_ROUTE_EVIDENCE, type RouteEvidence, sumRoutes } from './RouteEvidence.js'
+import { addEvidence, addLatency, NO_ROUTE_EVIDENCE, type RouteEvidence, sumRoutes } from './RouteEvidence.js'
 
 /** Result of one request to a backend server whose service is being rolled out. */
 export interface VersionResult {
@@ -30,6 +30,14 @@
   readonly reason: string
 }
 
+/** Traffic of a service since the order of its latest rollout. */
+export interface RolloutTrafficRate {
+  /** Requests per second to both versions; 0 if unknown. */
+  readonly perSecond: number
+  /** Typical latency of the old version in milliseconds; 0 if unknown. */
+  readonly latencyMs: number
+}
+
 /** Evidence on versions under rollout, pooled over the backend servers of their services. */
 export interface VersionEvidence {
   /** Records a result of the backend server beside this node, which runs `version`. */
@@ -44,6 +52,8 @@
   readonly isProven: (release: Release) => boolean
   /** Backend servers of the version under rollout that have answered enough requests, as far as this node knows. */
   readonly countProven: (release: Release) => number
+  /** Traffic of the service in the `elapsedMs` since the order, as far as this node knows it. */
+  readonly measureTraffic: (release: Release, elapsedMs: number) => RolloutTrafficRate
   /** Report on the backend server beside this node; undefined without results of the latest rollout. */
   readonly composeReport: (release: Release | undefined) => EvidenceReport | undefined
 }
@@ -151,6 +161,16 @@
     isProven: (release) => countOwnSuccesses(release) >= MIN_PROVEN_REQUESTS,
     countProven: (release) => [...getEvidence(release).reports.values()].filter((results) =>
       results.version === release.rollout?.to && countSuccesses(results) >= MIN_PROVEN_REQUESTS).length,
+    measureTraffic: (release, elapsedMs) => {
+      const reports = [...getEvidence(release).reports.values()]
+      const sumAll = (results: readonly ReportedResults[]): RouteEvidence =>
+        results.flatMap(({ routes }) => [...routes.values()]).reduce(addEvidence, NO_ROUTE_EVIDENCE)
+      const reference = sumAll(reports.filter(({ version }) => version === release.stable))
+      return {
+        perSecond: elapsedMs > 0 ? sumAll(reports).requests / elapsedMs * 1000 : 0,
+        latencyMs: reference.timed === 0 ? 0 : Math.exp(reference.logSum / reference.timed)
+      }
+    },
     composeReport: (release) => {
       if (release?.rollout?.state !== 'running') return undefined
       const evidence = getEvidence(release)
--- a/packages/decisions/src/serving/decideRolloutStep.ts
+++ b/packages/decisions/src/serving/decideRolloutStep.ts
@@ -1,4 +1,5 @@
 import type { MeshRollout } from '@snipenotch/contracts'
+import type { RolloutTrafficRate } from './createVersionEvidence.js'
 
 /** Observed state of a rollout, as input for its controller. */
 export interface RolloutView {
@@ -9,6 +10,8 @@
   readonly newVersionHosts: number
   /** Number of those hosts that have answered requests since the order. */
   readonly provenHosts: number
+  /** Traffic of the service since the order, as far as it is known. */
+  readonly traffic: RolloutTrafficRate
   /** Why nodes have stopped sending requests to the new version; undefined while they do. */
   readonly fault: string | undefined
 }
@@ -32,6 +35,12 @@
 const FULL_FRACTION = 0.036
 /** Fraction of the duration after completion: time for a write that is late. */
 const RESERVE_FRACTION = 0.03
+/** Typical latencies for which all requests are held: a fault under load shows in the responses to them. */
+const FULL_LATENCIES = 4
+/** Requests for which all of them are held longer: a few more are no exposure of a service with little traffic. */
+const FULL_EXTRA_REQUESTS = 20
+/** Longest time that is added for them, in milliseconds. */
+const MAX_FULL_EXTRA_MS = 1000
 /** Minimum lengths of these times, in milliseconds: the time in which a fault at that share is found. */
 const MIN_RAMP_MS = 300
 const MIN_FULL_MS = 400
@@ -56,25 +65,29 @@
 interface Schedule { readonly rampFrom: number, readonly fullFrom: number, readonly completeFrom: number }
 
 /** Computes the times since the order, in milliseconds, at which the share of a proven version is raised. */
-function computeSchedule (durationMs: number): Schedule {
+function computeSchedule ({ rollout: { durationMs }, traffic: { perSecond, latencyMs } }: RolloutView): Schedule {
   const completeFrom = durationMs - Math.max(MIN_RESERVE_MS, durationMs * RESERVE_FRACTION)
-  const fullFrom = completeFrom - Math.max(MIN_FULL_MS, durationMs * FULL_FRACTION)
+  const extraMs = perSecond === 0 ? 0 : Math.min(MAX_FULL_EXTRA_MS, FULL_EXTRA_REQUESTS / perSecond * 1000)
+  const fullMs = Math.max(MIN_FULL_MS, durationMs * FULL_FRACTION, latencyMs * FULL_LATENCIES) + extraMs
+  const fullFrom = completeFrom - fullMs
   return { completeFrom, fullFrom, rampFrom: fullFrom - Math.max(MIN_RAMP_MS, durationMs * RAMP_FRACTION) }
 }
 
 /** Chooses the share for a time since the order; all requests follow only after the ramp share. */
-function chooseShare ({ rollout: { durationMs, share }, provenHosts }: RolloutView, elapsed: number): number {
+function chooseShare (view: RolloutView, elapsed: number): number {
+  const { rollout: { durationMs, share }, provenHosts } = view
   if (provenHosts === 0) {
     const planned = UNPROVEN_SHARES.findLast(({ from }) => elapsed >= durationMs * from)?.share ?? 0
     return Math.min(planned, Math.max(CANARY_SHARE, share * MAX_UNPROVEN_GROWTH))
   }
-  const { rampFrom, fullFrom } = computeSchedule(durationMs)
+  const { rampFrom, fullFrom } = computeSchedule(view)
   if (elapsed >= fullFrom && share >= RAMP_SHARE) return 1
   return elapsed >= rampFrom ? RAMP_SHARE : CANARY_SHARE
 }
 
-function decideAtFullShare ({ rollout, storeNow, provenHosts }: RolloutView, elapsed: number): RolloutStep {
-  const { fullFrom, completeFrom } = computeSchedule(rollout.durationMs)
+function decideAtFullShare (view: RolloutView, elapsed: number): RolloutStep {
+  const { rollout, storeNow, provenHosts } = view
+  const { fullFrom, completeFrom } = computeSchedule(view)
   // Requests to the old version have ended by then.
   const isDue = elapsed >= completeFrom && storeNow - rollout.steppedAt >= completeFrom - fullFrom
   if (!isDue || provenHosts === 0) return { kind: 'hold' }
--- a/packages/decisions/tests/serving/rollouts.test.ts
+++ b/packages/decisions/tests/serving/rollouts.test.ts
@@ -19,13 +19,15 @@
 const release = (given: Partial<Release> = {}): Release =>
   ({ service: 's', stable: 'v1', denied: [], rollout: rollout({ share: 0.1 }), ...given })
 
+const NO_TRAFFIC = { perSecond: 0, latencyMs: 0 }
+
 /** Simulates a rollout that is evaluated every 200 ms; returns the time, kind and share of each step. */
-function replaySteps (durationMs: number, cutFrom = Infinity): Array<[number, string, number]> {
+function replaySteps (durationMs: number, cutFrom = Infinity, traffic = NO_TRAFFIC): Array<[number, string, number]> {
   const steps: Array<[number, string, number]> = []
   let current = rollout({ durationMs })
   for (let storeNow = 0; storeNow <= durationMs * 1.2 && current.state === 'running'; storeNow += 200) {
     const step = decideRolloutStep({
-      rollout: current, storeNow, newVersionHosts: 4, provenHosts: 4, fault: storeNow >= cutFrom ? 'a host cut it' : undefined
+      rollout: current, storeNow, newVersionHosts: 4, provenHosts: 4, traffic, fault: storeNow >= cutFrom ? 'a host cut it' : undefined
     })
     if (step.kind === 'hold') continue
     const share = step.kind === 'share' ? step.share : current.share
@@ -44,7 +46,7 @@
 
 /** Counts the requests to a version that turns bad at `badFrom`, beyond the allowed exposure of the whole duration. */
 function measureExcessExposure (durationMs: number, badFrom: number, perSecond: number): number {
-  const steps = replaySteps(durationMs, badFrom + DETECTION_MS)
+  const steps = replaySteps(durationMs, badFrom + DETECTION_MS, { perSecond, latencyMs: 50 })
   let exposed = 0
   for (const [index, [at, kind, share]] of steps.entries()) {
     const until = Math.min(durationMs, steps[index + 1]?.[0] ?? durationMs)
@@ -78,12 +80,19 @@
     })
   }
 
+  it('holds all requests for several latencies of a slow service (guards against completion before a fault under load shows)', () => {
+    const steps = replaySteps(14_000, Infinity, { perSecond: 500, latencyMs: 220 })
+    const [full, end] = [steps.find(([, , share]) => share === 1), steps.at(-1)]
+    expect((end?.[0] ?? 0) - (full?.[0] ?? 0)).to.be.at.least(880)
+    expect(end?.[0]).to.be.lessThan(14_000)
+  })
+
   it('rolls back once a fault is found', () => {
     expect(replaySteps(15_000, 3000).at(-1)).to.deep.equal([3000, 'roll-back', 0.02])
   })
 
   it('raises the share of a version without evidence, and lowers it once there is some', () => {
-    const view = { storeNow: 9000, newVersionHosts: 2, fault: undefined }
+    const view = { storeNow: 9000, newVersionHosts: 2, traffic: NO_TRAFFIC, fault: undefined }
     const atShare = (share: number, provenHosts: number): unknown =>
       decideRolloutStep({ ...view, provenHosts, rollout: rollout({ share }) })
     expect(atShare(0.5, 0)).to.deep.equal({ kind: 'share', share: 1, reason: 'no evidence yet' })
@@ -92,14 +101,14 @@
   })
 
   it('rolls back at the deadline without evidence, or if not all requests are moved (guards against late rollouts)', () => {
-    const view = { storeNow: 15_000, newVersionHosts: 2, fault: undefined }
+    const view = { storeNow: 15_000, newVersionHosts: 2, traffic: NO_TRAFFIC, fault: undefined }
     expect(decideRolloutStep({ ...view, provenHosts: 0, rollout: rollout({ share: 1 }) }).kind).to.equal('roll-back')
     expect(decideRolloutStep({ ...view, provenHosts: 2, rollout: rollout({ share: 0.02 }) }).kind).to.equal('roll-back')
     expect(decideRolloutStep({ ...view, provenHosts: 2, rollout: rollout({ share: 1 }) }).kind).to.equal('complete')
   })
 
   it('rolls back a version that no host serves before the end of the duration', () => {
-    const view = { rollout: rollout(), newVersionHosts: 0, provenHosts: 0, fault: undefined }
+    const view = { rollout: rollout(), newVersionHosts: 0, provenHosts: 0, traffic: NO_TRAFFIC, fault: undefined }
     expect(decideRolloutStep({ ...view, storeNow: 10_000 }).kind).to.equal('hold')
     expect(decideRolloutStep({ ...view, storeNow: 14_500 }).kind).to.equal('roll-back')
   })
--- a/packages/node/src/operations/createRolloutController.ts
+++ b/packages/node/src/operations/createRolloutController.ts
@@ -28,7 +28,7 @@
   readonly replica: Replica
   readonly store: StoreClient
   readonly health: HostHealth
-  readonly evidence: Pick<VersionEvidence, 'findCut' | 'countProven'>
+  readonly evidence: Pick<VersionEvidence, 'findCut' | 'countProven' | 'measureTraffic'>
   /** Current time of the store's clock, in milliseconds; undefined if unknown. */
   readonly getStoreTime: () => number | undefined
   readonly onRows: (rows: ReturnType<Replica['merge']>) => void
@@ -42,6 +42,8 @@
   const { settings, clock, log, counters, ticker } = context
   /** The step that is due for each service, and the time since which it has been due. */
   const dueSince = new Map<string, { readonly step: string, readonly at: number }>()
+  /** Orders that have not been taken up, and the time since which they are known. */
+  const waitingOrders = new Map<string, { readonly version: number, readonly seenAt: number }>()
   let stopChecks: (() => void) | undefined
   let isWriting = false
 
@@ -62,18 +64,21 @@
     release: Release, { order, version }: VersionedRolloutOrder, storeNow: number
   ): PlannedRelease | undefined {
     if (release.rollout !== null && release.rollout.order >= version) return undefined
+    if (waitingOrders.get(order.service)?.version !== version) {
+      waitingOrders.set(order.service, { version, seenAt: clock.now() })
+    }
     if (release.stable === order.to) {
-      const rollout = createRollout(order.to, version, order.durationMs, storeNow, 'completed', 1, 'already stable')
+      const rollout = createRollout(order.service, order.to, version, order.durationMs, storeNow, 'completed', 1, 'already stable')
       return { release: { ...release, rollout }, reason: 'already stable' }
     }
-    const rollout = createRollout(order.to, version, order.durationMs, storeNow, 'running', 0, 'ordered')
+    const rollout = createRollout(order.service, order.to, version, order.durationMs, storeNow, 'running', 0, 'ordered')
     return { release: { ...release, denied: release.denied.filter((name) => name !== order.to), rollout }, reason: 'ordered' }
   }
 
   function createRollout (
-    to: string, order: number, durationMs: number, storeNow: number, state: MeshRollout['state'], share: number, reason: string
+    service: string, to: string, order: number, durationMs: number, storeNow: number, state: MeshRollout['state'], share: number, reason: string
   ): MeshRollout {
-    const startedAt = storeNow - ORDER_DELAY_MS
+    const startedAt = storeNow - ORDER_DELAY_MS - (clock.now() - (waitingOrders.get(service)?.seenAt ?? clock.now()))
     return { order, to, state, share, durationMs, reason, startedAt, steppedAt: storeNow, controller: settings.host }
   }
 
@@ -86,6 +91,7 @@
       newVersionHosts: versionHosts.filter(({ host }) => !health.isDown(host)).length,
       // Records are late while the store is away, and reports come from hosts that this node sends to.
       provenHosts: Math.max(recorded, evidence.countProven(release)),
+      traffic: evidence.measureTraffic(release, storeNow - rollout.startedAt),
       fault: evidence.findCut(release)?.reason
     })
     const next = { ...rollout, steppedAt: storeNow, controller: settings.host }
--- a/packages/node/tests/backgroundLoops.test.ts
+++ b/packages/node/tests/backgroundLoops.test.ts
@@ -186,7 +186,11 @@
       replica: createReplica(),
       store: createStore(failOnce(done)),
       health: { isDown: () => false, markDown: () => undefined, close: () => undefined },
-      evidence: { findCut: () => undefined, countProven: () => 0 },
+      evidence: {
+        findCut: () => undefined,
+        countProven: () => 0,
+        measureTraffic: () => ({ perSecond: 0, latencyMs: 0 })
+      },
       getStoreTime: () => 1,
       onRows: () => undefined
     })
