fix: do not complete a rollout while its version appears worse than the old one

Cause: completion asked only whether a fault was proven (p below 1e-5), not whether one was likely. Change: while failures are more frequent than the old version's with p below 0.01, on a route or in total, the rollout is not completed; at the deadline it is rolled back. Evidence: two new tests of rollouts.test.ts; decisions that did not exist before, so not run on the old code.

--- a/packages/decisions/src/serving/createVersionEvidence.ts
+++ b/packages/decisions/src/serving/createVersionEvidence.ts
@@ -1,5 +1,5 @@
 import type { Release } from '@snipenotch/contracts'
-import { describeVersionFault, findVersionFault, type VersionFault } from './findVersionFault.js'
+import { describeVersionFault, findVersionFault, isVersionSuspected, type VersionFault } from './findVersionFault.js'
 import { addEvidence, addLatency, NO_ROUTE_EVIDENCE, type RouteEvidence, sumRoutes } from './RouteEvidence.js'
 
 /** Result of one request to a backend server whose service is being rolled out. */
@@ -48,6 +48,8 @@
   readonly markCut: (release: Release, reason: string) => void
   /** Returns the cut of the service's latest rollout; undefined if there is none. */
   readonly findCut: (release: Release) => VersionCut | undefined
+  /** True if the version under rollout appears to fail more often than the old one, though it is not proven. */
+  readonly isSuspected: (release: Release) => boolean
   /** True if the backend server beside this node has answered enough requests since the order of the latest rollout. */
   readonly isProven: (release: Release) => boolean
   /** Backend servers of the version under rollout that have answered enough requests, as far as this node knows. */
@@ -111,6 +113,10 @@
 
   const countOwnSuccesses = (release: Release): number => countSuccesses(getEvidence(release).reports.get(OWN_KEY))
 
+  function sumVersion ({ reports }: RolloutEvidence, version: string): Map<string, RouteEvidence> {
+    return sumRoutes([...reports.values()].filter((report) => report.version === version).map(({ routes }) => routes))
+  }
+
   function applyCut (release: Release, evidence: RolloutEvidence, reason: string): void {
     if (evidence.cut !== undefined || release.rollout?.state !== 'running') return
     evidence.cut = { order: evidence.order, reason }
@@ -120,10 +126,8 @@
   function compareVersions (release: Release, evidence: RolloutEvidence): void {
     const { rollout, stable } = release
     if (evidence.cut !== undefined || rollout?.state !== 'running') return
-    const reports = [...evidence.reports.values()]
-    const sumVersion = (version: string): Map<string, RouteEvidence> =>
-      sumRoutes(reports.filter((report) => report.version === version).map(({ routes }) => routes))
-    const fault: VersionFault | undefined = findVersionFault(sumVersion(rollout.to), sumVersion(stable))
+    const fault: VersionFault | undefined =
+      findVersionFault(sumVersion(evidence, rollout.to), sumVersion(evidence, stable))
     if (fault !== undefined) applyCut(release, evidence, describeVersionFault(rollout.to, stable, fault))
   }
 
@@ -158,6 +162,11 @@
     },
     markCut: (release, reason) => { applyCut(release, getEvidence(release), reason) },
     findCut: (release) => getEvidence(release).cut,
+    isSuspected: (release) => {
+      const evidence = getEvidence(release)
+      return release.rollout !== null &&
+        isVersionSuspected(sumVersion(evidence, release.rollout.to), sumVersion(evidence, release.stable))
+    },
     isProven: (release) => countOwnSuccesses(release) >= MIN_PROVEN_REQUESTS,
     countProven: (release) => [...getEvidence(release).reports.values()].filter((results) =>
       results.version === release.rollout?.to && countSuccesses(results) >= MIN_PROVEN_REQUESTS).length,
--- a/packages/decisions/src/serving/decideRolloutStep.ts
+++ b/packages/decisions/src/serving/decideRolloutStep.ts
@@ -12,6 +12,8 @@
   readonly provenHosts: number
   /** Traffic of the service since the order, as far as it is known. */
   readonly traffic: RolloutTrafficRate
+  /** True if the new version appears to fail more often than the old one, though it is not proven. */
+  readonly isSuspected: boolean
   /** Why nodes have stopped sending requests to the new version; undefined while they do. */
   readonly fault: string | undefined
 }
@@ -86,11 +88,11 @@
 }
 
 function decideAtFullShare (view: RolloutView, elapsed: number): RolloutStep {
-  const { rollout, storeNow, provenHosts } = view
+  const { rollout, storeNow, provenHosts, isSuspected } = view
   const { fullFrom, completeFrom } = computeSchedule(view)
   // Requests to the old version have ended by then.
   const isDue = elapsed >= completeFrom && storeNow - rollout.steppedAt >= completeFrom - fullFrom
-  if (!isDue || provenHosts === 0) return { kind: 'hold' }
+  if (!isDue || provenHosts === 0 || isSuspected) return { kind: 'hold' }
   return { kind: 'complete', reason: `no fault with all requests; ${provenHosts} hosts have answered some` }
 }
 
@@ -98,6 +100,7 @@
 function decideAtDeadline (view: RolloutView, elapsed: number): RolloutStep {
   const { rollout, provenHosts } = view
   if (provenHosts === 0) return { kind: 'roll-back', reason: 'the evidence is too thin: too few requests' }
+  if (view.isSuspected) return { kind: 'roll-back', reason: 'appears to fail more often than the old version' }
   if (rollout.share < 1) return { kind: 'roll-back', reason: 'the steps could not be written by the stated time' }
   return decideAtFullShare(view, elapsed)
 }
--- a/packages/decisions/src/serving/findVersionFault.ts
+++ b/packages/decisions/src/serving/findVersionFault.ts
@@ -1,4 +1,4 @@
-import { compareCounts } from '../rollouts/compareCounts.js'
+import { type Comparison, compareCounts } from '../rollouts/compareCounts.js'
 import { addEvidence, NO_ROUTE_EVIDENCE, type RouteEvidence } from './RouteEvidence.js'
 
 /** How a new version is worse than the old one. */
@@ -12,6 +12,8 @@
 
 /** Probability below which a difference is a fault of the version: it is tested after each request. */
 const FAULT_P_VALUE = 1e-5
+/** Probability below which a difference is a suspicion: enough to wait for more evidence. */
+const SUSPICION_P_VALUE = 0.01
 /** Minimum number of failures or slow responses; fewer occur in any version. */
 const MIN_BAD_RESPONSES = 5
 /** Minimum share of slow responses; a version that has just taken over all requests is slow for a few of them. */
@@ -41,9 +43,13 @@
   return excess > LATENCY_Z_SCORE * Math.sqrt(found.squaredError + expected.squaredError)
 }
 
-function findWorseMeasure (candidate: RouteEvidence, known: RouteEvidence): VersionFault['measure'] | undefined {
+function compareWithReference (candidate: RouteEvidence, known: RouteEvidence): Comparison {
   const reference = known.requests < ASSUMED_REFERENCE.requests ? ASSUMED_REFERENCE : known
-  const { measure, pValue } = compareCounts({ ...candidate, latencySum: 0 }, { ...reference, latencySum: 0 })
+  return compareCounts({ ...candidate, latencySum: 0 }, { ...reference, latencySum: 0 })
+}
+
+function findWorseMeasure (candidate: RouteEvidence, known: RouteEvidence): VersionFault['measure'] | undefined {
+  const { measure, pValue } = compareWithReference(candidate, known)
   const isProven = pValue < FAULT_P_VALUE && candidate[measure] >= MIN_BAD_RESPONSES
   if (isProven && (measure === 'failures' || candidate.slow >= candidate.requests * MIN_SLOW_SHARE)) return measure
   return undefined
@@ -69,6 +75,21 @@
     : { measure, route: undefined, candidate: total, reference: totalReference }
 }
 
+/** True if the new version appears to fail more often than the old one, on a route or in total, without proof. */
+export function isVersionSuspected (
+  candidate: ReadonlyMap<string, RouteEvidence>, reference: ReadonlyMap<string, RouteEvidence>
+): boolean {
+  const isSuspected = (found: RouteEvidence, expected: RouteEvidence): boolean => {
+    const { measure, pValue } = compareWithReference(found, expected)
+    return measure === 'failures' && pValue < SUSPICION_P_VALUE
+  }
+  const isAnyRoute = [...candidate].some(([route, found]) =>
+    isSuspected(found, reference.get(route) ?? NO_ROUTE_EVIDENCE))
+  const sumAll = (routes: ReadonlyMap<string, RouteEvidence>): RouteEvidence =>
+    [...routes.values()].reduce(addEvidence, NO_ROUTE_EVIDENCE)
+  return isAnyRoute || isSuspected(sumAll(candidate), sumAll(reference))
+}
+
 /** Describes a fault for the log and the rollout's reason. */
 export function describeVersionFault (to: string, stable: string, fault: VersionFault): string {
   const { measure, route, candidate, reference } = fault
--- a/packages/decisions/tests/serving/rollouts.test.ts
+++ b/packages/decisions/tests/serving/rollouts.test.ts
@@ -27,7 +27,7 @@
   let current = rollout({ durationMs })
   for (let storeNow = 0; storeNow <= durationMs * 1.2 && current.state === 'running'; storeNow += 200) {
     const step = decideRolloutStep({
-      rollout: current, storeNow, newVersionHosts: 4, provenHosts: 4, traffic, fault: storeNow >= cutFrom ? 'a host cut it' : undefined
+      rollout: current, storeNow, newVersionHosts: 4, provenHosts: 4, traffic, isSuspected: false, fault: storeNow >= cutFrom ? 'a host cut it' : undefined
     })
     if (step.kind === 'hold') continue
     const share = step.kind === 'share' ? step.share : current.share
@@ -92,7 +92,7 @@
   })
 
   it('raises the share of a version without evidence, and lowers it once there is some', () => {
-    const view = { storeNow: 9000, newVersionHosts: 2, traffic: NO_TRAFFIC, fault: undefined }
+    const view = { storeNow: 9000, newVersionHosts: 2, traffic: NO_TRAFFIC, isSuspected: false, fault: undefined }
     const atShare = (share: number, provenHosts: number): unknown =>
       decideRolloutStep({ ...view, provenHosts, rollout: rollout({ share }) })
     expect(atShare(0.5, 0)).to.deep.equal({ kind: 'share', share: 1, reason: 'no evidence yet' })
@@ -100,15 +100,23 @@
     expect(atShare(1, 1)).to.deep.include({ kind: 'share', share: 0.02 })
   })
 
+  it('does not complete a version under suspicion (guards against completion just before the proof)', () => {
+    const full = rollout({ share: 1 })
+    const view = { newVersionHosts: 2, provenHosts: 2, traffic: NO_TRAFFIC, fault: undefined, rollout: full }
+    expect(decideRolloutStep({ ...view, storeNow: 14_800, isSuspected: false }).kind).to.equal('complete')
+    expect(decideRolloutStep({ ...view, storeNow: 14_800, isSuspected: true }).kind).to.equal('hold')
+    expect(decideRolloutStep({ ...view, storeNow: 15_000, isSuspected: true }).kind).to.equal('roll-back')
+  })
+
   it('rolls back at the deadline without evidence, or if not all requests are moved (guards against late rollouts)', () => {
-    const view = { storeNow: 15_000, newVersionHosts: 2, traffic: NO_TRAFFIC, fault: undefined }
+    const view = { storeNow: 15_000, newVersionHosts: 2, traffic: NO_TRAFFIC, isSuspected: false, fault: undefined }
     expect(decideRolloutStep({ ...view, provenHosts: 0, rollout: rollout({ share: 1 }) }).kind).to.equal('roll-back')
     expect(decideRolloutStep({ ...view, provenHosts: 2, rollout: rollout({ share: 0.02 }) }).kind).to.equal('roll-back')
     expect(decideRolloutStep({ ...view, provenHosts: 2, rollout: rollout({ share: 1 }) }).kind).to.equal('complete')
   })
 
   it('rolls back a version that no host serves before the end of the duration', () => {
-    const view = { rollout: rollout(), newVersionHosts: 0, provenHosts: 0, traffic: NO_TRAFFIC, fault: undefined }
+    const view = { rollout: rollout(), newVersionHosts: 0, provenHosts: 0, traffic: NO_TRAFFIC, isSuspected: false, fault: undefined }
     expect(decideRolloutStep({ ...view, storeNow: 10_000 }).kind).to.equal('hold')
     expect(decideRolloutStep({ ...view, storeNow: 14_500 }).kind).to.equal('roll-back')
   })
@@ -213,6 +221,20 @@
     expect([compare(40, 40, 20), compare(160, 160, 20), compare(400, 400, 20)]).to.deep.equal([false, false, false])
   })
 
+  it('suspects a version before its fault is proven, and not one that is as good as the old one', () => {
+    const findSuspicion = (failures: number): boolean[] => {
+      const pool = createEvidence()
+      const stable = createEvidence(2)
+      for (let index = 0; index < 300; index++) stable.record(running, 'v1', answer(index % 150 === 0))
+      const report = stable.composeReport(running)
+      if (report !== undefined) pool.merge(running, 'old', report)
+      for (let index = 0; index < 30; index++) pool.record(running, 'v2', answer(index < failures))
+      return [pool.isSuspected(running), isCut(pool)]
+    }
+    expect([findSuspicion(0), findSuspicion(1)]).to.deep.equal([[false, false], [false, false]])
+    expect(findSuspicion(4)).to.deep.equal([true, false])
+  })
+
   it('keeps a version of which only few requests fail', () => {
     const pool = createEvidence()
     const stable = createEvidence(2)
--- a/packages/node/src/operations/createRolloutController.ts
+++ b/packages/node/src/operations/createRolloutController.ts
@@ -28,7 +28,7 @@
   readonly replica: Replica
   readonly store: StoreClient
   readonly health: HostHealth
-  readonly evidence: Pick<VersionEvidence, 'findCut' | 'countProven' | 'measureTraffic'>
+  readonly evidence: Pick<VersionEvidence, 'findCut' | 'countProven' | 'isSuspected' | 'measureTraffic'>
   /** Current time of the store's clock, in milliseconds; undefined if unknown. */
   readonly getStoreTime: () => number | undefined
   readonly onRows: (rows: ReturnType<Replica['merge']>) => void
@@ -92,6 +92,7 @@
       // Records are late while the store is away, and reports come from hosts that this node sends to.
       provenHosts: Math.max(recorded, evidence.countProven(release)),
       traffic: evidence.measureTraffic(release, storeNow - rollout.startedAt),
+      isSuspected: evidence.isSuspected(release),
       fault: evidence.findCut(release)?.reason
     })
     const next = { ...rollout, steppedAt: storeNow, controller: settings.host }
--- a/packages/node/tests/backgroundLoops.test.ts
+++ b/packages/node/tests/backgroundLoops.test.ts
@@ -189,6 +189,7 @@
       evidence: {
         findCut: () => undefined,
         countProven: () => 0,
+        isSuspected: () => false,
         measureTraffic: () => ({ perSecond: 0, latencyMs: 0 })
       },
       getStoreTime: () => 1,
