--- a/packages/decisions/tests/serving/rollouts.test.ts
+++ b/packages/decisions/tests/serving/rollouts.test.ts
@@ -116,7 +116,8 @@
   })
 
   it('rolls back a version that no host serves before the end of the duration', () => {
-    const view = { rollout: rollout(), newVersionHosts: 0, provenHosts: 0, traffic: NO_TRAFFIC, isSuspected: false, fault: undefined }
+    const unserved = { newVersionHosts: 0, provenHosts: 0, traffic: NO_TRAFFIC, isSuspected: false, fault: undefined }
+    const view = { ...unserved, rollout: rollout() }
     expect(decideRolloutStep({ ...view, storeNow: 10_000 }).kind).to.equal('hold')
     expect(decideRolloutStep({ ...view, storeNow: 14_500 }).kind).to.equal('roll-back')
   })
