--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -74,7 +74,7 @@
   const traffic = requesters.flatMap((requester, index) => ROUTES.map((route) =>
     sendAll(requester, route, route.service === mesh.machines[index].service ? OWN_INTERVAL_MS : OTHER_INTERVAL_MS)))
   await sleep(TROUBLE_FROM_MS)
-  for (let count = 0; hasTrouble && count < TROUBLES; count++) {
+  for (let count = 0; count < (hasTrouble ? TROUBLES : 0); count++) {
     isSpoiling = true
     record.add('trouble', { instances: SPOILING_INSTANCES, share: SPOILED_SHARE })
     await sleep(TROUBLE_MS)
@@ -95,6 +95,7 @@
     unansweredAtTimeout: atTimeout.length,
     unansweredHalfASecondLater: later.length,
     neverAnswered: results.filter(({ outcome }) => outcome === 'unanswered').length,
-    failedThoughTheirAnswerWasSound: results.filter(({ status, attempt }) => status !== 200 && !spoiled.has(attempt)).length
+    failedThoughTheirAnswerWasSound: results.filter(({ status, attempt }) =>
+      status !== 200 && !spoiled.has(attempt)).length
   }
 })
--- a/review/lib/instance.mjs
+++ b/review/lib/instance.mjs
@@ -62,8 +62,10 @@
     }).end(body)
   }
 
+  const hasRoom = () => running < slots
+
   function startNext () {
-    while (running < slots && waiting.length > 0) waiting.shift()()
+    while (waiting.length > 0 && hasRoom()) waiting.shift()()
   }
 
   function run (incoming, response, attempt, body) {
@@ -110,7 +112,7 @@
       answer(response, 400, { 'Snipenotch-Not-Executed': '1' })
     } else if (target !== undefined && target !== id) {
       answer(response, 421, { 'Snipenotch-Instance-Id': id, 'Snipenotch-Attempt-Id': attempt })
-    } else if (running < slots) {
+    } else if (hasRoom()) {
       run(incoming, response, attempt, body)
     } else if (waiting.length < QUEUE) {
       const begin = () => { run(incoming, response, attempt, body) }
