--- a/review/lib/mesh.mjs
+++ b/review/lib/mesh.mjs
@@ -331,12 +331,15 @@
 export async function runCase (folder, play) {
   const hasTrouble = process.env.TROUBLE !== '0'
   const record = createRecord(folder)
-  const limit = setTimeout(() => {
-    console.log('the case took too long')
+  const closers = []
+  async function giveUp (reason) {
+    console.log(reason)
+    for (const closer of closers) await closer()
     process.exit(2)
-  }, 118_000)
+  }
+  const limit = setTimeout(() => { giveUp('the case took too long') }, 115_000)
+  for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => { giveUp(`ended by ${signal}`) })
   let code = 2
-  const closers = []
   try {
     const verdict = await play({ record, hasTrouble, onClose: (closer) => { closers.push(closer) } })
     record.add('verdict', verdict)
