fix(node): answer requests whose response has a head that cannot be sent on

Cause: the HTTP parser of Node.js accepts such heads, its writer refuses them. The node beside the backend server passed them on; at the caller's node, writeHead threw after the timer of the request had been cleared, and nothing ended the request any more.

Fix: the node beside the backend server checks status and headers with the validators of Node.js as the head arrives. A malformed response is lost, with the reason and counter answer-malformed, and counts against the instance like other faulty responses; an idempotent request is sent to another one. A caller's node that gets such a head from a node of an earlier build answers 502. A final response with status 101 is malformed as well: its caller would wait for another one.

Seen failing on: the property test (random heads over real sockets), four cases of createBackendClient, three of createEntryServer. Ruled out: the timer of the request at its node, which was set and had been cleared by endOnce; a lost message between the nodes, since the outcome had arrived.

--- a/packages/contracts/src/mesh/servingReasons.ts
+++ b/packages/contracts/src/mesh/servingReasons.ts
@@ -39,6 +39,8 @@
   | 'answer-truncated'
   | 'answer-mismatched'
   | 'answer-unsigned'
+  /** The head of the response is accepted by the HTTP parser but cannot be sent to the caller. */
+  | 'answer-malformed'
   /** The response exceeds the maximum length expected of a backend server. */
   | 'answer-endless'
   | 'host-silent'
--- a/packages/node/src/entry/createCallerResponder.ts
+++ b/packages/node/src/entry/createCallerResponder.ts
@@ -46,14 +46,21 @@
 export function createCallerResponder ({ context, view, isLastOnConnection }: CallerResponderOptions): CallerResponder {
   const { clock, log, counters, random } = context
 
-  function send (callerRequest: CallerRequest, status: number, headers: readonly string[], body: Buffer): void {
-    const { incoming, response } = callerRequest
-    if (response.destroyed || response.headersSent) return
+  /** Sends a response; returns false if its head cannot be written. */
+  function send (callerRequest: CallerRequest, status: number, headers: readonly string[], body: Buffer): boolean {
+    const { incoming, response, attemptId } = callerRequest
+    if (response.destroyed || response.headersSent) return true
     const connection = isLastOnConnection(callerRequest) ? ['Connection', 'close'] : []
     const hasNoBody = incoming.method === 'HEAD' || status === 204 || status === 304
     const length = hasNoBody ? [] : ['Content-Length', String(body.length)]
-    response.writeHead(status, [...headers, ...length, ...connection])
+    try {
+      response.writeHead(status, [...headers, ...length, ...connection])
+    } catch (error) {
+      log('internalError', { request: attemptId, error: String(error) })
+      return false
+    }
     response.end(hasNoBody ? undefined : body)
+    return true
   }
 
   function sendNodeResponse (
@@ -63,7 +70,8 @@
       ? []
       : ['Retry-After', computeRetryAfter(retryAfterMs, random, MAX_RETRY_AFTER_MS[reason])]
     const echo = [PLATFORM_HEADERS.attemptId, callerRequest.attemptId]
-    send(callerRequest, status, [...echo, 'Content-Type', 'text/plain', ...retryAfter], Buffer.from(`${reason}\n`))
+    const headers = [...echo, 'Content-Type', 'text/plain', ...retryAfter]
+    if (!send(callerRequest, status, headers, Buffer.from(`${reason}\n`))) callerRequest.response.destroy()
   }
 
   function refuse (
@@ -106,6 +114,12 @@
     outcome: Extract<JobOutcome, { kind: 'answered' }>,
     result: ExchangeResult
   ): void {
+    // The node beside the backend server checks the head; one of an earlier build does not.
+    if (!send(callerRequest, outcome.status, outcome.headers, outcome.body)) {
+      counters.count('serving_losses', 'answer-malformed')
+      fail(callerRequest, route, 502, 'answer-malformed', result)
+      return
+    }
     counters.count('serving_requests', 'answered')
     const durationMs = clock.now() - callerRequest.arrivedAt
     counters.record('request', durationMs)
@@ -119,7 +133,6 @@
       transitMs: formatDuration(result.outcome.transitMs),
       configuration: view.getConfiguration()?.version
     })
-    send(callerRequest, outcome.status, outcome.headers, outcome.body)
   }
 
   function handleResult (callerRequest: CallerRequest, route: MeshRoute, result: ExchangeResult): void {
--- a/packages/node/src/home/createBackendClient.ts
+++ b/packages/node/src/home/createBackendClient.ts
@@ -1,5 +1,5 @@
 import type { ServingLossReason } from '@snipenotch/contracts'
-import { BoundedKeepAliveAgent, selectHeaders } from '@snipenotch/daemon'
+import { BoundedKeepAliveAgent, findResponseHeadFault, selectHeaders } from '@snipenotch/daemon'
 import { createSilenceDetector, type TrackedCall } from '@snipenotch/decisions'
 import { decodeInstanceLoad, type InstanceLoad, PLATFORM_HEADERS } from '@snipenotch/platform'
 import { request, type IncomingMessage } from 'node:http'
@@ -87,12 +87,21 @@
   return headers
 }
 
+interface ResponseFault {
+  readonly reason: ServingLossReason
+  readonly detail: string
+}
+
 /** Returns why a response cannot be the complete response to this request; undefined if it can. */
-function findResponseFault (job: BackendJob, incoming: IncomingMessage): ServingLossReason | undefined {
-  if (incoming.headers[PLATFORM_HEADERS.attemptId] !== job.attemptId) return 'answer-mismatched'
-  if (incoming.headers['content-encoding'] !== undefined) return 'answer-mismatched'
-  const isSuccess = (incoming.statusCode ?? 0) >= 200 && (incoming.statusCode ?? 0) < 300
-  if (isSuccess && incoming.headers[PLATFORM_HEADERS.signature] === undefined) return 'answer-unsigned'
+function findResponseFault (job: BackendJob, incoming: IncomingMessage): ResponseFault | undefined {
+  const { headers, rawHeaders, statusCode = 0 } = incoming
+  const headFault = findResponseHeadFault(statusCode, rawHeaders)
+  if (headFault !== undefined) return { reason: 'answer-malformed', detail: headFault }
+  const detail = `status ${statusCode}`
+  if (headers[PLATFORM_HEADERS.attemptId] !== job.attemptId) return { reason: 'answer-mismatched', detail }
+  if (headers['content-encoding'] !== undefined) return { reason: 'answer-mismatched', detail }
+  const isSuccess = statusCode >= 200 && statusCode < 300
+  if (isSuccess && headers[PLATFORM_HEADERS.signature] === undefined) return { reason: 'answer-unsigned', detail }
   return undefined
 }
 
@@ -235,7 +244,7 @@
       if (connected !== undefined) silenceDetector.recordAnswer(connected, clock.now())
       const fault = findResponseFault(job, incoming)
       if (fault !== undefined) {
-        failCall(fault, `status ${incoming.statusCode ?? 0}`)
+        failCall(fault.reason, fault.detail)
         return
       }
       recordLoad(incoming.headers[PLATFORM_HEADERS.instanceLoad])
--- a/packages/node/tests/entry/createEntryServer.test.ts
+++ b/packages/node/tests/entry/createEntryServer.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai'
 import type { AddressInfo } from 'node:net'
 import { composePlatformConfiguration } from '../../../../platform/tests/composeWire.js'
+import type { StartExchange } from '../../src/entry/createExchange.js'
 import { createEntryServer, type EntryServer } from '../../src/entry/createEntryServer.js'
 import { createRetryBudgets } from '../../src/entry/createRetryBudgets.js'
 import { createMeshView } from '../../src/rows/createMeshView.js'
@@ -12,16 +13,18 @@
   let context: TestContext
   let entry: EntryServer
   let port: number
+  let startExchange: StartExchange
 
   beforeEach(async () => {
     context = createTestContext()
+    startExchange = () => { throw new Error('defect') }
     const view = createMeshView(context, () => undefined)
     const value = JSON.stringify(composePlatformConfiguration(1, ['parts']))
     view.apply([{ table: OPERATOR_TABLE, key: 'config', value, version: 1 }])
     entry = createEntryServer({
       context,
       view,
-      startExchange: () => { throw new Error('defect') },
+      startExchange: (request, onResult) => startExchange(request, onResult),
       retryBudgets: createRetryBudgets(context, () => 1),
       getCopyAgeMs: () => 0
     })
@@ -35,4 +38,20 @@
     expect(entry.countOpen()).to.equal(0)
     expect(context.events.map(({ name }) => name)).to.include('internalError')
   })
+
+  const malformed: Array<[string, number, string[]]> = [
+    ['status', 0, []], ['header name', 200, ['X Own', '1']], ['header value', 200, ['X-Own', 'a\r\nb']]
+  ]
+  for (const [title, status, headers] of malformed) {
+    it(`answers a request whose response from another node has an invalid ${title} (guards against requests that are never answered)`, async () => {
+      startExchange = (_, onResult) => {
+        const outcome = { kind: 'answered', status, headers, body: Buffer.from('ok'), notRun: false } as const
+        onResult({ outcome, host: 'krakow-2', tries: 1 })
+        return { cancel: () => false, getHost: () => undefined }
+      }
+      expect((await send(port, '/parts/1')).status).to.equal(502)
+      expect(entry.countOpen()).to.equal(0)
+      expect(context.counters.read('serving_losses', 'answer-malformed')).to.equal(1)
+    })
+  }
 })
--- a/packages/node/tests/home/createBackendClient.test.ts
+++ b/packages/node/tests/home/createBackendClient.test.ts
@@ -144,6 +144,10 @@
     ['the response to another request', head('b', 'Content-Length: 2\r\n') + 'ok', 'answer-mismatched'],
     ['a response with a content encoding', head('a', 'Content-Encoding: gzip\r\nContent-Length: 2\r\n') + 'ok', 'answer-mismatched'],
     ['a successful response without a signature', `HTTP/1.1 200 OK\r\n${PLATFORM_HEADERS.attemptId}: a\r\nContent-Length: 0\r\n\r\n`, 'answer-unsigned'],
+    ['a response with an impossible status', head('a', 'Content-Length: 2\r\n').replace('200', '000') + 'ok', 'answer-malformed'],
+    ['a final response with an interim status', head('a', 'Content-Length: 2\r\n').replace('200', '101') + 'ok', 'answer-malformed'],
+    ['a response with a blank in the name of a header', head('a', 'X Own: 1\r\nContent-Length: 2\r\n') + 'ok', 'answer-malformed'],
+    ['a response with a nameless header', head('a', ': 1\r\nContent-Length: 2\r\n') + 'ok', 'answer-malformed'],
     ['bytes that are not an HTTP response', 'garbage\r\n\r\n', 'connection-lost']
   ]
   for (const [title, text, reason] of faulty) {
--- /dev/null
+++ b/packages/node/tests/malformedHeads.test.ts
@@ -0,0 +1,134 @@
+import { PLATFORM_HEADERS } from '@snipenotch/platform'
+import { expect } from 'chai'
+import fc from 'fast-check'
+import type { ServerResponse } from 'node:http'
+import { composePlatformConfiguration } from '../../../platform/tests/composeWire.js'
+import { answerSigned, awaitCondition, send, startTestMesh, type TestHost, type TestMesh } from './startTestMesh.js'
+
+const SEED = 20_261_206
+const RUNS = 60
+const TEST_TIMEOUT_MS = 120_000
+/** Timeout of the routes, and the time past it by which each request has a final response, in milliseconds. */
+const ROUTE_TIMEOUT_MS = 400
+const END_SLACK_MS = 500
+/** Slots of each backend server. */
+const SLOTS = 4
+/** Marks the requests whose responses get a malformed head; its value is the head. */
+const HEAD_HEADER = 'x-head'
+const CR = 13
+const LF = 10
+
+/** A byte of a head other than those that delimit its lines. */
+const headByte = fc.integer({ min: 0, max: 255 }).filter((byte) => byte !== CR && byte !== LF)
+const headBytes = (maxLength: number): fc.Arbitrary<string> =>
+  fc.array(headByte, { maxLength }).map((bytes) => Buffer.from(bytes).toString('latin1'))
+/** Names and values as they occur, with characters that are not allowed in them. */
+const headerName = fc.oneof(
+  headBytes(6),
+  fc.constantFrom('Content Type', 'X Y', '', 'X\tY', 'X(Y)', 'Trailer', 'Upgrade', 'Date', 'Connection')
+)
+const headerValue = fc.oneof(headBytes(8), fc.constantFrom('', 'text/plain', 'a\tb', '\xe9', 'X-Own'))
+const headerLines = fc.array(fc.tuple(headerName, headerValue).map(([name, value]) => `${name}: ${value}`), { maxLength: 3 })
+const changes = fc.array(fc.record({ position: fc.nat(), byte: headByte }), { maxLength: 2 })
+
+/** Replaces bytes of a head, except those that delimit its lines. */
+function replaceBytes (text: string, replacements: ReadonlyArray<{ position: number, byte: number }>): string {
+  const bytes = Buffer.from(text, 'latin1')
+  for (const { position, byte } of replacements) {
+    const index = position % bytes.length
+    if (bytes[index] !== CR && bytes[index] !== LF) bytes[index] = byte
+  }
+  return bytes.toString('latin1')
+}
+
+const responseHead = fc.record({
+  status: fc.oneof(fc.constantFrom('200', '000', '099', '101', '199', '999'), headBytes(3)), lines: headerLines, changes
+})
+
+describe('heads that cannot be passed on', () => {
+  let mesh: TestMesh
+  /** Host without a backend server of the service, and the two hosts that have one. */
+  let hosts: TestHost[]
+  let serial: number
+
+  beforeEach(async () => {
+    serial = 0
+    mesh = await startTestMesh()
+    hosts = []
+    for (const [name, service] of [['krakow-1', 'clocks'], ['krakow-2', 'parts'], ['krakow-3', 'parts']] as const) {
+      hosts.push(await mesh.startHost(name, service))
+    }
+    const options = { coldPerSecond: 0, timeoutMs: ROUTE_TIMEOUT_MS }
+    await mesh.putOperatorRow('config', composePlatformConfiguration(1, ['parts', 'clocks'], options))
+    for (const host of hosts) {
+      await host.report()
+      await host.report()
+    }
+    for (const { settings } of hosts) {
+      await awaitCondition('requests are served', async () => (await send(settings.callers.port, '/parts/1')).status === 200)
+    }
+  })
+  afterEach(() => mesh.close())
+
+  const getPort = (index: number): number => hosts[index % hosts.length]?.settings.callers.port ?? 0
+
+  /** Sends a proper request; returns the status of its response, or 0 without one in time. */
+  async function ask (port: number, headers: Record<string, string> = {}): Promise<number> {
+    serial += 1
+    const sent = send(port, `/parts/${serial}`, { [PLATFORM_HEADERS.attemptId]: `id-${serial}`, ...headers })
+    const late = new Promise<number>((resolve) => { setTimeout(resolve, ROUTE_TIMEOUT_MS + END_SLACK_MS, 0) })
+    return Promise.race([sent.then(({ status }) => status, () => 0), late])
+  }
+
+  /** Fails unless all slots of both backend servers can run requests at the same time. */
+  async function verifySlots (): Promise<void> {
+    const homes = hosts.slice(1)
+    const held = new Map(homes.map(({ backend }) => [backend, [] as ServerResponse[]]))
+    let isFull = false
+    for (const [backend, responses] of held) {
+      backend.handle = (_, response) => {
+        responses.push(response)
+        response.on('close', () => { responses.splice(responses.indexOf(response), 1) })
+        isFull ||= [...held.values()].every(({ length }) => length === SLOTS)
+      }
+    }
+    // More requests than slots: the share of each host is not exact, and those without a slot are refused.
+    await awaitCondition('all slots run requests', async () => {
+      await Promise.all(Array.from({ length: SLOTS * homes.length * 2 }, (_, index) => ask(getPort(index))))
+      return isFull
+    })
+    for (const [backend, responses] of held) {
+      backend.handle = (incoming, response) => { answerSigned(incoming, response, 'ok') }
+      for (const response of responses) answerSigned(response.req, response, 'ok')
+    }
+    for (const { settings } of hosts) {
+      await awaitCondition('requests are served', async () => await ask(settings.callers.port) === 200)
+    }
+  }
+
+  it('ends each request whose response has a malformed head, and serves those beside it (guards against requests that are never answered)', async () => {
+    for (const { backend } of hosts) {
+      backend.handle = (incoming, response) => {
+        const head = incoming.headers[HEAD_HEADER]
+        if (typeof head === 'string') incoming.socket.end(Buffer.from(head, 'base64'))
+        else answerSigned(incoming, response, 'ok')
+      }
+    }
+    await fc.assert(fc.asyncProperty(fc.array(responseHead, { minLength: 1, maxLength: 6 }), async (heads) => {
+      const faulty = heads.map(({ status, lines, changes }, index) => {
+        const id = `id-faulty-${index}`
+        const text = [
+          `HTTP/1.1 ${status} OK`, `${PLATFORM_HEADERS.attemptId}: ${id}`, `${PLATFORM_HEADERS.signature}: s`,
+          'Content-Length: 2', ...lines, '', ''
+        ].join('\r\n')
+        const head = Buffer.from(replaceBytes(text, changes) + 'ok', 'latin1').toString('base64')
+        return ask(getPort(index), { [PLATFORM_HEADERS.attemptId]: id, [HEAD_HEADER]: head })
+      })
+      const sound = hosts.map((_, index) => ask(getPort(index)))
+      const statuses = await Promise.all(faulty)
+      expect(statuses.filter((status) => status === 0), `of ${String(statuses)}`).to.deep.equal([])
+      expect(await Promise.all(sound)).to.deep.equal(sound.map(() => 200))
+    }), { seed: SEED, numRuns: RUNS, endOnFailure: true })
+    await verifySlots()
+  }).timeout(TEST_TIMEOUT_MS)
+})
