fix(node): reject requests with a head that cannot be sent on

Callers saw: after eight requests with a blank in the name of a header, or a tab in the path, all requests to a service of two hosts with four slots each were refused until the processes ended. Anyone who can reach a node could switch a service off.

The node of the backend server counted the request as running; http.request threw before the call was registered, so the slot was never freed, and the requests taken from the queue behind it were lost as well. Nothing answered the request until its deadline.

Fix: the node of the caller checks target and headers as the head arrives and answers 400 at once. It closes the connection, as it does after a head that the parser refuses: the length of the body may be malformed too, and what follows would be taken for another request. At the node of the backend server, a head that http.request refuses is a result (malformed: nothing was sent, the slot is free), so a node of an earlier build cannot take slots either.

Seen failing on: the property test of requests, the one of a node of an earlier build, four kinds of heads, three cases of createBackendClient. They threw ERR_INVALID_HTTP_TOKEN and ERR_UNESCAPED_CHARACTERS outside any handler.

--- a/packages/node/src/entry/createCallerResponder.ts
+++ b/packages/node/src/entry/createCallerResponder.ts
@@ -17,6 +17,8 @@
   readonly refuse: (
     callerRequest: CallerRequest, route: MeshRoute | undefined, reason: string, waitMs: number, tries: number
   ) => void
+  /** Responds that the head of the request is invalid, as `detail` describes; it has not run. */
+  readonly rejectMalformed: (callerRequest: CallerRequest, detail: string) => void
   /** Responds that the request failed and may have run. */
   readonly fail: (
     callerRequest: CallerRequest, route: MeshRoute, status: number, reason: string, result?: ExchangeResult
@@ -90,6 +92,12 @@
     sendNodeResponse(callerRequest, 503, reason, waitMs)
   }
 
+  function rejectMalformed (callerRequest: CallerRequest, detail: string): void {
+    counters.count('serving_requests', 'refused')
+    log('callerMalformed', { request: callerRequest.attemptId, code: detail })
+    sendNodeResponse(callerRequest, 400, 'malformed')
+  }
+
   function fail (
     callerRequest: CallerRequest, route: MeshRoute, status: number, reason: string, result?: ExchangeResult
   ): void {
@@ -138,7 +146,10 @@
   function handleResult (callerRequest: CallerRequest, route: MeshRoute, result: ExchangeResult): void {
     const { outcome } = result
     switch (outcome.kind) {
-      case 'refused': refuse(callerRequest, route, outcome.reason, outcome.waitMs, result.tries); break
+      case 'refused':
+        if (outcome.reason === 'malformed') rejectMalformed(callerRequest, 'head refused by the node of the backend server')
+        else refuse(callerRequest, route, outcome.reason, outcome.waitMs, result.tries)
+        break
       case 'lost': fail(callerRequest, route, 502, outcome.reason, result); break
       case 'answered':
         if (outcome.notRun) refuse(callerRequest, route, 'shed-by-instance', 0, result.tries)
@@ -146,5 +157,5 @@
     }
   }
 
-  return { sendNodeResponse, refuse, fail, handleResult }
+  return { sendNodeResponse, refuse, rejectMalformed, fail, handleResult }
 }
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -2,7 +2,7 @@
 import {
   createAttemptAgeEstimator, createTrafficSplitter, isPastDeadline, isTooLateForShutdown, type ShutdownDeadlines
 } from '@snipenotch/decisions'
-import { selectHeaders } from '@snipenotch/daemon'
+import { findRequestHeadFault, selectHeaders } from '@snipenotch/daemon'
 import { PLATFORM_HEADERS } from '@snipenotch/platform'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
@@ -88,13 +88,14 @@
   const countOpenOf = (socket: Socket): number =>
     [...openRequests].filter(({ incoming }) => incoming.socket === socket).length
 
-  const { sendNodeResponse, refuse, fail, handleResult } = createCallerResponder({
+  const { sendNodeResponse, refuse, rejectMalformed, fail, handleResult } = createCallerResponder({
     context,
     view,
     // Closing the connection after an earlier response would lose the pipelined ones behind it.
     isLastOnConnection: (callerRequest) => {
       const { socket } = callerRequest.incoming
-      const isLast = shutdownDeadlines !== undefined && latestRequests.get(socket) === callerRequest
+      const isClosing = shutdownDeadlines !== undefined || closingSockets.has(socket)
+      const isLast = isClosing && latestRequests.get(socket) === callerRequest
       if (isLast) closingSockets.add(socket)
       return isLast
     }
@@ -289,6 +290,12 @@
     })
     // The caller disconnected before its request was complete; nothing has been forwarded.
     incoming.on('error', () => { response.destroy() })
+    const fault = findRequestHeadFault(incoming.url ?? '', incoming.rawHeaders)
+    if (fault === undefined) return
+    // The length of the body may be malformed, so what follows on the connection may be part of this request.
+    closingSockets.add(incoming.socket)
+    counters.count('serving_refusals', 'malformed')
+    rejectMalformed(callerRequest, fault)
   }
 
   const server = createServer({
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -152,8 +152,8 @@
       if (reason === 'busy') busyRefusals += 1
       const avoidMs = AVOID_MS[reason]
       if (avoidMs !== undefined) loadBalancer.avoid(candidate.host, avoidMs, clock.now())
-      // The nodes of a service agree on the requests that crash their backend servers.
-      const isFinal = reason === 'expired' || reason === 'crash-suspect'
+      // The nodes of a service agree on malformed requests, and on those that crash their backend servers.
+      const isFinal = reason === 'expired' || reason === 'crash-suspect' || reason === 'malformed'
       if (isFinal || busyRefusals >= computeBusyLimit(service)) {
         refuse()
         return
--- a/packages/node/src/home/createBackendClient.ts
+++ b/packages/node/src/home/createBackendClient.ts
@@ -2,8 +2,9 @@
 import { BoundedKeepAliveAgent, findResponseHeadFault, selectHeaders } from '@snipenotch/daemon'
 import { createSilenceDetector, type TrackedCall } from '@snipenotch/decisions'
 import { decodeInstanceLoad, type InstanceLoad, PLATFORM_HEADERS } from '@snipenotch/platform'
-import { request, type IncomingMessage } from 'node:http'
+import { type ClientRequest, type IncomingMessage, request } from 'node:http'
 import type { Socket } from 'node:net'
+import { Err, Ok, type Result } from 'ts-results-es'
 import type { NodeContext } from '../NodeContext.js'
 import { updateBuffer } from '../operations/BufferHolder.js'
 import { createByteCollector } from '../operations/createByteCollector.js'
@@ -14,6 +15,8 @@
   | { readonly kind: 'answered', readonly status: number, readonly headers: string[], readonly body: Buffer, readonly notRun: boolean }
   /** No connection could be established, so the request has not run. */
   | { readonly kind: 'unreachable', readonly detail: string }
+  /** The head of the request cannot be sent, so the request has not run. */
+  | { readonly kind: 'malformed', readonly detail: string }
   | { readonly kind: 'lost', readonly reason: ServingLossReason, readonly detail: string }
 
 /** A request in flight at the backend server. */
@@ -148,9 +151,31 @@
     if (load.isOk()) onInstanceLoad(load.value, calls.size)
   }
 
+  /** Opens a request; an error describes why its head cannot be sent. */
+  function openRequest (job: BackendJob, instance: string, remainingMs: number): Result<ClientRequest, string> {
+    try {
+      return Ok(request({
+        agent,
+        host: settings.backend.host,
+        port: settings.backend.port,
+        method: job.method,
+        path: job.target,
+        headers: composeHeaders(job, instance, remainingMs)
+      }))
+    } catch (error) {
+      return Err(String(error))
+    }
+  }
+
+  /** Reports a request that was not sent, once the calling code knows its call. */
+  function rejectCall (detail: string, onResult: (result: BackendResult) => void): BackendCall {
+    const timer = setImmediate(() => { onResult({ kind: 'malformed', detail }) })
+    return { abort: () => { clearImmediate(timer) } }
+  }
+
   function send (
-    job: BackendJob, instance: string, remainingMs: number, onResult: (result: BackendResult) => void,
-    onSilent: () => void = () => undefined
+    outgoing: ClientRequest, job: BackendJob, remainingMs: number, onResult: (result: BackendResult) => void,
+    onSilent: () => void
   ): BackendCall {
     let isConnected = false
     let isDone = false
@@ -175,14 +200,6 @@
     }
 
     const holder = { drop: () => { failCall('answer-endless', 'the buffers of this node are full') } }
-    const outgoing = request({
-      agent,
-      host: settings.backend.host,
-      port: settings.backend.port,
-      method: job.method,
-      path: job.target,
-      headers: composeHeaders(job, instance, remainingMs)
-    })
     /** Reports the request as lost and aborts it without reading the rest of the response. */
     function failCall (reason: ServingLossReason, detail: string): void {
       end({ kind: 'lost', reason, detail })
@@ -286,7 +303,11 @@
   }
 
   return {
-    call: send,
+    call: (job, instance, remainingMs, onResult, onSilent = () => undefined) => {
+      const outgoing = openRequest(job, instance, remainingMs)
+      if (outgoing.isErr()) return rejectCall(outgoing.error, onResult)
+      return send(outgoing.value, job, remainingMs, onResult, onSilent)
+    },
     close: () => {
       stopChecks()
       agent.destroy()
--- a/packages/node/src/home/createBackendDispatcher.ts
+++ b/packages/node/src/home/createBackendDispatcher.ts
@@ -70,6 +70,7 @@
     case 'answered': return result
     case 'lost': return { kind: 'lost', reason: result.reason }
     case 'unreachable': return { kind: 'refused', reason: 'instance-down', waitMs: 0 }
+    case 'malformed': return { kind: 'refused', reason: 'malformed', waitMs: 0 }
   }
 }
 
@@ -198,7 +199,9 @@
     })
   }
 
-  function recordResult (job: BackendJob, result: Exclude<BackendResult, { kind: 'unreachable' }>, durationMs: number): void {
+  function recordResult (
+    job: BackendJob, result: Extract<BackendResult, { kind: 'answered' | 'lost' }>, durationMs: number
+  ): void {
     const isLost = result.kind === 'lost'
     const failed = isLost || result.notRun || result.status >= FIRST_FAILURE_STATUS
     failureShare += FAILURE_WEIGHT * ((failed ? 1 : 0) - failureShare)
@@ -237,13 +240,11 @@
         counters.record('backend', durationMs)
         crashGuard.recordSuccess(job)
       }
-      if (result.kind === 'unreachable') {
-        markUnreachable(result.detail, run)
-      } else {
-        if (result.kind === 'lost') crashGuard.recordLoss(job, run)
-        if (result.kind === 'lost' && RESTART_LOSSES.has(result.reason)) markColdUnknown(result.reason)
-        recordResult(job, result, durationMs)
-      }
+      if (result.kind === 'unreachable') markUnreachable(result.detail, run)
+      if (result.kind === 'malformed') log('callerMalformed', { request: job.attemptId, code: result.detail })
+      if (result.kind === 'lost') crashGuard.recordLoss(job, run)
+      if (result.kind === 'lost' && RESTART_LOSSES.has(result.reason)) markColdUnknown(result.reason)
+      if (result.kind === 'lost' || result.kind === 'answered') recordResult(job, result, durationMs)
       end(job, toOutcome(result), durationMs)
       update()
     }, () => {
--- a/packages/node/tests/home/createBackendClient.test.ts
+++ b/packages/node/tests/home/createBackendClient.test.ts
@@ -252,6 +252,21 @@
     expect(connections).to.equal(2)
   })
 
+  const unsendable: Array<[string, Partial<BackendJob>]> = [
+    ['a blank in the name of a header', { headers: ['X Own', '1'] }],
+    ['a line break in a header', { headers: ['X-Own', 'a\r\nb'] }],
+    ['a tab in the target', { target: '/a\tb' }]
+  ]
+  for (const [title, given] of unsendable) {
+    it(`reports a request with ${title} as malformed (guards against an error in place of a result)`, async () => {
+      handle = (socket) => { socket.destroy() }
+      expect(await call(job('a', given))).to.include({ kind: 'malformed' })
+      client.call(job('b', given), 'i-1', 500, () => { throw new Error('reported after its abort') }).abort()
+      await new Promise((resolve) => { setTimeout(resolve, 20) })
+      expect(connections).to.equal(0)
+    })
+  }
+
   it('reports a refused connection as not run', async () => {
     await new Promise((resolve) => { server.close(resolve) })
     expect(await call(job('a'))).to.include({ kind: 'unreachable' })
--- a/packages/node/tests/malformedHeads.test.ts
+++ b/packages/node/tests/malformedHeads.test.ts
@@ -1,8 +1,14 @@
+import { addMilliseconds, toMilliseconds } from '@snipenotch/contracts'
 import { PLATFORM_HEADERS } from '@snipenotch/platform'
 import { expect } from 'chai'
 import fc from 'fast-check'
 import type { ServerResponse } from 'node:http'
+import { connect } from 'node:net'
+import { WebSocket } from 'ws'
 import { composePlatformConfiguration } from '../../../platform/tests/composeWire.js'
+import type { ForwardingMessage } from '../src/peers/ForwardingMessage.js'
+import { decodeBatch, encodeBatch } from '../src/peers/forwardingCodec.js'
+import { createJob } from './createJob.js'
 import { answerSigned, awaitCondition, send, startTestMesh, type TestHost, type TestMesh } from './startTestMesh.js'
 
 const SEED = 20_261_206
@@ -44,6 +50,9 @@
 const responseHead = fc.record({
   status: fc.oneof(fc.constantFrom('200', '000', '099', '101', '199', '999'), headBytes(3)), lines: headerLines, changes
 })
+const requestHead = fc.record({
+  target: fc.oneof(fc.constantFrom('', 'a\tb', 'a\fb', '\xe9', '\x7f'), headBytes(4)), lines: headerLines, changes
+})
 
 describe('heads that cannot be passed on', () => {
   let mesh: TestMesh
@@ -80,6 +89,25 @@
     return Promise.race([sent.then(({ status }) => status, () => 0), late])
   }
 
+  /** Sends bytes on their own connection; returns what arrives until a response or the close, undefined if late. */
+  function sendBytes (port: number, text: string): Promise<string | undefined> {
+    return new Promise((resolve) => {
+      let received = ''
+      const socket = connect(port, '127.0.0.1', () => { socket.write(text, 'latin1') })
+      const end = (result: string | undefined): void => {
+        resolve(result)
+        socket.destroy()
+      }
+      socket.on('error', () => { end(received) })
+      socket.on('close', () => { end(received) })
+      socket.on('data', (data) => {
+        received += data.toString('latin1')
+        if (received.includes('\r\n\r\n')) end(received)
+      })
+      setTimeout(end, ROUTE_TIMEOUT_MS + END_SLACK_MS, undefined)
+    })
+  }
+
   /** Fails unless all slots of both backend servers can run requests at the same time. */
   async function verifySlots (): Promise<void> {
     const homes = hosts.slice(1)
@@ -131,4 +159,69 @@
     }), { seed: SEED, numRuns: RUNS, endOnFailure: true })
     await verifySlots()
   }).timeout(TEST_TIMEOUT_MS)
+
+  it('ends each request with a malformed head, and serves those beside and after it (guards against a service that a caller switches off)', async () => {
+    await fc.assert(fc.asyncProperty(fc.array(requestHead, { minLength: 1, maxLength: 6 }), async (heads) => {
+      const faulty = heads.map(({ target, lines, changes }, index) => {
+        const text = [
+          `GET /parts/${target} HTTP/1.1`, 'Host: a.example', `${PLATFORM_HEADERS.attemptId}: id-faulty-${index}`,
+          `${PLATFORM_HEADERS.remainingMs}: ${ROUTE_TIMEOUT_MS}`, ...lines, '', ''
+        ].join('\r\n')
+        return sendBytes(getPort(index), replaceBytes(text, changes))
+      })
+      const sound = hosts.map((_, index) => ask(getPort(index)))
+      const received = await Promise.all(faulty)
+      expect(received.filter((text) => text === undefined)).to.deep.equal([])
+      expect(await Promise.all(sound)).to.deep.equal(sound.map(() => 200))
+    }), { seed: SEED, numRuns: RUNS, endOnFailure: true })
+    await verifySlots()
+  }).timeout(TEST_TIMEOUT_MS)
+
+  it('refuses malformed requests that a node of an earlier build forwards, and serves the one behind them (guards against slots that never come back)', async () => {
+    const socket = new WebSocket(`ws://127.0.0.1:${hosts[1]?.settings.requests.port ?? 0}/`)
+    await new Promise((resolve) => { socket.once('open', resolve) })
+    const received: ForwardingMessage[] = []
+    const now = hosts[0]?.context.clock.now() ?? toMilliseconds(0)
+    socket.on('message', (data: Buffer) => { received.push(...decodeBatch(data, now) ?? []) })
+    const times = { targetAt: addMilliseconds(now, 200), deadlineAt: addMilliseconds(now, ROUTE_TIMEOUT_MS) }
+    const malformed = [{ headers: ['X Own', '1'] }, { target: '/parts/a\tb' }]
+    const jobs = [
+      ...Array.from({ length: SLOTS * 2 }, (_, index) => malformed[index % malformed.length]),
+      { headers: ['Host', 'a.example', PLATFORM_HEADERS.attemptId, 'id-1'] }
+    ]
+    socket.send(encodeBatch(jobs.map((given, id) => ({ kind: 'run', id, job: createJob({ ...times, ...given }) })), now))
+    const listOutcomes = (): string[] => received.flatMap((message) => {
+      if (message.kind !== 'outcome') return []
+      const { outcome } = message
+      return [`${message.id} ${outcome.kind} ${outcome.kind === 'answered' ? outcome.status : outcome.reason}`]
+    })
+    await awaitCondition('all requests have ended', () => listOutcomes().length === jobs.length)
+    expect(listOutcomes().sort()).to.deep.equal(jobs.map((_, id) =>
+      id === jobs.length - 1 ? `${id} answered 200` : `${id} refused malformed`))
+    socket.terminate()
+    await verifySlots()
+  })
+
+  const refused: Array<[string, string, string]> = [
+    ['a blank in the name of a header', '/parts/1', 'X Own: 1'],
+    ['a header without a name', '/parts/1', ': 1'],
+    ['a tab in the target', '/parts/a\tb', 'X-Own: 1'],
+    ['a form feed in the target', '/parts/a\fb', 'X-Own: 1']
+  ]
+  for (const [title, target, line] of refused) {
+    it(`answers a request with ${title} with 400 at once, without running it, and closes its connection (guards against slots that never come back)`, async () => {
+      for (const { settings } of hosts) {
+        const text = `GET ${target} HTTP/1.1\r\nHost: a.example\r\n${PLATFORM_HEADERS.attemptId}: bad\r\n${line}\r\n\r\n`
+        const startedAt = performance.now()
+        // The bytes behind the head may be the body of a request whose length was malformed.
+        const received = await sendBytes(settings.callers.port, text + text.replace('bad', 'hidden'))
+        expect(received).to.match(/^HTTP\/1.1 400 /).and.match(/connection: close/i)
+        expect(performance.now() - startedAt, 'no wait for the timeout of the route').to.be.lessThan(ROUTE_TIMEOUT_MS)
+      }
+      expect(hosts.flatMap(({ backend }) => backend.seen).filter(({ headers }) =>
+        headers[PLATFORM_HEADERS.attemptId] !== undefined && ['bad', 'hidden'].includes(String(headers[PLATFORM_HEADERS.attemptId]))))
+        .to.deep.equal([])
+      await verifySlots()
+    })
+  }
 })
