fix(node): keep slots and queue when the handling of one request throws

Callers saw: when sending one request threw, the requests taken from the queue with it were lost as well, and each held a slot for good. When the handling of one outcome threw, the queue stood still until another request ended.

The dispatcher changes its state first (a job counts as running, its handler is taken out), and what throws afterwards leaves it so; the process goes on, as uncaughtException only logs.

Fix: each step of a job runs in one place that releases what the job holds. A job whose step throws ends as lost (internal-error; it may have run, so its caller gets 502 and never "not run"), its slot is free and the next one starts. internal_errors counts them.

Seen failing on: the two tests of createBackendDispatcher (Error: defect out of update, and a job that waited for good).

--- a/packages/contracts/src/mesh/servingReasons.ts
+++ b/packages/contracts/src/mesh/servingReasons.ts
@@ -46,6 +46,8 @@
   | 'host-silent'
   | 'duplicate-attempt'
   | 'deadline'
+  /** The node failed while it handled the request. */
+  | 'internal-error'
 
 /** Why the load that a backend server states in a response is ignored. */
 export type InstanceLoadFault = 'malformed' | 'repeated' | 'contradictory'
--- a/packages/daemon/src/observability/createCounters.ts
+++ b/packages/daemon/src/observability/createCounters.ts
@@ -23,6 +23,8 @@
   serving_requests: 'received' | 'answered' | 'failed' | 'refused' | 'left' | 'cut'
   /** Loads that the backend server stated in its responses. */
   instance_loads: 'used' | InstanceLoadFault
+  /** Errors thrown while a node handled something: contained there, or outside any handling. */
+  internal_errors: 'contained' | 'uncaught'
   /** Log lines omitted to limit the log volume. */
   log_lines: 'omitted'
   /** Requests sent to a version under rollout: drawn for it, or sent there because no other host was left. */
--- a/packages/node/src/home/createBackendDispatcher.ts
+++ b/packages/node/src/home/createBackendDispatcher.ts
@@ -5,6 +5,7 @@
 } from '@snipenotch/decisions'
 import type { NodeContext } from '../NodeContext.js'
 import type { MeshView } from '../rows/createMeshView.js'
+import { runContained } from '../operations/runContained.js'
 import type { BackendClient, BackendResult } from './createBackendClient.js'
 import { FIRST_FAILURE_STATUS, type BackendJob, type JobOutcome } from './BackendJob.js'
 import type { CrashGuard } from './createCrashGuard.js'
@@ -194,9 +195,20 @@
         configuration: view.getConfiguration()?.version
       })
     }
-    onOutcome?.({
-      ...outcome, load: getLoad(), evidence: evidence.composeReport(view.getRelease(settings.service))
-    })
+    runContained(context, () => {
+      onOutcome?.({
+        ...outcome, load: getLoad(), evidence: evidence.composeReport(view.getRelease(settings.service))
+      })
+    }, undefined, { request: job.attemptId })
+  }
+
+  /** Runs a step of a job. If it throws, the job ends, since it may have run, and its slot is free again. */
+  function runOrFail (job: BackendJob, action: () => void): void {
+    runContained(context, action, () => {
+      requestQueue.finish(job, undefined)
+      requestQueue.cancel(job)
+      if (outcomeHandlers.has(job)) end(job, { kind: 'lost', reason: 'internal-error' })
+    }, { request: job.attemptId })
   }
 
   function recordResult (
@@ -228,24 +240,30 @@
     onChange()
   }
 
+  /** Handles the result of a job that was sent to `run` of the backend server. */
+  function handleResult (
+    job: BackendJob, run: InstanceRun | undefined, result: BackendResult, durationMs: number
+  ): void {
+    const hasRun = result.kind === 'answered' && !result.notRun
+    requestQueue.finish(job, hasRun ? durationMs : undefined)
+    if (hasRun) {
+      counters.record('backend', durationMs)
+      crashGuard.recordSuccess(job)
+    }
+    if (result.kind === 'unreachable') markUnreachable(result.detail, run)
+    if (result.kind === 'malformed') log('callerMalformed', { request: job.attemptId, code: result.detail })
+    if (result.kind === 'lost') crashGuard.recordLoss(job, run)
+    if (result.kind === 'lost' && RESTART_LOSSES.has(result.reason)) markColdUnknown(result.reason)
+    if (result.kind === 'lost' || result.kind === 'answered') recordResult(job, result, durationMs)
+    end(job, toOutcome(result), durationMs)
+  }
+
   function send (job: BackendJob): void {
     const startedAt = clock.now()
     const run = instance.getRun()
     counters.record('queue', startedAt - job.arrivedAt)
     const call = backend.call(job, run?.instance ?? '', job.deadlineAt - startedAt, (result) => {
-      const durationMs = clock.now() - startedAt
-      const hasRun = result.kind === 'answered' && !result.notRun
-      requestQueue.finish(job, hasRun ? durationMs : undefined)
-      if (hasRun) {
-        counters.record('backend', durationMs)
-        crashGuard.recordSuccess(job)
-      }
-      if (result.kind === 'unreachable') markUnreachable(result.detail, run)
-      if (result.kind === 'malformed') log('callerMalformed', { request: job.attemptId, code: result.detail })
-      if (result.kind === 'lost') crashGuard.recordLoss(job, run)
-      if (result.kind === 'lost' && RESTART_LOSSES.has(result.reason)) markColdUnknown(result.reason)
-      if (result.kind === 'lost' || result.kind === 'answered') recordResult(job, result, durationMs)
-      end(job, toOutcome(result), durationMs)
+      runOrFail(job, () => { handleResult(job, run, result, clock.now() - startedAt) })
       update()
     }, () => {
       requestQueue.finish(job, undefined)
@@ -279,7 +297,12 @@
     if (!limits.isStartAllowed) {
       for (const job of requestQueue.takeAll()) end(job, { kind: 'refused', reason: limits.closedReason ?? 'busy', waitMs: 0 })
     }
-    for (const job of requestQueue.takeReady(limits, now)) send(job)
+    // A job that cannot be sent frees its slot at once.
+    let ready: BackendJob[]
+    do {
+      ready = requestQueue.takeReady(limits, now)
+      for (const job of ready) runOrFail(job, () => { send(job) })
+    } while (ready.length > 0)
     schedule(limits)
   }
 
@@ -292,10 +315,10 @@
     return true
   }
 
-  function run (job: BackendJob, onOutcome: (outcome: JobOutcome) => void): void {
+  /** Refuses a job, sends it or queues it. */
+  function admit (job: BackendJob): void {
     routeClassifier.record(job.route, job.callerService)
     job.isInternal = routeClassifier.isInternal(job.route)
-    outcomeHandlers.set(job, onOutcome)
     if (job.service !== settings.service) {
       end(job, { kind: 'refused', reason: 'wrong-service', waitMs: 0 })
       return
@@ -329,7 +352,10 @@
   }
 
   return {
-    run,
+    run: (job, onOutcome) => {
+      outcomeHandlers.set(job, onOutcome)
+      runOrFail(job, () => { admit(job) })
+    },
     findRefusal: (job) => {
       const refusal = requestQueue.findRefusal(job, computeLimits(), clock.now())
       if (refusal === undefined) return undefined
--- a/packages/node/tests/home/createBackendDispatcher.test.ts
+++ b/packages/node/tests/home/createBackendDispatcher.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'chai'
 import type { BackendJob, JobOutcome } from '../../src/home/BackendJob.js'
 import { type BackendDispatcher, createBackendDispatcher } from '../../src/home/createBackendDispatcher.js'
-import type { BackendResult } from '../../src/home/createBackendClient.js'
+import type { BackendClient, BackendResult } from '../../src/home/createBackendClient.js'
 import { createCrashGuard, type CrashGuard } from '../../src/home/createCrashGuard.js'
 import type { MeshView } from '../../src/rows/createMeshView.js'
 import { createJob } from '../createJob.js'
@@ -19,6 +19,7 @@
   /** Requests sent to the backend server, with the callbacks that end them. */
   let sent: Array<{ readonly job: BackendJob, readonly end: (result: BackendResult) => void }>
   let isVersionAllowed: boolean
+  let call: BackendClient['call']
 
   function report (startedAt: number, sequence: number): void {
     instance.applyReport({
@@ -38,7 +39,9 @@
     instance.applyProbe({ instance: 'i', isHealthy: true, coldMs: 0 }, context.clock.now(), context.clock.now())
   }
 
-  function run (given: Partial<BackendJob> = {}): JobOutcome[] {
+  function run (
+    given: Partial<BackendJob> = {}, onOutcome: (outcome: JobOutcome) => void = () => undefined
+  ): JobOutcome[] {
     const outcomes: JobOutcome[] = []
     const now = context.clock.now()
     const times = {
@@ -47,7 +50,10 @@
       deadlineAt: addMilliseconds(now, 5000),
       targetLatencyMs: 1000
     }
-    dispatcher.run(createJob({ ...times, ...given }), (outcome) => { outcomes.push(outcome) })
+    dispatcher.run(createJob({ ...times, ...given }), (outcome) => {
+      outcomes.push(outcome)
+      onOutcome(outcome)
+    })
     return outcomes
   }
 
@@ -57,6 +63,10 @@
   beforeEach(() => {
     sent = []
     isVersionAllowed = true
+    call = (job, _instance, _remainingMs, end) => {
+      sent.push({ job, end })
+      return { abort: () => undefined }
+    }
     context = createTestContext({ service: 'parts' })
     instance = createInstanceState()
     const view = {
@@ -82,10 +92,7 @@
       crashGuard,
       instanceLoads: createInstanceLoadTracker(),
       backend: {
-        call: (job, _instance, _remainingMs, end) => {
-          sent.push({ job, end })
-          return { abort: () => undefined }
-        },
+        call: (...given) => call(...given),
         close: () => undefined
       },
       onChange: () => undefined,
@@ -113,6 +120,40 @@
     expect(sent.length).to.equal(1)
   })
 
+  const ANSWER: BackendResult = { kind: 'answered', status: 200, headers: [], body: Buffer.alloc(0), notRun: false }
+  const defect = (): never => { throw new Error('defect') }
+  const endAll = (): void => { for (const { end } of sent.splice(0)) end(ANSWER) }
+
+  it('ends only the requests that cannot be sent, and frees their slots (guards against a service that is refused for good)', () => {
+    const sendWell = call
+    call = (job, ...rest) => job.target === '/defect' ? defect() : sendWell(job, ...rest)
+    const busy = [run(), run()]
+    const faulty = [run({ target: '/defect' })]
+    const waiting = run()
+    endAll()
+    endAll()
+    expect(faulty.map(describeOutcome)).to.deep.equal(faulty.map(() => 'lost internal-error'))
+    expect([...busy, waiting].map(describeOutcome)).to.deep.equal(['answered', 'answered', 'answered'])
+    expect(run({ target: '/defect' }).map(({ kind }) => kind)).to.deep.equal(['lost'])
+    expect([dispatcher.countOpen(), context.events.filter(({ name }) => name === 'internalError').length])
+      .to.deep.equal([0, faulty.length + 1])
+  })
+
+  it('goes on with its queue when the handling of an outcome throws (guards against requests that wait for nothing)', () => {
+    const first = [run({}, defect), run()]
+    const waiting = run()
+    sent.shift()?.end(ANSWER)
+    endAll()
+    expect([...first, waiting].map(describeOutcome)).to.deep.equal(['answered', 'answered', 'answered'])
+    expect(dispatcher.countOpen()).to.equal(0)
+  })
+
+  it('reports a request whose head cannot be sent as refused, and frees its slot (guards against slots that never come back)', () => {
+    const outcomes = run()
+    sent[0]?.end({ kind: 'malformed', detail: '' })
+    expect([describeOutcome(outcomes), dispatcher.countOpen()]).to.deep.equal(['refused malformed', 0])
+  })
+
   it('refuses what waits when a request turns out to crash servers (guards against a queue that ends the next server)', () => {
     const running = [run({ target: '/a' }), run({ target: '/b' })]
     const waiting = run({ target: '/crashing' })
