fix(node): keep a connection between nodes when the handling of one message throws

Cause: an error thrown in a message handler of ws drops the rest of the frame and leaves the receiver in its busy state, so that later frames are buffered and never read. A frame that cannot be encoded was kept and thrown again with each later message.

Fix: at both ends each message is handled on its own; a request whose handling throws at the node of its backend server gets the outcome lost. A frame that cannot be encoded closes the connection, which ends its requests at once.

Seen failing on: an outcome behind one that throws, in the same frame and in the next one; a request behind one that throws; a frame that cannot be encoded.

--- a/packages/node/src/entry/createForwardingConnection.ts
+++ b/packages/node/src/entry/createForwardingConnection.ts
@@ -2,6 +2,7 @@
 import { WebSocket } from 'ws'
 import type { NodeContext } from '../NodeContext.js'
 import type { BackendJob, JobOutcome } from '../home/BackendJob.js'
+import { runContained } from '../operations/runContained.js'
 import { createBatchSender } from '../peers/createBatchSender.js'
 import { WEBSOCKET_OPTIONS } from '../peers/WEBSOCKET_OPTIONS.js'
 import { decodeBatch } from '../peers/forwardingCodec.js'
@@ -58,7 +59,7 @@
     // A zero mask: no intermediary reads these frames, and masking would cost a pass over each body.
     generateMask: () => undefined
   })
-  const sender = createBatchSender(socket, clock)
+  const sender = createBatchSender(socket, context)
   const pending = new Map<number, PendingJob>()
   let nextId = 1
   let isOpen = false
@@ -72,7 +73,7 @@
     pending.delete(id)
     delete found.job.cancel
     if (outcome.kind === 'lost') counters.count('serving_losses', outcome.reason)
-    found.onOutcome(outcome)
+    runContained(context, () => { found.onOutcome(outcome) }, undefined, { request: found.job.attemptId })
   }
 
   function cancel (id: number): boolean {
@@ -140,7 +141,7 @@
       socket.terminate()
       return
     }
-    for (const message of messages) handleMessage(message)
+    for (const message of messages) runContained(context, () => { handleMessage(message) })
   })
   socket.on('error', (error) => { handleClose(error.message) })
   socket.on('close', () => { handleClose('connection closed') })
@@ -170,9 +171,11 @@
         cancel(id)
         delete job.cancel
         if (isFullyTransferred) counters.count('serving_losses', 'host-silent')
-        onOutcome?.(isFullyTransferred
-          ? { kind: 'lost', reason: 'host-silent' }
-          : { kind: 'refused', reason: 'host-unreachable', waitMs: 0 })
+        runContained(context, () => {
+          onOutcome?.(isFullyTransferred
+            ? { kind: 'lost', reason: 'host-silent' }
+            : { kind: 'refused', reason: 'host-unreachable', waitMs: 0 })
+        })
       }
     },
     isClosed: () => isSilent || isEnded,
--- a/packages/node/src/home/acceptForwardingConnection.ts
+++ b/packages/node/src/home/acceptForwardingConnection.ts
@@ -2,6 +2,7 @@
 import type { WebSocket } from 'ws'
 import type { NodeContext } from '../NodeContext.js'
 import { type BufferHolder, updateBuffer } from '../operations/BufferHolder.js'
+import { runContained } from '../operations/runContained.js'
 import { isEventLoopDelayed, runUnlessAbandoned } from '../operations/runUnlessAbandoned.js'
 import { createBatchSender } from '../peers/createBatchSender.js'
 import { decodeBatch } from '../peers/forwardingCodec.js'
@@ -39,7 +40,7 @@
 export function acceptForwardingConnection (options: AcceptedConnectionOptions): AcceptedConnection {
   const { context, dispatcher, receiver, getVersions, socket, peer, onClose } = options
   const { buffers, clock, counters, log, ticker } = context
-  const sender = createBatchSender(socket, clock)
+  const sender = createBatchSender(socket, context)
   const openJobs = new Map<number, BackendJob>()
   /** Bodies of open requests that are still being fetched, by request id. */
   const pendingBodies = new Map<number, IncomingBody>()
@@ -120,10 +121,15 @@
     const isAbandoned = (): boolean => !openJobs.has(id)
     const request = { mayBeStale: isEventLoopDelayed(ticker), isAbandoned }
     const recordAbandoned = (): void => { counters.count('serving_requests', 'left') }
+    const beginOrFail = (): void => {
+      runContained(context, () => { begin(job) }, () => {
+        end(id, job, { kind: 'lost', reason: 'internal-error' })
+      }, { request: job.attemptId })
+    }
     // The cancellation may follow in the same batch of received messages.
     setImmediate(() => {
       if (isAbandoned()) recordAbandoned()
-      else runUnlessAbandoned(request, () => { begin(job) }, recordAbandoned)
+      else runUnlessAbandoned(request, beginOrFail, recordAbandoned)
     })
   }
 
@@ -166,13 +172,17 @@
       closeMalformed({ bytes: data.length })
       return
     }
-    for (const message of messages) if (!handleMessage(message)) closeMalformed({ detail: `unexpected message kind ${message.kind}` })
+    for (const message of messages) {
+      runContained(context, () => {
+        if (!handleMessage(message)) closeMalformed({ detail: `unexpected message kind ${message.kind}` })
+      })
+    }
   })
   // The 'close' event that follows cancels the open requests of the connection.
   socket.on('error', (error) => { log('linkMalformed', { peer, detail: error.message }) })
   socket.on('close', () => {
     onClose()
-    for (const id of [...openJobs.keys()]) handleCancel(id)
+    for (const id of [...openJobs.keys()]) runContained(context, () => { handleCancel(id) })
   })
 
   return {
--- a/packages/node/src/peers/createBatchSender.ts
+++ b/packages/node/src/peers/createBatchSender.ts
@@ -1,5 +1,6 @@
-import type { Clock } from '@snipenotch/contracts'
 import type { WebSocket } from 'ws'
+import type { NodeContext } from '../NodeContext.js'
+import { runContained } from '../operations/runContained.js'
 import { encodeBatch } from './forwardingCodec.js'
 import type { ForwardingMessage } from './ForwardingMessage.js'
 
@@ -16,15 +17,21 @@
 /**
  * Creates a sender. Under load, each turn handles more messages, so frames grow while the number of writes does not.
  */
-export function createBatchSender (socket: WebSocket, clock: Clock): BatchSender {
+export function createBatchSender (
+  socket: WebSocket, context: Pick<NodeContext, 'clock' | 'counters' | 'log'>
+): BatchSender {
   let batch: ForwardingMessage[] = []
   let isScheduled = false
 
   function sendBatch (): void {
     isScheduled = false
     if (batch.length === 0 || socket.readyState !== socket.OPEN) return
-    socket.send(encodeBatch(batch, clock.now()), { binary: true })
+    const messages = batch
     batch = []
+    // Messages that are lost here would leave requests without an outcome; the end of the connection gives them one.
+    runContained(context, () => {
+      socket.send(encodeBatch(messages, context.clock.now()), { binary: true })
+    }, () => { socket.terminate() })
   }
 
   return {
--- a/packages/node/tests/entry/createForwardingConnection.test.ts
+++ b/packages/node/tests/entry/createForwardingConnection.test.ts
@@ -62,6 +62,19 @@
     expect(connection.countPending()).to.equal(0)
   })
 
+  it('delivers the outcomes behind one whose handling throws (guards against sound responses that are lost)', async () => {
+    connection.send(createJob({ attemptId: 'faulty' }), () => { throw new Error('defect') })
+    for (const attemptId of ['same-frame', 'next-frame']) send(createJob({ attemptId }))
+    await awaitCondition('all arrived', () => received.length === 3)
+    const outcome: JobOutcome = { kind: 'answered', status: 200, headers: [], body: Buffer.alloc(0), notRun: false }
+    const [first, second, third] = [1, 2, 3].map((id) => ({ kind: 'outcome' as const, id, outcome, versions: [], processingMs: 0 }))
+    if (first === undefined || second === undefined || third === undefined) throw new Error('found no message')
+    accepted?.send(encodeBatch([first, second], context.clock.now()))
+    answer(third)
+    await awaitCondition('the others ended', () => outcomes.length === 2)
+    expect([connection.countPending(), connection.isClosed()]).to.deep.equal([0, false])
+  })
+
   it('does not send a request that is cancelled in the same event loop turn (guards against work without a recipient)', async () => {
     const left = createJob({ attemptId: 'left' })
     send(left)
--- a/packages/node/tests/home/createForwardingServer.test.ts
+++ b/packages/node/tests/home/createForwardingServer.test.ts
@@ -31,7 +31,10 @@
     running = []
     closed = undefined
     const dispatcher: Pick<BackendDispatcher, 'run' | 'findRefusal' | 'getClosedReason' | 'getLoad'> = {
-      run: (_, onOutcome) => { running.push(onOutcome) },
+      run: ({ route }, onOutcome) => {
+        if (route === 'defect') throw new Error('defect')
+        running.push(onOutcome)
+      },
       findRefusal: (job) => job.route === 'full' ? { kind: 'refused', reason: 'busy', waitMs: 30 } : undefined,
       getClosedReason: () => closed,
       getLoad: () => LOAD
@@ -63,6 +66,25 @@
     await awaitCondition('it ended', () => count('outcome') === 1)
   })
 
+  it('reports a request whose handling throws as lost, and runs those behind it (guards against a connection that goes deaf)', async () => {
+    const jobs = ['defect', 'r-parts'].map((route) => createLongJob(route))
+    send(...jobs.map((job, id) => ({ kind: 'run' as const, id, job })))
+    send({ kind: 'run', id: 2, job: createLongJob() })
+    await awaitCondition('the others run', () => running.length === 2)
+    await awaitCondition('the first ended', () => count('outcome') === 1)
+    const outcome = received.find((message) => message.kind === 'outcome')?.outcome
+    expect(outcome).to.include({ kind: 'lost', reason: 'internal-error' })
+  })
+
+  it('closes a connection whose messages cannot be encoded (guards against requests that never get an outcome)', async () => {
+    let isClosed = false
+    socket.once('close', () => { isClosed = true })
+    send({ kind: 'run', id: 1, job: createLongJob() })
+    await awaitCondition('it runs', () => running.length === 1)
+    running[0]?.({ ...DONE, reason: 2n ** 80n as never })
+    await awaitCondition('the connection is closed', () => isClosed)
+  })
+
   it('refuses an offered request before any of its body is sent (guards against bodies transferred in vain)', async () => {
     send({ kind: 'offer', id: 1, job: createLongJob('full'), bytes: 50_000 })
     await awaitCondition('it is refused', () => count('outcome') === 1)
