fix(node): end a request whose handling throws at the node of its caller

Callers saw no response if anything threw after the timer of their request had been cleared: at the result, at the deadline (while the exchange was cancelled) or as the process stopped.

Cause: endOnce marks a request as ended before it is answered, and only the start of a request was guarded. An attempt whose sending threw ended the exchange without a result, and the load counted for its host stayed.

Fix: each of these steps answers 502 if it throws; an attempt that throws is lost, so that the exchange goes on to the next host where that is allowed.

Seen failing on: createEntryServer (cancellation that throws at the deadline), createExchange (sending that throws).

--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -9,6 +9,7 @@
 import type { NodeContext } from '../NodeContext.js'
 import { type BufferHolder, updateBuffer } from '../operations/BufferHolder.js'
 import { createByteCollector } from '../operations/createByteCollector.js'
+import { runContained } from '../operations/runContained.js'
 import { isEventLoopDelayed, runUnlessAbandoned } from '../operations/runUnlessAbandoned.js'
 import type { MeshView } from '../rows/createMeshView.js'
 import { type CallerRequest, isClosedByCaller, listenClosed } from './CallerRequest.js'
@@ -120,6 +121,14 @@
     return kept
   }
 
+  /** Answers a request whose handling throws with 502: whether it has been forwarded is unknown. */
+  function runOrFail (callerRequest: CallerRequest, action: () => void): void {
+    runContained(context, action, () => {
+      counters.count('serving_requests', 'failed')
+      sendNodeResponse(callerRequest, 502, 'internal-error')
+    }, { request: callerRequest.attemptId })
+  }
+
   function startRequest (callerRequest: CallerRequest, route: MeshRoute, body: Buffer): void {
     const { incoming, arrivedAt } = callerRequest
     const remaining = readRemainingMs(incoming, route.timeoutMs)
@@ -160,24 +169,28 @@
       targetAt: toMilliseconds(arrivedAt - ageMs + route.targetLatencyMs),
       deadlineAt
     }, (result) => {
-      if (endOnce()) handleResult(callerRequest, route, result)
+      if (endOnce()) runOrFail(callerRequest, () => { handleResult(callerRequest, route, result) })
     })
     callerRequest.getHost = exchange.getHost
     if (state.isDone) return
     state.timer = setTimeout(() => {
       if (!endOnce()) return
-      exchange.cancel()
-      fail(callerRequest, route, 504, 'deadline')
+      runOrFail(callerRequest, () => {
+        exchange.cancel()
+        fail(callerRequest, route, 504, 'deadline')
+      })
     }, deadlineAt + DEADLINE_GRACE_MS - clock.now())
     callerRequest.end = () => {
       if (!endOnce()) return
-      if (exchange.cancel()) refuse(callerRequest, route, 'stopping', 0, 0)
-      else fail(callerRequest, route, 504, 'stopping')
+      runOrFail(callerRequest, () => {
+        if (exchange.cancel()) refuse(callerRequest, route, 'stopping', 0, 0)
+        else fail(callerRequest, route, 504, 'stopping')
+      })
     }
     listenClosed(callerRequest, () => {
       if (!endOnce()) return
       logUnanswered(callerRequest, !isClosedByCaller(callerRequest))
-      exchange.cancel()
+      runOrFail(callerRequest, () => { exchange.cancel() })
     })
   }
 
@@ -214,20 +227,6 @@
     else sendNodeResponse(callerRequest, 404, reason)
   }
 
-  /** Answers a request whose handling throws with 502: whether it has been forwarded is unknown. */
-  function handleOrFail (callerRequest: CallerRequest, body: Buffer): void {
-    try {
-      handleComplete(callerRequest, body)
-    } catch (error) {
-      counters.count('serving_requests', 'failed')
-      log('internalError', {
-        request: callerRequest.attemptId,
-        error: error instanceof Error ? error.stack : String(error)
-      })
-      sendNodeResponse(callerRequest, 502, 'internal-error')
-    }
-  }
-
   function handleRequest (incoming: IncomingMessage, response: ServerResponse): void {
     if (closingSockets.has(incoming.socket)) {
       // The connection is closing and the request has not been read, so the caller retries it on another connection.
@@ -283,7 +282,9 @@
           mayBeStale: callerRequest.isFirstOfConnection || isEventLoopDelayed(ticker),
           isAbandoned: () => incoming.socket.readableEnded || incoming.socket.destroyed
         }
-        runUnlessAbandoned(request, () => { handleOrFail(callerRequest, body.takeBody()) }, () => {
+        runUnlessAbandoned(request, () => {
+          runOrFail(callerRequest, () => { handleComplete(callerRequest, body.takeBody()) })
+        }, () => {
           counters.count('serving_requests', 'left')
         })
       }
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -3,6 +3,7 @@
 import type { NodeContext } from '../NodeContext.js'
 import type { BackendDispatcher } from '../home/createBackendDispatcher.js'
 import { FIRST_FAILURE_STATUS, type BackendJob, type JobOutcome } from '../home/BackendJob.js'
+import { runContained } from '../operations/runContained.js'
 import { LARGE_BODY_BYTES } from '../peers/ForwardingMessage.js'
 import type { Candidate, CandidateFinder } from './createCandidateFinder.js'
 import type { ForwardingClient } from './createForwardingClient.js'
@@ -34,6 +35,8 @@
  * backend servers must not crash all of them in one attempt.
  */
 const MAX_LOST_RUNS = 2
+/** Outcome of an attempt whose handling failed: it may have run. */
+const INTERNAL_ERROR: JobOutcome = { kind: 'lost', reason: 'internal-error' }
 /** Minimum remaining time for a retry, as a share of the route's target latency. */
 const MIN_RETRY_TIME_SHARE = 0.3
 
@@ -247,9 +250,18 @@
       const job = createJob(candidate)
       current = job
       currentHost = candidate.host
-      const handle = (outcome: JobOutcome): void => { handleOutcome(candidate, outcome) }
-      if (candidate.host === settings.host) dispatcher.run(job, handle)
-      else client.send(job, candidate.record, handle)
+      let hasOutcome = false
+      const handleOnce = (outcome: JobOutcome): void => {
+        if (hasOutcome) return
+        hasOutcome = true
+        runContained(context, () => { handleOutcome(candidate, outcome) }, () => {
+          end(INTERNAL_ERROR, candidate.host)
+        }, { request: request.attemptId })
+      }
+      runContained(context, () => {
+        if (candidate.host === settings.host) dispatcher.run(job, handleOnce)
+        else client.send(job, candidate.record, handleOnce)
+      }, () => { handleOnce(INTERNAL_ERROR) }, { request: request.attemptId })
     }
 
     sendToNextHost()
--- a/packages/node/tests/entry/createEntryServer.test.ts
+++ b/packages/node/tests/entry/createEntryServer.test.ts
@@ -1,4 +1,4 @@
-import { OPERATOR_TABLE } from '@snipenotch/platform'
+import { OPERATOR_TABLE, PLATFORM_HEADERS } from '@snipenotch/platform'
 import { expect } from 'chai'
 import type { AddressInfo } from 'node:net'
 import { composePlatformConfiguration } from '../../../../platform/tests/composeWire.js'
@@ -39,6 +39,13 @@
     expect(context.events.map(({ name }) => name)).to.include('internalError')
   })
 
+  it('answers a request at its deadline although its cancellation throws (guards against a caller that waits for good)', async () => {
+    startExchange = () => ({ cancel: () => { throw new Error('defect') }, getHost: () => undefined })
+    const answer = await send(port, '/parts/1', { [PLATFORM_HEADERS.remainingMs]: '100' })
+    expect(answer.status).to.be.oneOf([502, 504])
+    expect(entry.countOpen()).to.equal(0)
+  })
+
   const malformed: Array<[string, number, string[]]> = [
     ['status', 0, []], ['header name', 200, ['X Own', '1']], ['header value', 200, ['X-Own', 'a\r\nb']]
   ]
--- a/packages/node/tests/entry/createExchange.test.ts
+++ b/packages/node/tests/entry/createExchange.test.ts
@@ -71,6 +71,13 @@
     })
   }
 
+  it('ends a request whose sending throws, after a retry that is allowed (guards against requests that are never answered)', () => {
+    const defect = (): never => { throw new Error('defect') }
+    const { result, jobs } = sendOnce([defect, failed], 2)
+    expect([result, jobs.length]).to.deep.equal([{ outcome: failed, host: 'krakow-2', tries: 2 }, 2])
+    expect(sendOnce([defect], 1).result?.outcome).to.deep.equal({ kind: 'lost', reason: 'internal-error' })
+  })
+
   interface SendResult {
     readonly result: ExchangeResult | undefined
     /** Requests as sent to hosts. */
@@ -80,7 +87,7 @@
   }
 
   /** Sends a request of a route that allows `maxAttempts` to hosts that respond with `outcomes`. */
-  function sendOnce (outcomes: readonly JobOutcome[], maxAttempts = 5): SendResult {
+  function sendOnce (outcomes: ReadonlyArray<JobOutcome | (() => JobOutcome)>, maxAttempts = 5): SendResult {
     const context = createTestContext({ host: 'tarnow-1' })
     const hosts = [1, 2, 3, 4, 5].map((number) =>
       ({ record: createRecord(`krakow-${number}`), host: `krakow-${number}`, slots: 8, distanceMs: 0 }))
@@ -98,7 +105,8 @@
         send: (job, _record, onOutcome) => {
           jobs.push(job)
           versions.push(wanted)
-          onOutcome(outcomes[jobs.length - 1] ?? busy)
+          const outcome = outcomes[jobs.length - 1] ?? busy
+          onOutcome(typeof outcome === 'function' ? outcome() : outcome)
         },
         close: () => undefined
       },
@@ -141,6 +149,11 @@
     expect([result, jobs.length]).to.deep.equal([{ outcome: refusal, host: undefined, tries: 0 }, 1])
   })
 
+  it('asks no other host after the refusal of a malformed request (guards against refusals that multiply)', () => {
+    const refusal: JobOutcome = { kind: 'refused', reason: 'malformed', waitMs: 0 }
+    expect(sendOnce([refusal]).jobs.length).to.equal(1)
+  })
+
   it('sends a request that a new version failed to the old one (guards against repeated attempts at a bad version)', () => {
     expect(sendOnce([failed, failed]).versions.slice(0, 2)).to.deep.equal(['v2', 'v1'])
   })
