fix(node): run the other periodic checks when one throws, and count uncaught errors

Cause: all periodic work of a node shares one timer, and a task that threw ended the tick: deadlines of calls, heartbeats and probes behind it waited for the next tick, in each tick in which it threw. Errors outside any handling had the same event as those that end one request, and no counter.

Fix: each task is guarded on its own. Event 105 and internal_errors{uncaught} tell of an error that nothing contained.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -19,6 +19,7 @@
   daemonStopped: { number: 102, level: 'info', text: 'daemon stopped' },
   settingsInvalid: { number: 103, level: 'error', text: 'settings are invalid' },
   internalError: { number: 104, level: 'error', text: 'unexpected internal error' },
+  uncaughtError: { number: 105, level: 'error', text: 'error outside the handling of any request or message; the process goes on' },
   configurationApplied: { number: 200, level: 'info', text: 'configuration applied' },
   configurationRejected: { number: 201, level: 'error', text: 'configuration rejected; the one in force stays' },
   configurationConflicting: { number: 202, level: 'error', text: 'configuration version seen with two digests; the one in force stays' },
--- a/packages/node/src/bin/snipenotchNode.ts
+++ b/packages/node/src/bin/snipenotchNode.ts
@@ -34,7 +34,10 @@
 const settings = readSettingsFile()
 const events = createEventLog({ host: settings.host, data_centre: settings.dataCentre, log: { level: 'info' } }, destination)
 const log = createRateLimitedLog(events, counters, clock)
-const ticker = createTicker(clock, (delay) => { counters.record('loop', delay) })
+const ticker = createTicker(clock, (delay) => { counters.record('loop', delay) }, (error) => {
+  counters.count('internal_errors', 'contained')
+  log('internalError', { error: error instanceof Error ? error.stack : String(error) })
+})
 const buffers = createBufferBudget<BufferHolder>(computeBufferLimit(settings.memoryMb))
 const node = createNode({ settings, clock, counters, log, ticker, buffers, random: Math.random })
 ticker.add(LOG_FLUSH_MS, () => { destination.flush() })
@@ -59,8 +62,10 @@
   const found = decodeSettings(readFileSync(file, 'utf8'), file)
   log('settingsReloaded', found.isErr() ? { problems: found.error } : { isChanged: JSON.stringify(found.value) !== JSON.stringify(settings) })
 })
+// The process goes on: an exit would lose all open requests on the host. docs/design.md gives the reasons.
 process.on('uncaughtException', (error) => {
-  log('internalError', { error: error.stack ?? String(error) })
+  counters.count('internal_errors', 'uncaught')
+  log('uncaughtError', { error: error.stack ?? String(error) })
 })
 
 await node.start()
--- a/packages/node/src/operations/createTicker.ts
+++ b/packages/node/src/operations/createTicker.ts
@@ -27,8 +27,13 @@
   dueAt: number
 }
 
-/** Creates a running ticker; `onTick` receives the delay of each tick, in milliseconds. */
-export function createTicker (clock: Clock, onTick: (delay: number) => void): Ticker {
+/**
+ * Creates a running ticker. `onTick` receives the delay of each tick, in milliseconds; `onError` receives what a task
+ * throws, which ends no other task.
+ */
+export function createTicker (
+  clock: Clock, onTick: (delay: number) => void, onError: (error: unknown) => void
+): Ticker {
   const tasks = new Set<Task>()
   let tickedAt = clock.now()
   let delay = 0
@@ -37,7 +42,11 @@
     for (const task of tasks) {
       if (now < task.dueAt - TICK_MS / 2) continue
       task.dueAt = now + task.periodMs
-      task.run()
+      try {
+        task.run()
+      } catch (error) {
+        onError(error)
+      }
     }
   }
 
--- a/packages/node/tests/createTestContext.ts
+++ b/packages/node/tests/createTestContext.ts
@@ -52,7 +52,7 @@
     settings,
     clock,
     counters: createCounters(),
-    ticker: createTicker(clock, () => undefined),
+    ticker: createTicker(clock, () => undefined, (error) => { log('internalError', { error: String(error) }) }),
     buffers: createBufferBudget<BufferHolder>(computeBufferLimit(settings.memoryMb)),
     random: () => 0.5,
     log,
