fix(node): answer peers and backend servers whose call throws

A request to a peer port with a target such as "//" threw in the URL parser and was never answered; so was a status report whose handling threw, and its backend server waited until its own time-out. They get 404 and 500 now.

--- a/packages/node/src/operations/createReportServer.ts
+++ b/packages/node/src/operations/createReportServer.ts
@@ -3,6 +3,7 @@
 import { createServer, type IncomingMessage, type Server } from 'node:http'
 import type { NodeContext } from '../NodeContext.js'
 import { formatAddress } from '../peers/parseAddress.js'
+import { runContained } from './runContained.js'
 
 /** Options of `createReportServer`. */
 export interface ReportServerOptions {
@@ -88,7 +89,11 @@
   return createServer((incoming, response) => {
     const call = parseInstanceCall(incoming.url ?? '')
     readBody(incoming, (text) => {
-      const status = call === undefined ? 404 : call.kind === 'report' ? handleReport(call.instance, text) : handleDrainNotice(call.instance, text)
+      let status = call === undefined ? 404 : 500
+      runContained(context, () => {
+        if (call?.kind === 'report') status = handleReport(call.instance, text)
+        if (call?.kind === 'leave') status = handleDrainNotice(call.instance, text)
+      })
       response.writeHead(status, { 'content-type': 'application/json', 'content-length': 2 }).end('{}')
     })
   })
--- a/packages/node/src/peers/createPeerServer.ts
+++ b/packages/node/src/peers/createPeerServer.ts
@@ -126,16 +126,16 @@
   }
 
   return createServer((incoming, response) => {
-    const url = new URL(incoming.url ?? '/', 'http://localhost')
-    if (url.pathname === PEER_PATHS.ping) {
+    const url = URL.parse(incoming.url ?? '/', 'http://localhost')
+    if (url?.pathname === PEER_PATHS.ping) {
       response.writeHead(200, { 'content-length': 0 }).end()
       return
     }
-    if (url.pathname === PEER_PATHS.suspects) {
+    if (url?.pathname === PEER_PATHS.suspects) {
       handleSuspects(incoming, response)
       return
     }
-    if (url.pathname !== PEER_PATHS.rows) {
+    if (url?.pathname !== PEER_PATHS.rows) {
       response.writeHead(404, { 'content-length': 0 }).end()
       return
     }
--- a/packages/node/tests/peers/createPeerServer.test.ts
+++ b/packages/node/tests/peers/createPeerServer.test.ts
@@ -1,7 +1,7 @@
 import { createSystemClock } from '@snipenotch/contracts'
 import { createReplica, type Replica, type ReplicaRow } from '@snipenotch/decisions'
 import { expect } from 'chai'
-import { Agent, type Server } from 'node:http'
+import { Agent, request, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { createPeerServer, formatRowsPath, parseCopyAges, PEER_PATHS } from '../../src/peers/createPeerServer.js'
 import { requestPeer } from '../../src/peers/requestPeer.js'
@@ -55,6 +55,17 @@
   })
   afterEach(() => { server.close() })
 
+  for (const target of ['//', 'http://[', '/\\[']) {
+    it(`answers a request for ${target} (guards against a peer that waits for good)`, async () => {
+      const status = await new Promise<number | undefined>((resolve, reject) => {
+        const { port } = server.address() as AddressInfo
+        request({ agent, host: '127.0.0.1', port, path: target }, (incoming) => { resolve(incoming.resume().statusCode) })
+          .on('error', reject).end()
+      })
+      expect(status).to.equal(404)
+    })
+  }
+
   it('holds the request until there is a change', async () => {
     const answer = ask(8, 9000)
     await new Promise((resolve) => { setTimeout(resolve, 50) })
