fix(node): end a request at once when its response switches protocols

A response with status 101 and an upgrade ends the request of Node.js without a response and without an error, so the request held its slot until its deadline and got 504 then. Its end is a lost connection now.

Found beside the property test of malformed heads. Seen failing before: the case of createBackendClient (deadline after 500 ms in place of connection-lost).

--- a/packages/node/src/home/createBackendClient.ts
+++ b/packages/node/src/home/createBackendClient.ts
@@ -206,6 +206,10 @@
       outgoing.destroy()
     }
 
+    function failConnection (detail: string): void {
+      end(isConnected ? { kind: 'lost', reason: 'connection-lost', detail } : { kind: 'unreachable', detail })
+    }
+
     /**
      * Closes the idle connections if a kept one has not responded by the deadline: connections that go silent without
      * a reset do so together. A backend server that is only slow answers at the deadline.
@@ -252,10 +256,10 @@
     outgoing.on('error', (error) => {
       // Bytes after a complete response belong to no request; the 'end' event of the response follows.
       if (response?.complete === true && isFramed(response)) return
-      end(isConnected
-        ? { kind: 'lost', reason: 'connection-lost', detail: error.message }
-        : { kind: 'unreachable', detail: error.message })
+      failConnection(error.message)
     })
+    // A response that switches protocols ends the request without an error.
+    outgoing.on('close', () => { if (response === undefined) failConnection('connection closed without a response') })
     outgoing.on('response', (incoming) => {
       response = incoming
       if (connected !== undefined) silenceDetector.recordAnswer(connected, clock.now())
