fix(daemon): do not end the process over a head that cannot be sent on

Callers saw, with snipenotchd: one request with a blank in the name of a header, or a tab in the path, ended the process, and with it all open requests and the memory of request keys on that host. The same came from one response of a backend server with status 000, and from a request for a key whose target is no URL.

Cause: that of the same fault in the node beside a backend server; the daemon has no handler for uncaught exceptions, so the first one ended it.

Fix: heads are checked at both boundaries by the same functions as in the node: 400 head-malformed and the end of the connection for a caller, 502 (or a retry where allowed) for a response, at the home node and, for nodes of earlier builds, at the entry node. A request whose handling throws gets 500 internal-error, and a run that cannot be started gives back its slot. An uncaught exception still ends the daemon.

--- a/packages/contracts/src/reasons/reasons.ts
+++ b/packages/contracts/src/reasons/reasons.ts
@@ -20,7 +20,8 @@
   'backend-unreachable',
   'backend-failed',
   'unauthenticated',
-  'head-malformed'
+  'head-malformed',
+  'internal-error'
 ] as const
 
 /** Why a node retried a request. Each reason has a counter. */
--- a/packages/daemon/src/requests/createRequestServer.ts
+++ b/packages/daemon/src/requests/createRequestServer.ts
@@ -3,6 +3,8 @@
 import { HEADERS, type RefusalReason } from '@snipenotch/contracts'
 import type { NodeContext } from '../node/NodeContext.js'
 import { KEEP_ALIVE_TIMEOUT_MS } from './BoundedKeepAliveAgent.js'
+import { findRequestHeadFault } from './findHeadFault.js'
+import { sendRefusal } from './sendRefusal.js'
 
 /** Time limit for receiving a request head, so that slow clients do not hold connections. */
 const HEAD_TIMEOUT_MS = 10_000
@@ -31,6 +33,32 @@
    */
   const pendingResponses = new WeakMap<Duplex, number>()
   const countPendingResponses = (socket: Duplex): number => pendingResponses.get(socket) ?? 0
+  /** Connections on which a malformed head has arrived; requests behind it are discarded. */
+  const closingSockets = new WeakSet<Duplex>()
+
+  /**
+   * Rejects a head that cannot be forwarded and closes its connection: the length of its body may be malformed as well,
+   * and what follows would be taken for another request.
+   */
+  function rejectHead ({ socket }: IncomingMessage, outgoing: ServerResponse, fault: string): void {
+    context.log('requestHeadMalformed', { code: fault })
+    closingSockets.add(socket)
+    sendRefusal(
+      outgoing, context.counters, { status: 400, reason: HEAD_MALFORMED_REASON, outcome: 'unknown' }, ['connection', 'close']
+    )
+  }
+
+  function handleRequest (incoming: IncomingMessage, outgoing: ServerResponse): void {
+    const fault = findRequestHeadFault(incoming.url ?? '', incoming.rawHeaders)
+    try {
+      if (fault === undefined) listener(incoming, outgoing)
+      else rejectHead(incoming, outgoing, fault)
+    } catch (error) {
+      context.log('internalError', { error: error instanceof Error ? error.stack : String(error) })
+      sendRefusal(outgoing, context.counters, { status: 500, reason: 'internal-error', outcome: 'unknown' })
+    }
+  }
+
   const server = createServer({
     maxHeaderSize: context.settings.requests.max_head_bytes,
     headersTimeout: HEAD_TIMEOUT_MS,
@@ -41,9 +69,13 @@
     ...(responseClass === undefined ? {} : { ServerResponse: responseClass })
   }, (incoming, outgoing) => {
     const { socket } = incoming
+    if (closingSockets.has(socket)) {
+      incoming.resume()
+      return
+    }
     pendingResponses.set(socket, countPendingResponses(socket) + 1)
     outgoing.on('finish', () => pendingResponses.set(socket, countPendingResponses(socket) - 1))
-    listener(incoming, outgoing)
+    handleRequest(incoming, outgoing)
   })
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     const isReset = error.code === 'ECONNRESET' || error.code === 'EPIPE'
--- a/packages/daemon/src/requests/entry/createEntryHandler.ts
+++ b/packages/daemon/src/requests/entry/createEntryHandler.ts
@@ -56,7 +56,8 @@
   }
 
   function handleKeyRequest (configuration: Configuration, incoming: IncomingMessage, outgoing: ServerResponse): void {
-    const { searchParams } = new URL(incoming.url ?? '/', 'http://mesh')
+    const searchParams = URL.parse(incoming.url ?? '/', 'http://mesh')?.searchParams
+    if (searchParams === undefined) { refuse(outgoing, 400, 'head-malformed', 'not-run'); return }
     const path = parseTargetPath(searchParams.get('path') ?? '/')
     const matched = findRoute(configuration, searchParams.get('method') ?? 'POST', path, 'not-run', outgoing)
     if (matched === undefined) return
--- a/packages/daemon/src/requests/entry/createExchangeRunner.ts
+++ b/packages/daemon/src/requests/entry/createExchangeRunner.ts
@@ -7,6 +7,7 @@
 import type { NodeContext } from '../../node/NodeContext.js'
 import type { HomeHandler, Refusal } from '../HomeHandler.js'
 import { readHeader } from '../readHeader.js'
+import { findResponseHeadFault } from '../findHeadFault.js'
 import { forwardResponse } from '../forwardResponse.js'
 import { sendRefusal } from '../sendRefusal.js'
 import type { Forwarder } from './createForwarder.js'
@@ -187,6 +188,13 @@
     const loadReport = parseLoadReport(readHeader(response, HEADERS.load) ?? '')
     if (loadReport !== undefined) hostLoads.observeReport(attempt.load, loadReport, clock.now())
     if (isSettled(exchange)) { response.destroy(); return }
+    // The home node checks the head; one of an earlier build does not.
+    const fault = findResponseHeadFault(response.statusCode ?? 0, response.rawHeaders)
+    if (fault !== undefined) {
+      response.destroy()
+      handleFailedAttempt(exchange, attempt, 'connection-lost', fault)
+      return
+    }
     const refusal = parseRefusal(response)
     if (refusal !== undefined) {
       if (handleRefusal(exchange, attempt, refusal)) { response.resume(); return }
--- a/packages/daemon/src/requests/home/createBackendHandler.ts
+++ b/packages/daemon/src/requests/home/createBackendHandler.ts
@@ -103,21 +103,26 @@
     running.set(exchange.id, entry)
     crashReporter.begin(fingerprint)
     const isIdempotent = route.idempotent
-    entry.run = startBackendRun(
-      client, clock,
-      {
-        incoming,
-        outgoing,
-        bodyPrefix,
-        isKeyed: !isIdempotent,
-        isIdempotent,
-        deadlineAt,
-        attempt,
-        caller,
-        buildHeaders
-      },
-      (result) => endRun(entry, result)
-    )
+    try {
+      entry.run = startBackendRun(
+        client, clock,
+        {
+          incoming,
+          outgoing,
+          bodyPrefix,
+          isKeyed: !isIdempotent,
+          isIdempotent,
+          deadlineAt,
+          attempt,
+          caller,
+          buildHeaders
+        },
+        (result) => endRun(entry, result)
+      )
+    } catch (error) {
+      log('internalError', { error: error instanceof Error ? error.stack : String(error) })
+      endRun(entry, { kind: 'failed', reason: 'backend-failed', hasSent: true, hasResponded: false })
+    }
   }
 
   function endRun (entry: RunningExchange, result: BackendRunResult): void {
--- a/packages/daemon/src/requests/home/startBackendRun.ts
+++ b/packages/daemon/src/requests/home/startBackendRun.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { HEADERS, type Clock, type Milliseconds, type RunOutcome, type RefusalReason } from '@snipenotch/contracts'
 import type { RecordedResponse, RunResult } from '@snipenotch/decisions'
+import { findResponseHeadFault } from '../findHeadFault.js'
 import { createResponseRecorder } from './createResponseRecorder.js'
 import type { BackendClient } from './createBackendClient.js'
 import { pickResponseHeaders, pickRequestHeaders } from './pickHeaders.js'
@@ -124,11 +125,15 @@
   }
 
   function handleResponse (response: IncomingMessage): void {
-    backendResponse = response
-    lastProgressAt = clock.now()
+    const { statusCode: status = 0, rawHeaders } = response
     response.on('error', () => { if (!hasEnded) fail('backend-failed') })
     if (hasEnded) return
-    const status = response.statusCode ?? 502
+    if (findResponseHeadFault(status, rawHeaders) !== undefined) {
+      fail('backend-failed')
+      return
+    }
+    backendResponse = response
+    lastProgressAt = clock.now()
     const isNotRun = response.headers[HEADERS.outcome] === 'not-run'
     if (isShedding(status) && (isNotRun || (isIdempotent && status === 503))) {
       response.resume()
--- a/packages/daemon/tests/requests/createRequestServer.test.ts
+++ b/packages/daemon/tests/requests/createRequestServer.test.ts
@@ -1,6 +1,9 @@
 import { connect } from 'node:net'
 import { expect } from 'chai'
-import { awaitCondition, closeAll, createTestMesh, send, startHttpServer, startNode } from './fixtures.js'
+import { createRequestServer } from '../../src/requests/createRequestServer.js'
+import {
+  awaitCondition, closeAll, createTestMesh, describeRefusal, listenOnFreePort, send, startHttpServer, startNode
+} from './fixtures.js'
 
 describe('createRequestServer', () => {
   afterEach(closeAll)
@@ -33,6 +36,12 @@
     })
   }
 
+  it('answers a request whose handling throws (guards against an error that ends the process)', async () => {
+    const { context } = await startNode(createTestMesh(), 'a')
+    const address = await listenOnFreePort(createRequestServer(context, () => { throw new Error('defect') }))
+    expect(describeRefusal(await send(address, 'GET', '/clocks'))).to.equal('500 unknown internal-error')
+  })
+
   it('closes the connection on a malformed head while a request is pending (guards against a refusal read as its response)', async () => {
     const mesh = createTestMesh()
     let reached = false
--- a/packages/decisions/src/requests/decideRetry.ts
+++ b/packages/decisions/src/requests/decideRetry.ts
@@ -106,7 +106,8 @@
   'backend-failed': undefined,
   // The request itself is at fault, so another host would refuse it as well.
   unauthenticated: undefined,
-  'head-malformed': undefined
+  'head-malformed': undefined,
+  'internal-error': undefined
 } as const satisfies Record<RefusalReason, AttemptFailure | undefined>
 
 /** Converts the reason of a refusal with outcome `not-run`; undefined if the refusal is passed on to the caller. */
