--- a/packages/node/tests/soak/startSoakHost.ts
+++ b/packages/node/tests/soak/startSoakHost.ts
@@ -7,6 +7,7 @@
 import { startProcess, type StartedProcess } from '../../../emulator/src/mesh/startProcess.js'
 import { composeReport, composeSettings, HEALTH_PATH } from '../../../../platform/tests/composeWire.js'
 import { composeAnswerBody, type RequestRecorder } from './createRequestRecorder.js'
+import { composeMalformedResponse } from './malformedHeads.js'
 
 /** Host of the soak test: a node process, and a backend server in this process. */
 export interface SoakHost {
@@ -29,6 +30,8 @@
   readonly crashAndRestart: (coldMs: number) => void
   /** Makes the running backend server cold, unless it received a request just before. */
   readonly turnCold: (coldMs: number) => void
+  /** Sets the share of responses whose head is malformed. */
+  readonly setMalformedShare: (share: number) => void
   readonly stop: () => Promise<void>
   /** Last lines of the node's log. */
   readonly readLog: () => string
@@ -79,6 +82,7 @@
   /** Arrival times of requests in the cold phase, within the last second. */
   let coldArrivals: number[] = []
   let arrivedAt = 0
+  let malformedShare = 0
   const computeColdMs = (): number => Math.max(0, Math.round(coldUntil - performance.now()))
   const getInstance = (): string => `i-${host}-${run}`
 
@@ -110,6 +114,11 @@
         incoming.socket.destroy()
         return
       }
+      // Not drawn otherwise: the draws of older seeds depend on their number.
+      if (malformedShare > 0 && random() < malformedShare) {
+        incoming.socket.end(composeMalformedResponse(id, random))
+        return
+      }
       const text = composeAnswerBody(id, body)
       const headers = { [PLATFORM_HEADERS.attemptId]: id, [PLATFORM_HEADERS.signature]: 'signed', 'Content-Length': Buffer.byteLength(text) }
       response.writeHead(200, headers).end(text)
@@ -243,6 +252,7 @@
       leavingAckedAt = undefined
       state = 'serving'
     },
+    setMalformedShare: (share) => { malformedShare = share },
     stop: async () => {
       isStopped = true
       for (const { child } of nodes) {
