--- a/packages/node/tests/soak/createRequestRecorder.ts
+++ b/packages/node/tests/soak/createRequestRecorder.ts
@@ -18,6 +18,10 @@
   /** Records that a connection ended without a response although its node was neither killed nor paused. */
   readonly recordCut: (id: string) => void
   readonly recordViolation: (promise: string, detail: string) => void
+  /** Records what happened, with the time since the start of the record, in milliseconds. */
+  readonly recordEvent: (event: string) => void
+  /** Events and violations in order. */
+  readonly listEvents: () => readonly string[]
   /** Violations so far; with `isOver`, also those that show only in the complete record. */
   readonly listViolations: (isOver: boolean) => string[]
   readonly countAnswers: () => Readonly<Record<string, number>>
@@ -33,8 +37,14 @@
   const refused = new Set<string>()
   const open = new Set<string>()
   const broken: string[] = []
+  const events: string[] = []
+  const startedAt = performance.now()
   const answers: Record<string, number> = {}
-  const recordViolation = (promise: string, detail: string): void => { broken.push(`${promise}: ${detail}`) }
+  const recordEvent = (event: string): void => { events.push(`${Math.round(performance.now() - startedAt)} ${event}`) }
+  const recordViolation = (promise: string, detail: string): void => {
+    broken.push(`${promise}: ${detail}`)
+    recordEvent(`violation of ${promise}: ${detail}`)
+  }
 
   return {
     recordSent: (request) => {
@@ -66,6 +76,8 @@
     },
     recordCut: (id) => { if (runs.has(id)) recordViolation('lost', `${id} ran and its caller got no answer`) },
     recordViolation,
+    recordEvent,
+    listEvents: () => events,
     listViolations: (isOver) => {
       if (!isOver) return [...broken]
       const ranRefused = [...refused].filter((id) => runs.has(id) && sent.get(id)?.isIdempotent === false)
--- a/packages/node/tests/soak/runSoak.ts
+++ b/packages/node/tests/soak/runSoak.ts
@@ -27,6 +27,10 @@
   readonly broken: readonly string[]
   readonly answers: Readonly<Record<string, number>>
   readonly faults: readonly string[]
+  /** Timeline of the run. */
+  readonly events: readonly string[]
+  /** Logs of the nodes by host. */
+  readonly logs: Readonly<Record<string, string>>
 }
 
 /** Services, whether their requests are idempotent, and their number of hosts. */
@@ -302,6 +306,7 @@
       const host = environment.hosts[Math.floor(environment.random() * environment.hosts.length)]
       if (host === undefined) break
       faults.push(`${name} (${host.host})`)
+      recorder.recordEvent(`${name} (${host.host})`)
       playing.push(Promise.resolve(FAULTS[name]?.(environment, host)))
       await awaitPause(50 + environment.random() * 500)
     }
@@ -315,5 +320,11 @@
     await environment.close()
     rmSync(directory, { recursive: true, force: true })
   }
-  return { broken: recorder.listViolations(true), answers: recorder.countAnswers(), faults }
+  return {
+    broken: recorder.listViolations(true),
+    answers: recorder.countAnswers(),
+    faults,
+    events: recorder.listEvents(),
+    logs: Object.fromEntries(environment.hosts.map(({ host, readLog }) => [host, readLog()]))
+  }
 }
--- a/packages/node/tests/soak/soak.test.ts
+++ b/packages/node/tests/soak/soak.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { execFileSync } from 'node:child_process'
+import { mkdirSync, writeFileSync } from 'node:fs'
 import path from 'node:path'
 import { runSoak } from './runSoak.js'
 
@@ -12,10 +13,13 @@
 const BUILD_TIMEOUT_MS = 60_000
 /** Seed that CI runs. */
 const CI_SEED = 20_261_206
-/** Seeds given on the command line: `SOAK_SEEDS=50 SOAK_FIRST=1000`. */
+/** Seeds given on the command line: `SOAK_SEEDS=50 SOAK_FIRST=1000`, of the first `SOAK_KINDS` kinds of faults. */
 const handSeeds = Array.from({ length: Number(process.env.SOAK_SEEDS ?? 0) }, (_, index) =>
   Number(process.env.SOAK_FIRST ?? 1) + index)
 
+const handKinds = process.env.SOAK_KINDS === undefined ? undefined : Number(process.env.SOAK_KINDS)
+/** Folder for the timeline and the logs of runs that fail. */
+const logFolder = process.env.SOAK_LOGS
 /** Folder with another build of the project, whose nodes then run beside those of this one. */
 const otherBuild = process.env.SNIPENOTCH_OTHER_BUILD
 
@@ -30,12 +34,17 @@
   })
 
   const cases = handSeeds.length > 0
-    ? handSeeds.map((seed) => ({ seed, cause: 'by hand', kinds: undefined }))
+    ? handSeeds.map((seed) => ({ seed, cause: 'by hand', kinds: handKinds }))
     : [{ seed: CI_SEED, cause: 'in CI', kinds: undefined }, ...REGRESSIONS]
   for (const { seed, cause, kinds } of cases) {
     it(`violates no guarantee with seed ${seed} (${cause})`, async function () {
       this.timeout(faultMs + 60_000)
-      const { broken, answers, faults } = await runSoak({ bundle, otherBundle, seed, faultMs, kinds })
+      const { broken, answers, faults, events, logs } = await runSoak({ bundle, otherBundle, seed, faultMs, kinds })
+      if (broken.length > 0 && logFolder !== undefined) {
+        mkdirSync(logFolder, { recursive: true })
+        const files = { ...logs, events: events.join('\n') }
+        for (const [name, text] of Object.entries(files)) writeFileSync(path.join(logFolder, `${seed}-${name}.log`), text)
+      }
       expect(broken, JSON.stringify({ answers, faults })).to.deep.equal([])
       expect(answers[200] ?? 0).to.be.greaterThan(100)
     })
--- a/packages/node/tests/soak/startSoakHost.ts
+++ b/packages/node/tests/soak/startSoakHost.ts
@@ -33,7 +33,7 @@
   /** Sets the share of responses whose head is malformed. */
   readonly setMalformedShare: (share: number) => void
   readonly stop: () => Promise<void>
-  /** Last lines of the node's log. */
+  /** Log of all node processes of the host so far. */
   readonly readLog: () => string
 }
 
@@ -183,7 +183,9 @@
   }
   async function reportOn (): Promise<void> {
     const sentState = state
+    const sent = `${getInstance()} ${state} ${sequence + 1} cold ${computeColdMs()}`
     const isAcknowledged = await report()
+    recorder.recordEvent(`report ${sent} ${isAcknowledged ? 'acknowledged' : 'lost'}`)
     if (isAcknowledged && sentState === 'draining' && state === 'draining') leavingAckedAt ??= performance.now()
     await awaitPause(REPORT_INTERVAL_MS)
     if (!isStopped) await reportOn()
@@ -192,12 +194,14 @@
   function beginCold (coldMs: number): void {
     coldArrivals = []
     coldUntil = performance.now() + coldMs
+    recorder.recordEvent(`${getInstance()} is cold for ${Math.round(coldMs)} ms`)
   }
 
   let node: StartedProcess | undefined
   let starts = 0
   /** Node processes that have not exited. */
   const nodes = new Set<StartedProcess>()
+  const logs = new Set<StartedProcess>()
   function startNode (): void {
     // Each signal to a process schedules a restart, so several may be due.
     if (isStopped || node !== undefined) return
@@ -207,6 +211,8 @@
     const started = startProcess(bundle, [], { env: { SNIPENOTCH_NODE_FILE: file } })
     node = started
     nodes.add(started)
+    logs.add(started)
+    recorder.recordEvent(`node of ${host} starts`)
     const forget = (): void => {
       nodes.delete(started)
       if (node === started) node = undefined
@@ -264,6 +270,6 @@
       backend.closeAllConnections()
       backend.close()
     },
-    readLog: () => node?.readOutput().slice(-4000) ?? ''
+    readLog: () => [...logs].map(({ readOutput }) => readOutput()).join('')
   }
 }
