--- a/packages/emulator/tests/integration/requests/answers.test.ts
+++ b/packages/emulator/tests/integration/requests/answers.test.ts
@@ -56,4 +56,22 @@
     expect(ends.some(({ startedAt, endedAt }) =>
       ends.some((other) => other.startedAt > startedAt && other.endedAt < endedAt))).to.equal(true)
   })
+
+  it('P7: responses with malformed heads end only their own requests (guards against a backend server that ends daemons)', async () => {
+    const listProcesses = (): Array<number | undefined> => mesh.hosts.map(({ daemon }) => daemon.child.pid)
+    const processes = listProcesses()
+    for (const { proxies, backendServer } of mesh.hosts) {
+      proxies.peers!.setRules([])
+      proxies.backend!.setRules([])
+      await backendServer.updateSettings({ faults: [{ effect: 'malform', share: 0.1 }] })
+    }
+    const records = await runLoad(SEED + 1)
+    for (const { backendServer } of mesh.hosts) await backendServer.updateSettings({ faults: [] })
+    checkGuarantees(mesh, records)
+    expect(records.filter(({ status, disconnected }) => status === 0 && !disconnected)).to.deep.equal([])
+    expect(records.filter(({ body }) => body === 'whole').length).to.be.greaterThan(records.length / 2)
+    expect(records.some(({ status }) => status === 502)).to.equal(true)
+    expect(listProcesses()).to.deep.equal(processes)
+    expect(mesh.hosts.map(({ daemon }) => daemon.child.exitCode)).to.deep.equal(mesh.hosts.map(() => null))
+  })
 })
--- a/packages/stand-ins/src/backend/backendServerSettingsSchema.ts
+++ b/packages/stand-ins/src/backend/backendServerSettingsSchema.ts
@@ -5,8 +5,11 @@
  * milliseconds since the start, more than `aboveRunning` requests running, and a path that begins with `path`.
  */
 export const versionFaultSchema = z.strictObject({
-  /** `fail` responds with 500, `slow` adds `slowMs`, `truncate` resets the connection in the middle of the response. */
-  effect: z.enum(['fail', 'slow', 'truncate']),
+  /**
+   * `fail` responds with 500, `slow` adds `slowMs`, `truncate` resets the connection in the middle of the response,
+   * `malform` sends a response whose head no HTTP response may have.
+   */
+  effect: z.enum(['fail', 'slow', 'truncate', 'malform']),
   slowMs: z.number().min(0).default(200),
   /** Share of matching requests that the fault affects, in 0..1. */
   share: z.number().min(0).max(1).default(1),
--- a/packages/stand-ins/src/createBackendServerStandIn.ts
+++ b/packages/stand-ins/src/createBackendServerStandIn.ts
@@ -11,6 +11,7 @@
 import { createColdStartModel } from './backend/createColdStartModel.js'
 import type { RunEvent, BackendRunOutcome } from './backend/runEventSchema.js'
 import { selectFault } from './backend/selectFault.js'
+import { writeMalformedResponse } from './backend/writeMalformedResponse.js'
 import { writeResponse } from './backend/writeResponse.js'
 
 /** Header with a value that the server echoes, so that a caller can match a response to its request. */
@@ -186,6 +187,10 @@
       sendJson(outgoing, 500, { name, version, failed: true, nonce: request.nonce })
       return 'failed'
     }
+    if (fault?.effect === 'malform') {
+      writeMalformedResponse(outgoing, random)
+      return 'failed'
+    }
     return await sendResponse(exchange, body, fault?.effect === 'truncate')
   }
 
