--- a/packages/daemon/tests/requests/malformedHeads.test.ts
+++ b/packages/daemon/tests/requests/malformedHeads.test.ts
@@ -1,34 +1,19 @@
-import { connect, type Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import { expect } from 'chai'
+import fc from 'fast-check'
 import {
   addEndpoint, closeAll, createTestMesh, describeRefusal, send, startNode, startTcpServer, type TestMesh, type TestNode
 } from './fixtures.js'
+import { replaceBytes, requestHeads, responseHeads, sendBytes } from './headFixtures.js'
 
+const SEED = 20_261_206
+const RUNS = 40
+const TEST_TIMEOUT_MS = 120_000
 /** More requests than the backend server has slots. */
 const REQUESTS = 25
 /** Time within which a request that is sent as bytes gets a response, in milliseconds. */
 const RESPONSE_LIMIT_MS = 1500
 
-/** Sends bytes on a new connection; returns what arrives until a response or the close, undefined if it is late. */
-function sendBytes (address: string, text: string): Promise<string | undefined> {
-  return new Promise((resolve) => {
-    const [host, port] = address.split(':')
-    let received = ''
-    const socket = connect(Number(port), host, () => { socket.write(text, 'latin1') })
-    const end = (result: string | undefined): void => {
-      resolve(result)
-      socket.destroy()
-    }
-    socket.on('error', () => { end(received) })
-    socket.on('close', () => { end(received) })
-    socket.on('data', (data) => {
-      received += data.toString('latin1')
-      if (received.includes('\r\n\r\n')) end(received)
-    })
-    setTimeout(end, RESPONSE_LIMIT_MS, undefined)
-  })
-}
-
 describe('heads that cannot be passed on', () => {
   let mesh: TestMesh
   let entry: TestNode
@@ -39,6 +24,12 @@
 
   const respondWell = (socket: Socket): void => { socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok') }
   const nodes = (): TestNode[] => [entry, home]
+  const sendTo = (address: string, text: string): Promise<string | undefined> =>
+    sendBytes(Number(address.split(':')[1]), text, RESPONSE_LIMIT_MS)
+
+  /** Sends a proper request through each node. */
+  const askAll = async (): Promise<number[]> =>
+    (await Promise.all(nodes().map(({ requests }) => send(requests, 'GET', '/clocks/sound')))).map(({ status }) => status)
 
   beforeEach(async () => {
     mesh = createTestMesh()
@@ -69,7 +60,7 @@
         const text = `GET ${target} HTTP/1.1\r\nHost: a.example\r\n${line}\r\n\r\n`
         // The bytes behind the head may be the body of a request whose length was malformed.
         const hidden = 'GET /clocks/hidden HTTP/1.1\r\nHost: a.example\r\n\r\n'
-        const sent = Array.from({ length: REQUESTS }, () => sendBytes(node.requests, text + hidden))
+        const sent = Array.from({ length: REQUESTS }, () => sendTo(node.requests, text + hidden))
         const answers = await Promise.all(sent)
         for (const answer of answers) {
           expect(answer).to.match(/^HTTP\/1.1 400 /).and.match(/connection: close/i).and.include('head-malformed')
@@ -81,7 +72,7 @@
   }
 
   it('answers a request for a key whose target is no URL (guards against a caller that ends the process)', async () => {
-    const answer = await sendBytes(entry.requests, 'GET http://[/.snipenotch/key HTTP/1.1\r\nHost: a.example\r\n\r\n')
+    const answer = await sendTo(entry.requests, 'GET http://[/.snipenotch/key HTTP/1.1\r\nHost: a.example\r\n\r\n')
     expect(answer).to.match(/^HTTP\/1.1 4\d\d /)
   })
 
@@ -103,6 +94,33 @@
     })
   }
 
+  it('ends each request with a random head and serves others (guards against a caller that ends the process)', async () => {
+    await fc.assert(fc.asyncProperty(requestHeads, async (drawn) => {
+      const sent = drawn.map(({ target, lines, changes }, index) => {
+        const text = [`GET /clocks/${target} HTTP/1.1`, 'Host: a.example', ...lines, '', ''].join('\r\n')
+        return sendTo(nodes()[index % 2]?.requests ?? '', replaceBytes(text, changes))
+      })
+      expect((await Promise.all(sent)).filter((text) => text === undefined)).to.deep.equal([])
+      expect(await askAll()).to.deep.equal([200, 200])
+    }), { seed: SEED, numRuns: RUNS, endOnFailure: true })
+  }).timeout(TEST_TIMEOUT_MS)
+
+  it('ends each request whose response has a random head and serves others (guards against a backend server that ends the process)', async () => {
+    await fc.assert(fc.asyncProperty(responseHeads, async (drawn) => {
+      const left = drawn.map(({ status, lines, changes }) => {
+        const text = [`HTTP/1.1 ${status} OK`, 'Content-Length: 2', ...lines, ''].join('\r\n')
+        return replaceBytes(text, changes) + 'Connection: close\r\n\r\nok'
+      })
+      const count = left.length
+      respond = (socket) => { socket.end(Buffer.from(left.pop() ?? '', 'latin1')) }
+      const sent = Array.from({ length: count }, (_, index) =>
+        sendTo(nodes()[index % 2]?.requests ?? '', 'GET /clocks/1 HTTP/1.1\r\nHost: a.example\r\n\r\n'))
+      expect((await Promise.all(sent)).filter((text) => text === undefined)).to.deep.equal([])
+      respond = respondWell
+      expect(await askAll()).to.deep.equal([200, 200])
+    }), { seed: SEED, numRuns: RUNS, endOnFailure: true })
+  }).timeout(TEST_TIMEOUT_MS)
+
   it('answers a request whose response from another node has a malformed head (guards against a node of an earlier build)', async () => {
     const address = await startTcpServer((socket) => {
       socket.on('data', (data) => {
--- a/packages/node/tests/malformedHeads.test.ts
+++ b/packages/node/tests/malformedHeads.test.ts
@@ -3,9 +3,9 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import type { ServerResponse } from 'node:http'
-import { connect } from 'node:net'
 import { WebSocket } from 'ws'
 import { composePlatformConfiguration } from '../../../platform/tests/composeWire.js'
+import { replaceBytes, requestHeads, responseHeads, sendBytes } from '../../daemon/tests/requests/headFixtures.js'
 import type { ForwardingMessage } from '../src/peers/ForwardingMessage.js'
 import { decodeBatch, encodeBatch } from '../src/peers/forwardingCodec.js'
 import { createJob } from './createJob.js'
@@ -21,38 +21,6 @@
 const SLOTS = 4
 /** Marks the requests whose responses get a malformed head; its value is the head. */
 const HEAD_HEADER = 'x-head'
-const CR = 13
-const LF = 10
-
-/** A byte of a head other than those that delimit its lines. */
-const headByte = fc.integer({ min: 0, max: 255 }).filter((byte) => byte !== CR && byte !== LF)
-const headBytes = (maxLength: number): fc.Arbitrary<string> =>
-  fc.array(headByte, { maxLength }).map((bytes) => Buffer.from(bytes).toString('latin1'))
-/** Names and values as they occur, with characters that are not allowed in them. */
-const headerName = fc.oneof(
-  headBytes(6),
-  fc.constantFrom('Content Type', 'X Y', '', 'X\tY', 'X(Y)', 'Trailer', 'Upgrade', 'Date', 'Connection')
-)
-const headerValue = fc.oneof(headBytes(8), fc.constantFrom('', 'text/plain', 'a\tb', '\xe9', 'X-Own'))
-const headerLines = fc.array(fc.tuple(headerName, headerValue).map(([name, value]) => `${name}: ${value}`), { maxLength: 3 })
-const changes = fc.array(fc.record({ position: fc.nat(), byte: headByte }), { maxLength: 2 })
-
-/** Replaces bytes of a head, except those that delimit its lines. */
-function replaceBytes (text: string, replacements: ReadonlyArray<{ position: number, byte: number }>): string {
-  const bytes = Buffer.from(text, 'latin1')
-  for (const { position, byte } of replacements) {
-    const index = position % bytes.length
-    if (bytes[index] !== CR && bytes[index] !== LF) bytes[index] = byte
-  }
-  return bytes.toString('latin1')
-}
-
-const responseHead = fc.record({
-  status: fc.oneof(fc.constantFrom('200', '000', '099', '101', '199', '999'), headBytes(3)), lines: headerLines, changes
-})
-const requestHead = fc.record({
-  target: fc.oneof(fc.constantFrom('', 'a\tb', 'a\fb', '\xe9', '\x7f'), headBytes(4)), lines: headerLines, changes
-})
 
 describe('heads that cannot be passed on', () => {
   let mesh: TestMesh
@@ -89,24 +57,8 @@
     return Promise.race([sent.then(({ status }) => status, () => 0), late])
   }
 
-  /** Sends bytes on their own connection; returns what arrives until a response or the close, undefined if late. */
-  function sendBytes (port: number, text: string): Promise<string | undefined> {
-    return new Promise((resolve) => {
-      let received = ''
-      const socket = connect(port, '127.0.0.1', () => { socket.write(text, 'latin1') })
-      const end = (result: string | undefined): void => {
-        resolve(result)
-        socket.destroy()
-      }
-      socket.on('error', () => { end(received) })
-      socket.on('close', () => { end(received) })
-      socket.on('data', (data) => {
-        received += data.toString('latin1')
-        if (received.includes('\r\n\r\n')) end(received)
-      })
-      setTimeout(end, ROUTE_TIMEOUT_MS + END_SLACK_MS, undefined)
-    })
-  }
+  const sendTo = (port: number, text: string): Promise<string | undefined> =>
+    sendBytes(port, text, ROUTE_TIMEOUT_MS + END_SLACK_MS)
 
   /** Fails unless all slots of both backend servers can run requests at the same time. */
   async function verifySlots (): Promise<void> {
@@ -142,7 +94,7 @@
         else answerSigned(incoming, response, 'ok')
       }
     }
-    await fc.assert(fc.asyncProperty(fc.array(responseHead, { minLength: 1, maxLength: 6 }), async (heads) => {
+    await fc.assert(fc.asyncProperty(responseHeads, async (heads) => {
       const faulty = heads.map(({ status, lines, changes }, index) => {
         const id = `id-faulty-${index}`
         const text = [
@@ -163,13 +115,13 @@
   }).timeout(TEST_TIMEOUT_MS)
 
   it('ends each request with a malformed head, and serves those beside and after it (guards against a service that a caller switches off)', async () => {
-    await fc.assert(fc.asyncProperty(fc.array(requestHead, { minLength: 1, maxLength: 6 }), async (heads) => {
+    await fc.assert(fc.asyncProperty(requestHeads, async (heads) => {
       const faulty = heads.map(({ target, lines, changes }, index) => {
         const text = [
           `GET /parts/${target} HTTP/1.1`, 'Host: a.example', `${PLATFORM_HEADERS.attemptId}: id-faulty-${index}`,
           `${PLATFORM_HEADERS.remainingMs}: ${ROUTE_TIMEOUT_MS}`, ...lines, '', ''
         ].join('\r\n')
-        return sendBytes(getPort(index), replaceBytes(text, changes))
+        return sendTo(getPort(index), replaceBytes(text, changes))
       })
       const sound = hosts.map((_, index) => ask(getPort(index)))
       const received = await Promise.all(faulty)
@@ -216,7 +168,7 @@
         const text = `GET ${target} HTTP/1.1\r\nHost: a.example\r\n${PLATFORM_HEADERS.attemptId}: bad\r\n${line}\r\n\r\n`
         const startedAt = performance.now()
         // The bytes behind the head may be the body of a request whose length was malformed.
-        const received = await sendBytes(settings.callers.port, text + text.replace('bad', 'hidden'))
+        const received = await sendTo(settings.callers.port, text + text.replace('bad', 'hidden'))
         expect(received).to.match(/^HTTP\/1.1 400 /).and.match(/connection: close/i)
         expect(performance.now() - startedAt, 'no wait for the timeout of the route').to.be.lessThan(ROUTE_TIMEOUT_MS)
       }
