test(node): requests ahead of a malformed head on their connection are answered

Three requests in one write, the last of them malformed: 200, 200 and 400 in this order, then the end of the connection. Written while reading the change; the fault was not seen.

--- a/packages/node/tests/malformedHeads.test.ts
+++ b/packages/node/tests/malformedHeads.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import type { ServerResponse } from 'node:http'
+import { connect } from 'node:net'
 import { WebSocket } from 'ws'
 import { composePlatformConfiguration } from '../../../platform/tests/composeWire.js'
 import { replaceBytes, requestHeads, responseHeads, sendBytes } from '../../daemon/tests/requests/headFixtures.js'
@@ -156,6 +157,22 @@
     await verifySlots()
   })
 
+  it('answers the requests ahead of a malformed head on their connection (guards against responses that are lost with it)', async () => {
+    const { port } = hosts[0]?.settings.callers ?? { port: 0 }
+    const heads = ['first', 'second', 'bad'].map((id) =>
+      `GET /parts/${id} HTTP/1.1\r\nHost: a.example\r\n${PLATFORM_HEADERS.attemptId}: ${id}\r\n${id === 'bad' ? 'X Own: 1\r\n' : ''}\r\n`)
+    const received = await new Promise<string>((resolve, reject) => {
+      let text = ''
+      const socket = connect(port, '127.0.0.1', () => { socket.write(heads.join('')) })
+      socket.on('data', (data) => { text += data.toString() })
+      socket.on('error', reject)
+      socket.on('close', () => { resolve(text) })
+    })
+    expect(received.match(/HTTP\/1.1 \d+|attempt-id: \w+/g)).to.deep.equal([
+      'HTTP/1.1 200', 'attempt-id: first', 'HTTP/1.1 200', 'attempt-id: second', 'HTTP/1.1 400', 'attempt-id: bad'
+    ])
+  })
+
   const refused: Array<[string, string, string]> = [
     ['a blank in the name of a header', '/parts/1', 'X Own: 1'],
     ['a header without a name', '/parts/1', ': 1'],
