feat(node): log what happens to callers' connections at a stop

Events 842 (idle connections closed), 843 (connections that end with the process) and 844 (request behind the last response), counter caller_closes, connections in event 102, and 400 instead of 25 lines of each event in a second while a node stops. The connections of callers move into createCallerConnections; what they do is unchanged.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -99,6 +99,9 @@
   suspectReportMalformed: { number: 839, level: 'warn', text: 'report about requests that crash backend servers is malformed' },
   rolloutTraffic: { number: 840, level: 'info', text: 'requests sent from here to a version under rollout' },
   versionEvidence: { number: 841, level: 'info', text: 'results of the backend server beside this node during a rollout' },
+  idleConnectionsClosed: { number: 842, level: 'info', text: 'idle connections of callers closed' },
+  connectionsAbandoned: { number: 843, level: 'warn', text: 'connections of callers end with this process' },
+  requestDiscarded: { number: 844, level: 'info', text: 'request behind the last response of its connection discarded; it has not run' },
   linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
 
--- a/packages/daemon/src/observability/createCounters.ts
+++ b/packages/daemon/src/observability/createCounters.ts
@@ -21,6 +21,8 @@
   serving_resends: 'not-run' | 'failed' | 'lost' | 'budget-spent'
   /** Requests by result at the node that their caller is connected to. */
   serving_requests: 'received' | 'answered' | 'failed' | 'refused' | 'left' | 'cut'
+  /** Connections of callers that a node closed without a request that it knew of, or that ended with its process. */
+  caller_closes: 'idle' | 'abandoned'
   /** Loads that the backend server stated in its responses. */
   instance_loads: 'used' | InstanceLoadFault
   /** Errors thrown while a node handled something: contained there, or outside any handling. */
--- a/packages/node/src/bin/snipenotchNode.ts
+++ b/packages/node/src/bin/snipenotchNode.ts
@@ -7,7 +7,7 @@
 import { createNode } from '../createNode.js'
 import { type BufferHolder, computeBufferLimit } from '../operations/BufferHolder.js'
 import { createTicker } from '../operations/createTicker.js'
-import { createRateLimitedLog } from '../operations/createRateLimitedLog.js'
+import { createRateLimitedLog, MAX_LINES_PER_SECOND } from '../operations/createRateLimitedLog.js'
 
 /**
  * Log lines are buffered up to this size before they are written, in bytes, so that logging does not block on its
@@ -16,6 +16,11 @@
 const LOG_BUFFER_BYTES = 4096
 /** Interval at which buffered log lines are written, in milliseconds. */
 const LOG_FLUSH_MS = 250
+/**
+ * Maximum number of lines per event and second while the node stops. Each request that is open then must be traceable,
+ * and the time is limited.
+ */
+const MAX_STOPPING_LINES_PER_SECOND = 400
 
 const file = process.env[SETTINGS_VARIABLE] ?? '/etc/snipenotch/settings.toml'
 const destination = pino.destination({ dest: 1, sync: false, minLength: LOG_BUFFER_BYTES })
@@ -33,7 +38,9 @@
 
 const settings = readSettingsFile()
 const events = createEventLog({ host: settings.host, data_centre: settings.dataCentre, log: { level: 'info' } }, destination)
-const log = createRateLimitedLog(events, counters, clock)
+let isStopping = false
+const log = createRateLimitedLog(events, counters, clock, () =>
+  isStopping ? MAX_STOPPING_LINES_PER_SECOND : MAX_LINES_PER_SECOND)
 const ticker = createTicker(clock, (delay) => { counters.record('loop', delay) }, (error) => {
   counters.count('internal_errors', 'contained')
   log('internalError', { error: error instanceof Error ? error.stack : String(error) })
@@ -42,8 +49,6 @@
 const node = createNode({ settings, clock, counters, log, ticker, buffers, random: Math.random })
 ticker.add(LOG_FLUSH_MS, () => { destination.flush() })
 
-let isStopping = false
-
 function stop (): void {
   if (isStopping) return
   isStopping = true
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -306,7 +306,13 @@
       const parts = [peerRowFetcher, suspectExchange, forwardingClient, health, instanceProber, forwardingServer]
       for (const part of parts) part.close()
       await recordWriter.flush(Math.min(RECORD_FLUSH_MS, Math.max(0, limitAt - clock.now())))
-      log('daemonStopped', { open: entryServer.countOpen(), running: dispatcher.countOpen(), tookMs: Math.round(clock.now() - stoppedAt) })
+      entryServer.logAbandoned()
+      log('daemonStopped', {
+        open: entryServer.countOpen(),
+        running: dispatcher.countOpen(),
+        connections: entryServer.countConnections(),
+        tookMs: Math.round(clock.now() - stoppedAt)
+      })
     }
   }
 }
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -13,6 +13,7 @@
 import { isEventLoopDelayed, runUnlessAbandoned } from '../operations/runUnlessAbandoned.js'
 import type { MeshView } from '../rows/createMeshView.js'
 import { type CallerRequest, isClosedByCaller, listenClosed } from './CallerRequest.js'
+import { createCallerConnections } from './createCallerConnections.js'
 import { createCallerResponder } from './createCallerResponder.js'
 import type { StartExchange } from './createExchange.js'
 import type { RetryBudgets } from './createRetryBudgets.js'
@@ -24,6 +25,10 @@
   readonly stop: (deadlines: ShutdownDeadlines) => void
   /** Requests without a complete response. */
   readonly countOpen: () => number
+  /** Connections of callers that have not ended. */
+  readonly countConnections: () => number
+  /** Logs the connections of callers that end because the process exits. */
+  readonly logAbandoned: () => void
   /** Responds to the requests that are still open, because the process is exiting. */
   readonly endOpenRequests: () => void
   /** Applies the limits of the current configuration to new connections. */
@@ -40,11 +45,6 @@
 const IDLE_TIMEOUT_MARGIN_MS = 2000
 /** Keep-alive timeout until a configuration sets one, in milliseconds. */
 const DEFAULT_IDLE_TIMEOUT_MS = 30_000
-/**
- * Time for which a connection is still read after its last response, in milliseconds: several round trips. Callers
- * close the connection as soon as they have the response.
- */
-const LINGERING_CLOSE_MS = 1000
 /** Largest request head accepted by the parser, in bytes; configurations set lower limits. */
 const MAX_HEAD_BYTES = 65_536
 
@@ -81,10 +81,7 @@
   /** Set when the process is exiting: no request is started any more. */
   let isTerminating = false
   const openRequests = new Set<CallerRequest>()
-  /** Latest request on each connection. */
-  const latestRequests = new WeakMap<Socket, CallerRequest>()
-  /** Connections whose last response has been composed; requests that arrive on them are discarded. */
-  const closingSockets = new WeakSet<Socket>()
+  const connections = createCallerConnections(context)
 
   const countOpenOf = (socket: Socket): number =>
     [...openRequests].filter(({ incoming }) => incoming.socket === socket).length
@@ -95,9 +92,9 @@
     // Closing the connection after an earlier response would lose the pipelined ones behind it.
     isLastOnConnection: (callerRequest) => {
       const { socket } = callerRequest.incoming
-      const isClosing = shutdownDeadlines !== undefined || closingSockets.has(socket)
-      const isLast = isClosing && latestRequests.get(socket) === callerRequest
-      if (isLast) closingSockets.add(socket)
+      const isClosing = shutdownDeadlines !== undefined || connections.isClosing(socket)
+      const isLast = isClosing && connections.getLatestRequest(socket) === callerRequest
+      if (isLast) connections.markClosing(socket)
       return isLast
     }
   })
@@ -228,20 +225,21 @@
   }
 
   function handleRequest (incoming: IncomingMessage, response: ServerResponse): void {
-    if (closingSockets.has(incoming.socket)) {
+    const header = incoming.headers[PLATFORM_HEADERS.attemptId]
+    if (connections.isClosing(incoming.socket)) {
       // The connection is closing and the request has not been read, so the caller retries it on another connection.
+      log('requestDiscarded', { request: header, behind: connections.getLatestRequest(incoming.socket)?.attemptId })
       incoming.resume()
       return
     }
-    const header = incoming.headers[PLATFORM_HEADERS.attemptId]
     const callerRequest: CallerRequest = {
       incoming,
       response,
       arrivedAt: toMilliseconds(clock.now() - ticker.getDelay()),
       attemptId: typeof header === 'string' ? header : '',
-      isFirstOfConnection: !latestRequests.has(incoming.socket)
+      isFirstOfConnection: connections.getLatestRequest(incoming.socket) === undefined
     }
-    latestRequests.set(incoming.socket, callerRequest)
+    connections.recordRequest(callerRequest)
     const holder: BufferHolder = {
       drop: () => {
         body.takeBody()
@@ -255,7 +253,7 @@
       openRequests.delete(callerRequest)
       buffers.release(holder)
       // A connection that is no longer read is closed after its last response.
-      if (closingSockets.has(incoming.socket) && countOpenOf(incoming.socket) === 0) incoming.socket.destroySoon()
+      if (connections.isClosing(incoming.socket) && countOpenOf(incoming.socket) === 0) incoming.socket.destroySoon()
     })
     const limits = view.getConfiguration()?.limits
     const body = createByteCollector()
@@ -294,7 +292,7 @@
     const fault = findRequestHeadFault(incoming.url ?? '', incoming.rawHeaders)
     if (fault === undefined) return
     // The length of the body may be malformed, so what follows on the connection may be part of this request.
-    closingSockets.add(incoming.socket)
+    connections.markClosing(incoming.socket)
     counters.count('serving_refusals', 'malformed')
     rejectMalformed(callerRequest, fault)
   }
@@ -303,35 +301,7 @@
     keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS, requestTimeout: 0, headersTimeout: 0, maxHeaderSize: MAX_HEAD_BYTES
   }, handleRequest)
 
-  const sockets = new Set<Socket>()
-  /** Connections that are still read after their last response. */
-  const lingeringSockets = new Set<Socket>()
-
-  /**
-   * Closes a connection gracefully after its last response. Closing a socket with unread data would reset the
-   * connection, and the response could be lost.
-   */
-  function endConnection (socket: Socket): void {
-    if (lingeringSockets.has(socket)) return
-    closingSockets.add(socket)
-    lingeringSockets.add(socket)
-    socket.end()
-    const timer = setTimeout(() => { socket.destroy() }, LINGERING_CLOSE_MS)
-    timer.unref()
-    socket.once('close', () => {
-      clearTimeout(timer)
-      lingeringSockets.delete(socket)
-    })
-  }
-
-  server.on('connection', (socket) => {
-    // Node.js calls this method after the last response; its own implementation closes the socket at once.
-    socket.destroySoon = () => { endConnection(socket) }
-    // Each request adds a 'close' listener to its connection, and callers may pipeline many requests.
-    socket.setMaxListeners(0)
-    sockets.add(socket)
-    socket.once('close', () => { sockets.delete(socket) })
-  })
+  connections.attach(server)
 
   // The default error response of Node.js would be taken for the response to the first open request on the connection.
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
@@ -342,7 +312,7 @@
     }
     counters.count('serving_refusals', 'malformed')
     log('callerMalformed', { code, open: countOpenOf(socket) })
-    closingSockets.add(socket)
+    connections.markClosing(socket)
     if (countOpenOf(socket) > 0) return
     const status = code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
@@ -351,14 +321,15 @@
   // Called when the server closes. The default implementation treats a connection as idle while a response is being
   // sent.
   server.closeIdleConnections = () => {
-    const busy = new Set([...openRequests].map(({ incoming }) => incoming.socket))
-    for (const socket of sockets) if (!busy.has(socket) && !lingeringSockets.has(socket)) socket.destroy()
+    connections.closeIdle(new Set([...openRequests].map(({ incoming }) => incoming.socket)))
   }
 
   return {
     server,
     stop: (deadlines) => { shutdownDeadlines = deadlines },
     countOpen: () => openRequests.size,
+    countConnections: connections.countOpen,
+    logAbandoned: connections.logAbandoned,
     endOpenRequests: () => {
       isTerminating = true
       for (const callerRequest of [...openRequests]) {
