fix(node): end the process when callers have their answers, not when they are handed on

Cause: a request counted as ended when the operating system had taken the bytes of its response, and the process exited within one poll (25 ms), while its caller, 8 ms away, had not received them. An exit closes the connection; bytes on it that are unread, or that arrive later, reset it, and what is on the way is lost. Idle connections were destroyed without a look at what had arrived on them. Change: a connection ends with a FIN behind its last response, also an idle one, and is read until its caller closes it (2 s at most); the process ends when no caller has a connection any more, or at its limit. What has arrived is read before idle connections end. A connection whose response began before the stop ends with it.

--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -258,6 +258,11 @@
     while (!isOver() && clock.now() < limitAt) await new Promise((resolve) => { setTimeout(resolve, STOP_POLL_MS) })
   }
 
+  /** Resolves when all bytes that have arrived by now have been read. */
+  function readArrived (): Promise<void> {
+    return new Promise((resolve) => { setImmediate(() => { setImmediate(resolve) }) })
+  }
+
   return {
     start: async () => {
       for (const follower of followers) follower.start()
@@ -293,12 +298,14 @@
       await awaitEnd(() => false, Math.min(limitAt, stoppedAt + CALLER_LINGER_MS))
       // Requests that the backend server still runs may make calls through this node.
       await awaitEnd(() => dispatcher.countOpen() === 0, answerBy)
+      await readArrived()
       entryServer.server.close()
       const isIdle = (): boolean =>
         entryServer.countOpen() === 0 && dispatcher.countOpen() === 0 && forwardingServer.countUnsentBytes() === 0
       await awaitEnd(isIdle, answerBy)
       entryServer.endOpenRequests()
-      await awaitEnd(isIdle, limitAt)
+      // A response has arrived only once its caller has closed the connection.
+      await awaitEnd(() => isIdle() && entryServer.countConnections() === 0, limitAt)
       for (const follower of followers) follower.stop()
       reader.stop()
       rolloutTraffic.stop()
--- a/packages/node/src/entry/createCallerConnections.ts
+++ b/packages/node/src/entry/createCallerConnections.ts
@@ -13,7 +13,9 @@
   /** Marks that the last response of a connection has been composed; requests behind it are discarded. */
   readonly markClosing: (socket: Socket) => void
   readonly isClosing: (socket: Socket) => boolean
-  /** Closes the connections that are not in `busySockets`. */
+  /** Closes a connection gracefully behind the bytes written so far. */
+  readonly end: (socket: Socket) => void
+  /** Closes the connections that are not in `busySockets` gracefully. */
   readonly closeIdle: (busySockets: ReadonlySet<Socket>) => void
   /** Connections that have not ended. */
   readonly countOpen: () => number
@@ -22,10 +24,10 @@
 }
 
 /**
- * Time for which a connection is still read after its last response, in milliseconds: several round trips. Callers
- * close the connection as soon as they have the response.
+ * Time for which a connection is still read after its end has been sent, in milliseconds: the delay of a congested link
+ * and several round trips. Callers close the connection as soon as they have the last response.
  */
-const LINGERING_CLOSE_MS = 1000
+const LINGERING_CLOSE_MS = 2000
 /** Maximum number of request ids in one log line. */
 const MAX_LISTED_REQUESTS = 20
 
@@ -36,12 +38,12 @@
   const latestRequests = new WeakMap<Socket, CallerRequest>()
   /** Connections whose last response has been composed. */
   const closingSockets = new WeakSet<Socket>()
-  /** Connections that are still read after their last response. */
+  /** Connections whose end has been sent and that are read until their callers close them. */
   const lingeringSockets = new Set<Socket>()
 
   /**
-   * Closes a connection gracefully after its last response. Closing a socket with unread data would reset the
-   * connection, and the response could be lost.
+   * Sends the end of a connection and reads it until its caller closes it, which shows that the last response has
+   * arrived. Closing a socket with unread data would reset the connection, and so would data that arrives afterwards.
    */
   function endConnection (socket: Socket): void {
     if (lingeringSockets.has(socket)) return
@@ -74,6 +76,7 @@
     getLatestRequest: (socket) => latestRequests.get(socket),
     markClosing: (socket) => { closingSockets.add(socket) },
     isClosing: (socket) => closingSockets.has(socket),
+    end: endConnection,
     closeIdle: (busySockets) => {
       const idle = [...sockets].filter((socket) => !busySockets.has(socket) && !lingeringSockets.has(socket))
       if (idle.length === 0) return
@@ -81,7 +84,7 @@
       log('idleConnectionsClosed', {
         connections: idle.length, unused: idle.filter((socket) => !latestRequests.has(socket)).length, requests: listRequests(idle)
       })
-      for (const socket of idle) socket.destroy()
+      for (const socket of idle) endConnection(socket)
     },
     countOpen: () => sockets.size,
     logAbandoned: () => {
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -78,6 +78,8 @@
   const trafficSplitter = createTrafficSplitter(random)
   const attemptAgeEstimator = createAttemptAgeEstimator()
   let shutdownDeadlines: ShutdownDeadlines | undefined
+  /** Set when the server accepts no more connections: each one ends with its last response. */
+  let isClosed = false
   /** Set when the process is exiting: no request is started any more. */
   let isTerminating = false
   const openRequests = new Set<CallerRequest>()
@@ -253,7 +255,8 @@
       openRequests.delete(callerRequest)
       buffers.release(holder)
       // A connection that is no longer read is closed after its last response.
-      if (connections.isClosing(incoming.socket) && countOpenOf(incoming.socket) === 0) incoming.socket.destroySoon()
+      const isEnding = isClosed || connections.isClosing(incoming.socket)
+      if (isEnding && countOpenOf(incoming.socket) === 0) connections.end(incoming.socket)
     })
     const limits = view.getConfiguration()?.limits
     const body = createByteCollector()
@@ -321,6 +324,7 @@
   // Called when the server closes. The default implementation treats a connection as idle while a response is being
   // sent.
   server.closeIdleConnections = () => {
+    isClosed = true
     connections.closeIdle(new Set([...openRequests].map(({ incoming }) => incoming.socket)))
   }
 
--- a/packages/node/tests/answersAtStop.test.ts
+++ b/packages/node/tests/answersAtStop.test.ts
@@ -17,6 +17,8 @@
 const EARLIEST_EXIT_MS = 2300
 /** More than the socket buffers of both ends hold before the caller reads, in bytes. */
 const LARGE_ANSWER_BYTES = 1_500_000
+/** More than the operating system takes before the caller reads, in bytes. */
+const HUGE_ANSWER_BYTES = 8_000_000
 
 const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
 
@@ -113,4 +115,33 @@
     expect(text.length).to.be.greaterThan(LARGE_ANSWER_BYTES)
     expect(await node.exited).to.equal(0)
   })
+
+  it('end their connections although they began before the stop (guards against a process that waits for an idle connection)', async () => {
+    const caller = openLateReader(node.callers)
+    caller.socket.write(composeRequest('early'))
+    await awaitCondition('it runs', () => answers.length === 1)
+    answers[0]?.(HUGE_ANSWER_BYTES)
+    await awaitCondition('the response has begun', () => node.readOutput().includes('"request":"early"'))
+    node.child.kill('SIGTERM')
+    await awaitPause(EARLIEST_EXIT_MS + 500)
+    const { text, error } = await caller.read()
+    expect(error).to.equal(undefined)
+    expect(text.length).to.be.greaterThan(HUGE_ANSWER_BYTES)
+    expect(await node.exited).to.equal(0)
+    expect(node.readOutput()).to.include('"event":102').and.not.include('"event":843')
+  })
+
+  it('are not reset on idle connections (guards against callers that take a planned stop for a failure)', async () => {
+    const caller = connect(node.callers, '127.0.0.1')
+    const errors: string[] = []
+    let received = ''
+    caller.on('data', (chunk: Buffer) => { received += chunk.toString() }).on('error', ({ message }) => { errors.push(message) })
+    caller.write(composeRequest('served'))
+    await awaitCondition('it is served', () => received.endsWith('served'))
+    node.child.kill('SIGTERM')
+    await awaitCondition('the connection ends', () => caller.closed)
+    expect(errors).to.deep.equal([])
+    expect(await node.exited).to.equal(0)
+    expect(node.readOutput()).to.include('"event":842').and.not.include('"event":843')
+  })
 })
