test(node): every order of answers, sizes and late reads at a process that stops

Property over real processes and sockets: 24 callers with up to three requests behind each other, answered at any time of the grace period, with 1 to 700,000 bytes, read at once or late, with another request behind them or not; each request that ran gets its whole answer, in order, and none that was refused ran.

--- a/packages/node/tests/answersAtStop.test.ts
+++ b/packages/node/tests/answersAtStop.test.ts
@@ -1,5 +1,6 @@
 import { createStoreClient, PLATFORM_HEADERS } from '@snipenotch/platform'
 import { expect } from 'chai'
+import fc from 'fast-check'
 import { execFileSync } from 'node:child_process'
 import { mkdtempSync, rmSync } from 'node:fs'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
@@ -13,6 +14,7 @@
 /** Time limit for bundling the node on a busy machine, in milliseconds. */
 const BUILD_TIMEOUT_MS = 60_000
 const REPORT_INTERVAL_MS = 250
+const SLOTS = 60
 /** Time after SIGTERM at which a node without open requests ends, in milliseconds. */
 const EARLIEST_EXIT_MS = 2300
 /** More than the socket buffers of both ends hold before the caller reads, in bytes. */
@@ -22,6 +24,55 @@
 
 const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
 
+/** Seed and number of runs of the property; each one ends a process. */
+const SEED = Number(process.env.STOP_SEED ?? 4501)
+const RUNS = Number(process.env.STOP_RUNS ?? 3)
+/** Time limit of one run, in milliseconds: start, grace period, and reading late. */
+const RUN_TIMEOUT_MS = 20_000
+/** Callers of one run, and the largest number of requests that one sends behind each other. */
+const CALLERS = 24
+const MAX_PIPELINED = 3
+
+/** A caller with one connection. Times are in milliseconds after SIGTERM. */
+interface CallerPlan {
+  readonly requests: ReadonlyArray<{ readonly answerAt: number, readonly bytes: number }>
+  /** Time at which it begins to read. */
+  readonly readAt: number
+  /** Time at which it sends another request behind the others. */
+  readonly sendAt: number | undefined
+}
+
+/** A response as received. */
+interface ReceivedResponse { readonly status: number, readonly attemptId: string, readonly body: string }
+
+/** Splits what was received on a connection into its complete responses. */
+function parseResponses (text: string): ReceivedResponse[] {
+  const responses: ReceivedResponse[] = []
+  let rest = text
+  for (;;) {
+    const headEnd = rest.indexOf('\r\n\r\n')
+    const head = rest.slice(0, headEnd)
+    const bodyStart = headEnd + 4
+    const length = Number(/content-length: (\d+)/i.exec(head)?.[1])
+    if (headEnd === -1 || !(rest.length - bodyStart >= length)) return responses
+    responses.push({
+      status: Number(head.split(' ')[1]),
+      attemptId: /attempt-id: (\S+)/i.exec(head)?.[1] ?? '',
+      body: rest.slice(bodyStart, bodyStart + length)
+    })
+    rest = rest.slice(bodyStart + length)
+  }
+}
+
+const callerPlans = fc.array(fc.record({
+  requests: fc.array(fc.record({
+    answerAt: fc.integer({ min: 0, max: 3200 }),
+    bytes: fc.oneof(fc.integer({ min: 1, max: 2000 }), fc.integer({ min: 10_000, max: 700_000 }))
+  }), { minLength: 1, maxLength: MAX_PIPELINED }),
+  readAt: fc.oneof(fc.constant(0), fc.integer({ min: 0, max: 3200 })),
+  sendAt: fc.option(fc.integer({ min: 0, max: 3400 }), { nil: undefined })
+}), { minLength: CALLERS, maxLength: CALLERS })
+
 /** Connection of a caller that reads nothing until `read` is called. */
 interface LateReader {
   readonly socket: Socket
@@ -30,7 +81,7 @@
 }
 
 const composeRequest = (id: string): string =>
-  `GET /clocks/${id} HTTP/1.1\r\nHost: a.example\r\n${PLATFORM_HEADERS.attemptId}: ${id}\r\n${PLATFORM_HEADERS.remainingMs}: 1400\r\n\r\n`
+  `GET /clocks/${id} HTTP/1.1\r\nHost: a.example\r\n${PLATFORM_HEADERS.attemptId}: ${id}\r\n${PLATFORM_HEADERS.remainingMs}: 60000\r\n\r\n`
 
 function openLateReader (port: number): LateReader {
   const socket = connect({ port, host: '127.0.0.1' })
@@ -54,25 +105,31 @@
   let node: NodeProcess
   let directory: string
   let reporter: NodeJS.Timeout
-  let answers: Array<(size: number) => void>
+  /** Paths of the requests that the backend server has begun to run, and what answers each. */
+  let ran: Set<string>
+  let answers: Map<string, (size: number) => void>
 
   before(function () {
     this.timeout(BUILD_TIMEOUT_MS)
     execFileSync(process.execPath, ['tools/build/bundle.js'])
   })
 
-  beforeEach(async () => {
-    answers = []
+  async function startNode (): Promise<void> {
+    ran = new Set()
+    answers = new Map()
     store = await startStoreStandIn()
     const client = createStoreClient(store.address)
-    const configuration = composePlatformConfiguration(1, ['clocks'], { coldPerSecond: 10_000 })
+    const configuration = composePlatformConfiguration(1, ['clocks'], { coldPerSecond: 10_000, timeoutMs: 60_000 })
     await client.write([], [{ table: 'op', key: 'config', value: JSON.stringify(configuration) }])
     client.close()
     backend = createServer((incoming: IncomingMessage, response: ServerResponse) => {
       const { url = '' } = incoming
       if (url === HEALTH_PATH) response.writeHead(200, { [PLATFORM_HEADERS.instance]: 'i-1', 'Content-Length': 0 }).end()
       else if (url === '/clocks/served') answerSigned(incoming, response, 'served')
-      else answers.push((size) => { answerSigned(incoming, response, 'x'.repeat(size)) })
+      else {
+        ran.add(url)
+        answers.set(url, (size) => { answerSigned(incoming, response, 'x'.repeat(size)) })
+      }
     })
     await new Promise<void>((resolve) => { backend.listen(0, '127.0.0.1', resolve) })
     const address = `127.0.0.1:${(backend.address() as AddressInfo).port}`
@@ -83,14 +140,14 @@
     let sequence = 0
     reporter = setInterval(() => {
       sequence += 1
-      const { path, body } = composeReport('i-1', { address, service: 'clocks', dataCentre: 'krakow', sequence })
+      const { path, body } = composeReport('i-1', { address, service: 'clocks', dataCentre: 'krakow', sequence, slots: SLOTS })
       send(node.reports, path, {}, { method: 'POST', body }).catch(() => undefined)
     }, REPORT_INTERVAL_MS)
     await awaitCondition('requests are served', () =>
       send(node.callers, '/clocks/served').then(({ status }) => status === 200, () => false))
-  })
+  }
 
-  afterEach(async () => {
+  async function stopNode (): Promise<void> {
     clearInterval(reporter)
     node.child.kill('SIGKILL')
     await node.exited
@@ -98,15 +155,18 @@
     backend.close()
     await store.close()
     rmSync(directory, { recursive: true, force: true })
-  })
+  }
+
+  beforeEach(startNode)
+  afterEach(stopNode)
 
   it('arrive whole at a caller that reads them late and has sent more (guards against an answer that is lost with its process)', async () => {
     const caller = openLateReader(node.callers)
     caller.socket.write(composeRequest('late'))
-    await awaitCondition('it runs', () => answers.length === 1)
+    await awaitCondition('it runs', () => answers.size === 1)
     node.child.kill('SIGTERM')
     await awaitPause(EARLIEST_EXIT_MS - 1000)
-    answers[0]?.(LARGE_ANSWER_BYTES)
+    answers.get('/clocks/late')?.(LARGE_ANSWER_BYTES)
     await awaitPause(1500)
     caller.socket.write(composeRequest('behind'))
     await awaitPause(50)
@@ -119,8 +179,8 @@
   it('end their connections although they began before the stop (guards against a process that waits for an idle connection)', async () => {
     const caller = openLateReader(node.callers)
     caller.socket.write(composeRequest('early'))
-    await awaitCondition('it runs', () => answers.length === 1)
-    answers[0]?.(HUGE_ANSWER_BYTES)
+    await awaitCondition('it runs', () => answers.size === 1)
+    answers.get('/clocks/early')?.(HUGE_ANSWER_BYTES)
     await awaitCondition('the response has begun', () => node.readOutput().includes('"request":"early"'))
     node.child.kill('SIGTERM')
     await awaitPause(EARLIEST_EXIT_MS + 500)
@@ -144,4 +204,50 @@
     expect(await node.exited).to.equal(0)
     expect(node.readOutput()).to.include('"event":842').and.not.include('"event":843')
   })
+
+  /** Plays one caller from SIGTERM on; resolves with the faults found on its connection. */
+  async function playCaller (index: number, plan: CallerPlan): Promise<string[]> {
+    const caller = openLateReader(node.callers)
+    const paths = plan.requests.map((_, serial) => `${index}-${serial}`)
+    for (const name of paths) caller.socket.write(composeRequest(name))
+    await awaitCondition('its requests run', () => paths.every((name) => ran.has(`/clocks/${name}`)))
+    return await stopping.then(async () => {
+      plan.requests.forEach(({ answerAt, bytes }, serial) => {
+        setTimeout(() => { answers.get(`/clocks/${paths[serial] ?? ''}`)?.(bytes) }, answerAt)
+      })
+      if (plan.sendAt !== undefined) setTimeout(() => { caller.socket.write(composeRequest(`${index}-behind`)) }, plan.sendAt)
+      await awaitPause(plan.readAt)
+      const responses = parseResponses((await caller.read()).text)
+      return paths.flatMap((name, serial) => {
+        const found = responses[serial]
+        const bytes = plan.requests[serial]?.bytes
+        return found?.attemptId === name && found.status === 200 && found.body.length === bytes
+          ? []
+          : [`${name}: ${found?.status ?? 'no complete response'} ${JSON.stringify(plan)}`]
+      }).concat(responses.flatMap(({ status, attemptId }) =>
+        status === 503 && ran.has(`/clocks/${attemptId}`) ? [`${attemptId} was refused and ran`] : []))
+    })
+  }
+
+  let stopping: Promise<void>
+
+  it(`reach their callers for every order of answers, sizes and late reads (guards against an answer that is lost with its process; seed ${SEED})`, async () => {
+    let isFirst = true
+    await fc.assert(fc.asyncProperty(callerPlans, async (plans) => {
+      if (!isFirst) {
+        await stopNode()
+        await startNode()
+      }
+      isFirst = false
+      let stop = (): void => undefined
+      stopping = new Promise((resolve) => { stop = resolve })
+      const played = Promise.all(plans.map((plan, index) => playCaller(index, plan)))
+      const count = plans.reduce((sum, { requests }) => sum + requests.length, 0)
+      await awaitCondition('all requests run', () => ran.size === count)
+      node.child.kill('SIGTERM')
+      stop()
+      expect((await played).flat(), node.readOutput().slice(-1500)).to.deep.equal([])
+      expect(await node.exited).to.equal(0)
+    }), { seed: SEED, numRuns: RUNS, endOnFailure: true })
+  }).timeout(RUNS * RUN_TIMEOUT_MS)
 })
