--- a/packages/node/tests/startNodeProcess.ts
+++ b/packages/node/tests/startNodeProcess.ts
@@ -9,6 +9,7 @@
 /** A node that runs as a process of its own, with the ports that it listens on. */
 export interface NodeProcess extends StartedProcess {
   readonly callers: number
+  readonly requests: number
   readonly readiness: number
   readonly reports: number
   readonly metrics: number
@@ -41,5 +42,5 @@
     ports: [peers, metrics]
   }))
   const started = startProcess(bundle, [], { nodeOptions, env: { SNIPENOTCH_NODE_FILE: file } })
-  return { ...started, callers, readiness, reports, metrics }
+  return { ...started, callers, requests, readiness, reports, metrics }
 }
