fix(node): leave a forwarding connection that its other side has begun to close

Cause: between the close frame and the 'close' event, createForwardingConnection counted as open. ws does not send any more then, so a request that came waited in the batch for the end of the connection, which is up to the other process (ws waits 30 s). After 600 ms of silence the host was marked as down, although it had answered. Change: such a connection gets no more requests; the next one opens another. The check of all 100 ms terminates it, which ends what is still pending on it as the end of a connection does (not sent whole: refused; sent: connection-lost). Evidence: two tests with a server that begins to close and then reads nothing.

--- a/packages/node/src/entry/createForwardingClient.ts
+++ b/packages/node/src/entry/createForwardingClient.ts
@@ -76,8 +76,13 @@
     return connection
   }
 
-  /** Retires a silent connection and closes an idle one; true if the connection remains in use. */
+  /**
+   * Retires a silent connection, and closes an idle one and one that the other node has begun to close; true if the
+   * connection remains in use.
+   */
   function checkConnection (host: string, { connection, linkMbps }: HostConnection): boolean {
+    // The process of the other node may take long to end; nothing more comes from it.
+    if (connection.isEnding()) connection.close()
     if (connection.isClosed()) return false
     const silentMs = clock.now() - connection.getLastActivityAt()
     if (connection.countPending() === 0) {
@@ -100,7 +105,7 @@
   const stopChecks = ticker.add(SILENCE_CHECK_INTERVAL_MS, () => {
     for (const [host, found] of connections) if (!checkConnection(host, found)) connections.delete(host)
     for (const connection of drainingConnections) {
-      if (connection.countPending() > 0) continue
+      if (connection.countPending() > 0 && !connection.isEnding()) continue
       connection.close()
       drainingConnections.delete(connection)
     }
--- a/packages/node/src/entry/createForwardingConnection.ts
+++ b/packages/node/src/entry/createForwardingConnection.ts
@@ -23,6 +23,8 @@
   readonly releaseRetryable: () => void
   /** True once the connection accepts no more requests. */
   readonly isClosed: () => boolean
+  /** True once the other node has begun to close the connection; it sends no more outcomes. */
+  readonly isEnding: () => boolean
   readonly close: () => void
 }
 
@@ -109,6 +111,8 @@
     else if (message.kind === 'pull') sendParts(message.id, message.bytes)
   }
 
+  const isEnding = (): boolean => socket.readyState === socket.CLOSING
+
   /** True if the other node may have started the request; a message that has not been sent is withdrawn. */
   const isFullySent = (id: number): boolean => {
     const found = pending.get(id)
@@ -178,7 +182,8 @@
         })
       }
     },
-    isClosed: () => isSilent || isEnded,
+    isClosed: () => isSilent || isEnded || isEnding(),
+    isEnding,
     close: () => { socket.terminate() }
   }
 }
--- a/packages/node/tests/entry/createForwardingClient.test.ts
+++ b/packages/node/tests/entry/createForwardingClient.test.ts
@@ -107,6 +107,34 @@
     })
   }
 
+  /** Begins to close the first connection, and does not read that the client closes it too. */
+  function closeUnread (): void {
+    connections[0]?.pause()
+    connections[0]?.close()
+  }
+
+  it('opens another connection once the host has begun to close the known one (guards against requests that wait on a connection that ends)', async () => {
+    send(10, 140)
+    await awaitCondition('the connection has been used', () => outcomes.length === 1)
+    closeUnread()
+    await awaitCondition('another one is opened', () => {
+      send(10, 140)
+      return connections.length === 2
+    })
+    await awaitCondition('it is used', () => outcomes.some((outcome, index) => index > 0 && outcome.kind === 'refused' && outcome.reason === 'busy'))
+    expect(down).to.be.empty
+  })
+
+  it('ends the requests of a connection that the host has begun to close, and not the host (guards against requests held by a process that does not end)', async () => {
+    answerAfterMs = undefined
+    send(10, 140)
+    await awaitCondition('it arrived', () => received.length === 1)
+    closeUnread()
+    await awaitCondition('it ended', () => outcomes.length === 1)
+    expect(outcomes).to.deep.equal([{ kind: 'lost', reason: 'connection-lost' }])
+    expect(down).to.be.empty
+  })
+
   it('marks a host that does not pull a body as down and refuses the request, because it has not run', async () => {
     answerAfterMs = undefined
     send(50_000, 140)
