fix(node): wait until other nodes have read the last outcomes before a stop ends

Seen by callers at other nodes: 502 (connection-lost) for requests that had run well; an unsafe one cannot be retried. Cause: an outcome counted as delivered when the operating system had taken it, and a stop then terminated all forwarding connections. Other nodes keep sending on them (requests, cancellations, parts of bodies). An exit with unread bytes resets a connection, as do bytes that arrive after it, and what the other node has not received is lost. Change: after the last request, the forwarding server accepts no connections, and each connection is closed behind the outcomes of all requests that arrived on it, with the close frame last. It is read on until the other node has closed it too, which that node does when it has read everything ahead. At most 1 s and not past the grace period; then connections are terminated as before, counted (peer_closes process-ended) and logged (845, with their requests without an outcome and unsent bytes). Requests behind the close frame are not run; a handshake on a connection that was accepted before fails, so that its node knows that nothing has run. Ruled out: waiting for ws's bufferedAmount to be 0, which was so at the exit; it does not tell what has arrived.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -102,6 +102,7 @@
   idleConnectionsClosed: { number: 842, level: 'info', text: 'idle connections of callers closed' },
   connectionsAbandoned: { number: 843, level: 'warn', text: 'connections of callers end with this process' },
   requestDiscarded: { number: 844, level: 'info', text: 'request behind the last response of its connection discarded; it has not run' },
+  linksAbandoned: { number: 845, level: 'warn', text: 'connections of other nodes end with this process' },
   linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
 
--- a/packages/contracts/src/reasons/reasons.ts
+++ b/packages/contracts/src/reasons/reasons.ts
@@ -44,7 +44,8 @@
   'hello-missing',
   'peer-silent',
   'backlog-full',
-  'peer-limit'
+  'peer-limit',
+  'process-ended'
 ] as const
 
 /** Why a node refused a request. */
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -56,6 +56,8 @@
 const EXIT_RESERVE_MS = 300
 /** Time reserved for sending the responses that are given because the grace period ends, in milliseconds. */
 const LAST_RESPONSES_MS = 150
+/** Time in which the other nodes read the last outcomes and close their connections, in milliseconds. */
+const LINK_CLOSE_MS = 1000
 /** Number of missed status reports after which the backend server is probed. */
 const MAX_MISSED_REPORTS = 3
 /** Upper bound of the numbers that distinguish the processes of a node. */
@@ -299,6 +301,9 @@
       await awaitEnd(isIdle, answerBy)
       entryServer.endOpenRequests()
       await awaitEnd(isIdle, limitAt)
+      forwardingServer.end()
+      const linksEndAt = Math.min(limitAt, addMilliseconds(clock.now(), LINK_CLOSE_MS))
+      await awaitEnd(() => forwardingServer.countOpen() === 0, linksEndAt)
       for (const follower of followers) follower.stop()
       reader.stop()
       rolloutTraffic.stop()
--- a/packages/node/src/home/acceptForwardingConnection.ts
+++ b/packages/node/src/home/acceptForwardingConnection.ts
@@ -21,6 +21,13 @@
 export interface AcceptedConnection {
   /** Sends a heartbeat if requests are open and nothing has been sent for `HEARTBEAT_INTERVAL_MS`. */
   readonly sendHeartbeat: () => void
+  /**
+   * Closes the connection once each request that arrived on it has its outcome, with the close frame behind the last
+   * one. The other node has read them all when it closes the connection too.
+   */
+  readonly end: () => void
+  /** Requests without an outcome. */
+  readonly countOpen: () => number
 }
 
 /** Options of `acceptForwardingConnection`. */
@@ -48,6 +55,8 @@
   const holders = new Map<number, BufferHolder>()
   /** Time of the last outgoing message, or of the first request received since then while none was open. */
   let idleSince = clock.now()
+  let isEnding = false
+
   function send (message: ForwardingMessage): void {
     idleSince = clock.now()
     sender.add(message)
@@ -59,6 +68,12 @@
     holders.delete(id)
   }
 
+  function closeIfIdle (): void {
+    if (!isEnding || openJobs.size > 0) return
+    sender.flush()
+    socket.close()
+  }
+
   function end (id: number, job: BackendJob, outcome: JobOutcome): void {
     openJobs.delete(id)
     pendingBodies.delete(id)
@@ -68,6 +83,7 @@
     const load = { ...known, load: known.load + receiver.count(), fetchMs: receiver.getBacklogMs() }
     const processingMs = clock.now() - job.arrivedAt
     send({ kind: 'outcome', id, outcome: { ...outcome, load }, versions: getVersions(), processingMs })
+    closeIfIdle()
   }
 
   function run (id: number, job: BackendJob): void {
@@ -115,6 +131,8 @@
 
   /** Begins a request unless the other node has cancelled it meanwhile. */
   function handleRequest (id: number, forwarded: ForwardedJob, begin: (job: BackendJob) => void): void {
+    // Its outcome could not be sent behind the close frame.
+    if (socket.readyState !== socket.OPEN) return
     const job: BackendJob = { ...forwarded, isInternal: false, isBodyFetched: false, arrivedAt: clock.now() }
     if (openJobs.size === 0) idleSince = job.arrivedAt
     openJobs.set(id, job)
@@ -141,6 +159,7 @@
     releaseBuffer(id)
     if (body !== undefined) receiver.cancel(body)
     job?.cancel?.()
+    closeIfIdle()
   }
 
   function closeMalformed (detail: object): void {
@@ -188,6 +207,11 @@
   return {
     sendHeartbeat: () => {
       if (openJobs.size > 0 && clock.now() - idleSince >= HEARTBEAT_INTERVAL_MS) send({ kind: 'beat' })
-    }
+    },
+    end: () => {
+      isEnding = true
+      closeIfIdle()
+    },
+    countOpen: () => openJobs.size
   }
 }
--- a/packages/node/src/home/createForwardingServer.ts
+++ b/packages/node/src/home/createForwardingServer.ts
@@ -15,6 +15,11 @@
   readonly server: Server
   /** Bytes of outcomes that are buffered and not yet sent. */
   readonly countUnsentBytes: () => number
+  /** Accepts no more connections, and closes each one behind the outcomes of its requests. */
+  readonly end: () => void
+  /** Connections that have not ended. */
+  readonly countOpen: () => number
+  /** Terminates the connections that have not ended. */
   readonly close: () => void
 }
 
@@ -23,7 +28,7 @@
   context: NodeContext, dispatcher: Pick<BackendDispatcher, 'run' | 'findRefusal' | 'getClosedReason' | 'getLoad'>,
   getVersions: () => TableVersions
 ): ForwardingServer {
-  const { clock, settings, ticker } = context
+  const { clock, counters, log, settings, ticker } = context
   const connections = new Set<AcceptedConnection>()
   const receiver = createBodyReceiver(clock, settings.linkMbps)
 
@@ -43,12 +48,34 @@
     for (const connection of connections) connection.sendHeartbeat()
   })
 
+  const countUnsentBytes = (): number =>
+    [...webSocketServer.clients].reduce((sum, socket) => sum + socket.bufferedAmount, 0)
+
+  function logAbandoned (): void {
+    const abandoned = webSocketServer.clients.size
+    if (abandoned === 0) return
+    counters.count('peer_closes', 'process-ended', abandoned)
+    log('linksAbandoned', {
+      connections: abandoned,
+      open: [...connections].reduce((sum, connection) => sum + connection.countOpen(), 0),
+      unsentBytes: countUnsentBytes()
+    })
+  }
+
   return {
     server,
-    countUnsentBytes: () => [...webSocketServer.clients].reduce((sum, socket) => sum + socket.bufferedAmount, 0),
+    countUnsentBytes,
+    end: () => {
+      server.close()
+      // A handshake on a connection that was accepted before fails, so that its node knows that nothing has run.
+      webSocketServer.close()
+      for (const connection of connections) connection.end()
+    },
+    countOpen: () => webSocketServer.clients.size,
     close: () => {
       stopChecks()
       server.close()
+      logAbandoned()
       for (const socket of webSocketServer.clients) socket.terminate()
     }
   }
--- a/packages/node/tests/home/createForwardingServer.test.ts
+++ b/packages/node/tests/home/createForwardingServer.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { AddressInfo } from 'node:net'
+import { type AddressInfo, connect } from 'node:net'
 import { WebSocket } from 'ws'
 import type { BackendDispatcher } from '../../src/home/createBackendDispatcher.js'
 import { HEARTBEAT_INTERVAL_MS } from '../../src/home/acceptForwardingConnection.js'
@@ -111,4 +111,72 @@
     await awaitCondition('the connection is closed', () => isClosed)
     expect(running).to.be.empty
   })
+
+  /** Resolves with the code with which the connection ends. */
+  const awaitClose = (): Promise<number> => new Promise((resolve) => { socket.once('close', resolve) })
+  /** Code of a connection that ended without a close frame. */
+  const NO_CLOSE_FRAME = 1006
+
+  it('closes an ending connection behind the outcomes of all requests that arrived on it (guards against outcomes that are lost)', async () => {
+    const ended = awaitClose()
+    send({ kind: 'run', id: 1, job: createLongJob() }, { kind: 'run', id: 2, job: createLongJob() })
+    await awaitCondition('both run', () => running.length === 2)
+    server.end()
+    send({ kind: 'offer', id: 3, job: createLongJob('full'), bytes: 50_000 })
+    await awaitCondition('the late one is refused', () => count('outcome') === 1)
+    running[0]?.(DONE)
+    await awaitCondition('the first ended', () => count('outcome') === 2)
+    expect(server.countOpen()).to.equal(1)
+    running[1]?.(DONE)
+    expect(await ended).not.to.equal(NO_CLOSE_FRAME)
+    expect(received.flatMap((message) => message.kind === 'outcome' ? [message.id] : [])).to.deep.equal([3, 1, 2])
+    await awaitCondition('it has ended here', () => server.countOpen() === 0)
+  })
+
+  it('closes an ending connection when its last request is cancelled (guards against a stop that waits for nobody)', async () => {
+    const ended = awaitClose()
+    send({ kind: 'run', id: 1, job: createLongJob() })
+    await awaitCondition('it runs', () => running.length === 1)
+    server.end()
+    send({ kind: 'cancel', id: 1 })
+    expect(await ended).not.to.equal(NO_CLOSE_FRAME)
+  })
+
+  it('does not run a request behind its close frame (guards against work without a recipient)', async () => {
+    const ended = awaitClose()
+    socket.pause()
+    server.end()
+    send({ kind: 'run', id: 1, job: createLongJob() })
+    socket.resume()
+    expect(await ended).not.to.equal(NO_CLOSE_FRAME)
+    await awaitCondition('it has ended here', () => server.countOpen() === 0)
+    expect(running).to.be.empty
+  })
+
+  it('refuses the handshake of a connection that was accepted before the end (guards against requests on a connection that ends)', async () => {
+    const { port } = server.server.address() as AddressInfo
+    const late = connect(port, '127.0.0.1')
+    let answer = ''
+    late.on('data', (data) => { answer += data.toString() })
+    const accepted = new Promise((resolve) => { server.server.once('connection', resolve) })
+    late.write('GET / HTTP/1.1\r\n')
+    await accepted
+    await awaitPause(50)
+    server.end()
+    late.write('Host: a.example\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 13\r\nSec-WebSocket-Key: MDEyMzQ1Njc4OWFiY2RlZg==\r\n\r\n')
+    await awaitCondition('it is answered', () => answer.includes('\r\n\r\n'))
+    late.destroy()
+    expect(answer).to.match(/^HTTP\/1.1 404 /)
+  })
+
+  it('logs the connections that the other nodes have not closed (guards against outcomes that are lost unseen)', async () => {
+    const ended = awaitClose()
+    send({ kind: 'run', id: 1, job: createLongJob() })
+    await awaitCondition('it runs', () => running.length === 1)
+    server.end()
+    server.close()
+    expect(await ended).to.equal(NO_CLOSE_FRAME)
+    expect(context.events.filter(({ name }) => name === 'linksAbandoned').at(-1)?.fields).to.include({ connections: 1, open: 1 })
+    expect(context.counters.read('peer_closes', 'process-ended')).to.be.greaterThan(0)
+  })
 })
--- a/packages/node/tests/outcomesAtStop.test.ts
+++ b/packages/node/tests/outcomesAtStop.test.ts
@@ -148,4 +148,13 @@
     expect(arrived.sort(), detail).to.deep.equal(ids.map((id) => `${id} ${ANSWER_BYTES}`))
     expect(await node.exited).to.equal(0)
   })
+
+  it('do not hold up the exit beside a node that never reads (guards against a stop that ends by SIGKILL)', async () => {
+    const link = await openLink(node.requests)
+    link.socket.pause()
+    node.child.kill('SIGTERM')
+    expect(await node.exited).to.equal(0)
+    link.socket.terminate()
+    expect(node.readOutput()).to.contain('"event":845').and.to.contain('"event":102')
+  })
 })
