--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -56,6 +56,8 @@
 const EXIT_RESERVE_MS = 300
 /** Time reserved for sending the responses that are given because the grace period ends, in milliseconds. */
 const LAST_RESPONSES_MS = 150
+/** Time in which the other nodes read the last outcomes and close their connections, in milliseconds. */
+const LINK_CLOSE_MS = 1000
 /** Number of missed status reports after which the backend server is probed. */
 const MAX_MISSED_REPORTS = 3
 /** Upper bound of the numbers that distinguish the processes of a node. */
@@ -304,15 +306,20 @@
         entryServer.countOpen() === 0 && dispatcher.countOpen() === 0 && forwardingServer.countUnsentBytes() === 0
       await awaitEnd(isIdle, answerBy)
       entryServer.endOpenRequests()
-      // A response has arrived only once its caller has closed the connection.
-      await awaitEnd(() => isIdle() && entryServer.countConnections() === 0, limitAt)
+      await awaitEnd(isIdle, limitAt)
+      const recordFlushed = recordWriter.flush(Math.min(RECORD_FLUSH_MS, Math.max(0, limitAt - clock.now())))
+      forwardingServer.end()
+      // Outcomes and responses have arrived only once the other side has closed the connection.
+      const linksEndAt = Math.min(limitAt, addMilliseconds(clock.now(), LINK_CLOSE_MS))
+      await awaitEnd(() => forwardingServer.countOpen() === 0, linksEndAt)
+      await awaitEnd(() => entryServer.countConnections() === 0, limitAt)
       for (const follower of followers) follower.stop()
       reader.stop()
       rolloutTraffic.stop()
       stopEvidenceLog()
       const parts = [peerRowFetcher, suspectExchange, forwardingClient, health, instanceProber, forwardingServer]
       for (const part of parts) part.close()
-      await recordWriter.flush(Math.min(RECORD_FLUSH_MS, Math.max(0, limitAt - clock.now())))
+      await recordFlushed
       entryServer.logAbandoned()
       log('daemonStopped', {
         open: entryServer.countOpen(),
