--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -307,7 +307,6 @@
       await awaitEnd(isIdle, answerBy)
       entryServer.endOpenRequests()
       await awaitEnd(isIdle, limitAt)
-      const recordFlushed = recordWriter.flush(Math.min(RECORD_FLUSH_MS, Math.max(0, limitAt - clock.now())))
       forwardingServer.end()
       // Outcomes and responses have arrived only once the other side has closed the connection.
       const linksEndAt = Math.min(limitAt, addMilliseconds(clock.now(), LINK_CLOSE_MS))
@@ -319,7 +318,7 @@
       stopEvidenceLog()
       const parts = [peerRowFetcher, suspectExchange, forwardingClient, health, instanceProber, forwardingServer]
       for (const part of parts) part.close()
-      await recordFlushed
+      await recordWriter.flush(Math.min(RECORD_FLUSH_MS, Math.max(0, limitAt - clock.now())))
       entryServer.logAbandoned()
       log('daemonStopped', {
         open: entryServer.countOpen(),
