fix(node): log a request whose caller left before it was handled

It was counted as left without a line, so that a request without an answer had no event at all at its entry node.

--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -285,9 +285,7 @@
         }
         runUnlessAbandoned(request, () => {
           runOrFail(callerRequest, () => { handleComplete(callerRequest, body.takeBody()) })
-        }, () => {
-          counters.count('serving_requests', 'left')
-        })
+        }, () => { logUnanswered(callerRequest, false) })
       }
     })
     // The caller disconnected before its request was complete; nothing has been forwarded.
