fix(node): accept the connections that wait before the server of callers closes

Seen by callers: a connection that is reset without an answer at a node that stops; an unsafe request leaves its caller not knowing. Cause: the operating system accepts connections ahead of the process, and takes their requests. A process that is behind, or paused, comes to the timer of its stop before it has accepted them; closing the server resets all of them. Evidence: a process paused by SIGSTOP over the end of the time for callers, 100 connections with a request each: 100 of 100 without an answer on, 100 of 100 answered 503 here (one run each). Change: before the server closes, event loop turns go by until one accepts no connection. Requests on them are run or refused like all others.

--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -260,11 +260,23 @@
     while (!isOver() && clock.now() < limitAt) await new Promise((resolve) => { setTimeout(resolve, STOP_POLL_MS) })
   }
 
-  /** Resolves when all bytes that have arrived by now have been read. */
-  function readArrived (): Promise<void> {
+  /** Resolves in the event loop turn after the next, when the bytes that have arrived by now have been read. */
+  function awaitRead (): Promise<void> {
     return new Promise((resolve) => { setImmediate(() => { setImmediate(resolve) }) })
   }
 
+  /**
+   * Accepts the connections that wait in the queue of the operating system, as their callers may have sent requests. A
+   * turn of the event loop accepts only some of them, and closing the server resets the others.
+   */
+  async function acceptWaiting (limitAt: number): Promise<void> {
+    let accepted: number
+    do {
+      accepted = entryServer.countAccepted()
+      await awaitRead()
+    } while (entryServer.countAccepted() > accepted && clock.now() < limitAt)
+  }
+
   return {
     start: async () => {
       for (const follower of followers) follower.start()
@@ -300,7 +312,7 @@
       await awaitEnd(() => false, Math.min(limitAt, stoppedAt + CALLER_LINGER_MS))
       // Requests that the backend server still runs may make calls through this node.
       await awaitEnd(() => dispatcher.countOpen() === 0, answerBy)
-      await readArrived()
+      await acceptWaiting(answerBy)
       entryServer.server.close()
       const isIdle = (): boolean =>
         entryServer.countOpen() === 0 && dispatcher.countOpen() === 0 && forwardingServer.countUnsentBytes() === 0
--- a/packages/node/src/entry/createCallerConnections.ts
+++ b/packages/node/src/entry/createCallerConnections.ts
@@ -19,6 +19,8 @@
   readonly closeIdle: (busySockets: ReadonlySet<Socket>) => void
   /** Connections that have not ended. */
   readonly countOpen: () => number
+  /** Connections accepted so far. */
+  readonly countAccepted: () => number
   /** Logs the connections that end because the process exits. */
   readonly logAbandoned: () => void
 }
@@ -39,6 +41,7 @@
 /** Creates an empty set of connections. */
 export function createCallerConnections ({ log, counters }: Pick<NodeContext, 'log' | 'counters'>): CallerConnections {
   const sockets = new Set<Socket>()
+  let accepted = 0
   /** Latest request on each connection. */
   const latestRequests = new WeakMap<Socket, CallerRequest>()
   /** Connections whose last response has been composed. */
@@ -74,6 +77,7 @@
         // Each request adds a 'close' listener to its connection, and callers may pipeline many requests.
         socket.setMaxListeners(0)
         sockets.add(socket)
+        accepted += 1
         socket.once('close', () => { sockets.delete(socket) })
       })
     },
@@ -92,6 +96,7 @@
       for (const socket of idle) endConnection(socket, IDLE_LINGER_MS)
     },
     countOpen: () => sockets.size,
+    countAccepted: () => accepted,
     logAbandoned: () => {
       if (sockets.size === 0) return
       counters.count('caller_closes', 'abandoned', sockets.size)
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -27,6 +27,8 @@
   readonly countOpen: () => number
   /** Connections of callers that have not ended. */
   readonly countConnections: () => number
+  /** Connections of callers accepted so far. */
+  readonly countAccepted: () => number
   /** Logs the connections of callers that end because the process exits. */
   readonly logAbandoned: () => void
   /** Responds to the requests that are still open, because the process is exiting. */
@@ -331,6 +333,7 @@
     stop: (deadlines) => { shutdownDeadlines = deadlines },
     countOpen: () => openRequests.size,
     countConnections: connections.countOpen,
+    countAccepted: connections.countAccepted,
     logAbandoned: connections.logAbandoned,
     endOpenRequests: () => {
       isTerminating = true
--- a/packages/node/tests/answersAtStop.test.ts
+++ b/packages/node/tests/answersAtStop.test.ts
@@ -24,6 +24,9 @@
 
 const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
 
+/** Connections that are opened while the process is paused. */
+const WAITING_CALLERS = 100
+
 /** Seed and number of runs of the property; each one ends a process. */
 const SEED = Number(process.env.STOP_SEED ?? 4501)
 const RUNS = Number(process.env.STOP_RUNS ?? 3)
@@ -209,6 +212,25 @@
     expect(node.readOutput()).to.include('"event":842').and.not.include('"event":843')
   })
 
+  it('are sent to callers whose connections wait to be accepted (guards against requests that are reset when the server closes)', async () => {
+    const exited = node.exited
+    node.child.kill('SIGTERM')
+    await awaitPause(EARLIEST_EXIT_MS - 500)
+    node.child.kill('SIGSTOP')
+    const callers = Array.from({ length: WAITING_CALLERS }, (_, index) => {
+      const caller = openLateReader(node.callers)
+      caller.socket.write(composeRequest(`waiting-${index}`))
+      return caller
+    })
+    await awaitPause(700)
+    node.child.kill('SIGCONT')
+    const ended = await Promise.all(callers.map(({ read }) => read()))
+    const statuses = ended.map(({ text }) => parseResponses(text)[0]?.status)
+    expect(statuses.filter((status) => status !== 503), node.readOutput().slice(-1000)).to.deep.equal([])
+    expect(ran).to.have.property('size', 0)
+    expect(await exited).to.equal(0)
+  })
+
   /** Plays one caller from SIGTERM on; resolves with the faults found on its connection. */
   async function playCaller (index: number, plan: CallerPlan): Promise<string[]> {
     const caller = openLateReader(node.callers)
