fix(node): a response whose header the parser refuses counts as malformed, not as a lost connection

Caller: an answer whose head has a blank in the name of a header, or a nameless header, was reported lost as `connection-lost`, which points operators at a restart (OPERATIONS.md); the node took it for a sign of one too (RESTART_LOSSES): it held the backend server for cold. The error of the parser was taken for the end of the connection. Change: that code ahead of a response is `answer-malformed`. The parser gives it only behind a sound status line, so bytes that are no response, truncated, overflowing and endless heads keep their reasons, as do errors in bodies and trailers, where a response exists.

--- a/packages/node/src/home/createBackendClient.ts
+++ b/packages/node/src/home/createBackendClient.ts
@@ -74,6 +74,9 @@
   readonly onSilent: () => void
 }
 
+/** Parser error code of a message with an invalid header. */
+const INVALID_HEADER_CODE = 'HPE_INVALID_HEADER_TOKEN'
+
 const REPLACED_HEADERS: ReadonlySet<string> = new Set([PLATFORM_HEADERS.remainingMs, PLATFORM_HEADERS.targetInstance, 'content-length'])
 
 function composeHeaders (job: BackendJob, instance: string, remainingMs: number): string[] {
@@ -253,10 +256,11 @@
         clearTimeout(connectTimer)
       })
     })
-    outgoing.on('error', (error) => {
+    outgoing.on('error', (error: NodeJS.ErrnoException) => {
       // Bytes after a complete response belong to no request; the 'end' event of the response follows.
       if (response?.complete === true && isFramed(response)) return
-      failConnection(error.message)
+      if (response === undefined && error.code === INVALID_HEADER_CODE) failCall('answer-malformed', error.message)
+      else failConnection(error.message)
     })
     // A response that switches protocols ends the request without an error.
     outgoing.on('close', () => { if (response === undefined) failConnection('connection closed without a response') })
--- a/packages/node/tests/home/createBackendClient.test.ts
+++ b/packages/node/tests/home/createBackendClient.test.ts
@@ -148,6 +148,8 @@
     ['a final response with an interim status', head('a', 'Content-Length: 2\r\n').replace('200', '101') + 'ok', 'answer-malformed'],
     ['a response with a blank in the name of a header', head('a', 'X Own: 1\r\nContent-Length: 2\r\n') + 'ok', 'answer-malformed'],
     ['a response with a nameless header', head('a', ': 1\r\nContent-Length: 2\r\n') + 'ok', 'answer-malformed'],
+    ['a response with a control character in a header', head('a', 'X-Own: \x01\r\nContent-Length: 2\r\n') + 'ok', 'answer-malformed'],
+    ['a response behind an interim one with a malformed header', 'HTTP/1.1 100 Continue\r\nX\r\n\r\n' + head('a', 'Content-Length: 2\r\n') + 'ok', 'answer-malformed'],
     ['a response that switches protocols', 'HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n', 'connection-lost'],
     ['bytes that are not an HTTP response', 'garbage\r\n\r\n', 'connection-lost']
   ]
