fix(node): bytes behind a malformed head do not reset the connection before its 400 is read

Caller: it sent a malformed head and went on sending, and its connection was reset; what of the 400 had not been delivered was lost. Cause: the parser reports its error again with every later chunk. `clientError` found the socket no longer writable then, and destroyed it. Change: errors of the parser on a connection that is closing are ignored, and the 400 ends the connection as last responses do: it is read for a while longer, then closed. The error is also counted and logged once for each connection. Errors of the socket destroy it as before.

--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -306,7 +306,10 @@
   // The default error response of Node.js would be taken for the response to the first open request on the connection.
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     const { code = '' } = error
-    if (!code.startsWith('HPE_') || code === INCOMPLETE_REQUEST_CODE || !socket.writable) {
+    const isParserError = code.startsWith('HPE_') && code !== INCOMPLETE_REQUEST_CODE
+    // The parser reports its error again with all later bytes.
+    if (isParserError && connections.isClosing(socket)) return
+    if (!isParserError || !socket.writable) {
       socket.destroy()
       return
     }
@@ -315,7 +318,8 @@
     connections.markClosing(socket)
     if (countOpenOf(socket) > 0) return
     const status = code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    socket.destroySoon()
   })
 
   // Called when the server closes. The default implementation treats a connection as idle while a response is being
--- a/packages/node/tests/entry/createEntryServer.test.ts
+++ b/packages/node/tests/entry/createEntryServer.test.ts
@@ -1,13 +1,33 @@
 import { OPERATOR_TABLE, PLATFORM_HEADERS } from '@snipenotch/platform'
 import { expect } from 'chai'
-import type { AddressInfo } from 'node:net'
+import { type AddressInfo, connect, type Socket } from 'node:net'
 import { composePlatformConfiguration } from '../../../../platform/tests/composeWire.js'
 import type { StartExchange } from '../../src/entry/createExchange.js'
 import { createEntryServer, type EntryServer } from '../../src/entry/createEntryServer.js'
 import { createRetryBudgets } from '../../src/entry/createRetryBudgets.js'
 import { createMeshView } from '../../src/rows/createMeshView.js'
 import { createTestContext, type TestContext } from '../createTestContext.js'
-import { send } from '../startTestMesh.js'
+import { awaitCondition, send } from '../startTestMesh.js'
+
+/** Connection of a caller that stays open until the server ends it. */
+interface CallerConnection {
+  readonly socket: Socket
+  readonly read: () => string
+  /** Resolves when the server ends the connection; rejects if it resets it. */
+  readonly ended: Promise<void>
+}
+
+function openConnection (port: number): CallerConnection {
+  const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true, noDelay: true })
+  let text = ''
+  socket.on('data', (data) => { text += data.toString() })
+  const ended = new Promise<void>((resolve, reject) => { socket.once('end', resolve).once('error', reject) })
+  return { socket, read: () => text, ended }
+}
+
+const awaitPause = (): Promise<unknown> => new Promise((resolve) => { setTimeout(resolve, 30) })
+
+const listStatuses = (text: string): number[] => [...text.matchAll(/HTTP\/1.1 (\d+)/g)].map(([, status]) => Number(status))
 
 describe('createEntryServer', () => {
   let context: TestContext
@@ -61,4 +81,19 @@
       expect(context.counters.read('serving_losses', 'answer-malformed')).to.equal(1)
     })
   }
+
+  it('lets a caller that goes on sending read the 400 to its malformed head (guards against a response lost in a reset)', async () => {
+    const { socket, read, ended } = openConnection(port)
+    socket.write('malformed\r\n\r\n')
+    await ended
+    for (let count = 0; count < 3; count++) {
+      socket.write('more\r\n\r\n')
+      await awaitPause()
+    }
+    expect(socket.errored).to.equal(null)
+    expect(listStatuses(read())).to.deep.equal([400])
+    expect(context.counters.read('serving_refusals', 'malformed')).to.equal(1)
+    socket.end()
+    await awaitCondition('the connection is closed', () => entry.countConnections() === 0)
+  })
 })
