fix(node): a malformed head behind open requests is answered behind their responses

Caller: it pipelined requests with a malformed head behind them, got the responses to the sound ones and then the end of the connection, without any response to the last one. Change: the 400 (431 for too many bytes) is written when the response to the latest request is complete. Responses are sent in order, so it stands behind all of them. That latest response does not announce the end of the connection any more, also while the process stops; the 400 does. Nothing is added behind a response that has announced it, and errors in the body of an open request are handled as before.

--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -82,6 +82,8 @@
   let isTerminating = false
   const openRequests = new Set<CallerRequest>()
   const connections = createCallerConnections(context)
+  /** Connections whose last response is the one to a malformed head behind their open requests. */
+  const rejectedSockets = new WeakSet<Socket>()
 
   const countOpenOf = (socket: Socket): number =>
     [...openRequests].filter(({ incoming }) => incoming.socket === socket).length
@@ -93,7 +95,7 @@
     isLastOnConnection: (callerRequest) => {
       const { socket } = callerRequest.incoming
       const isClosing = shutdownDeadlines !== undefined || connections.isClosing(socket)
-      const isLast = isClosing && connections.getLatestRequest(socket) === callerRequest
+      const isLast = isClosing && connections.getLatestRequest(socket) === callerRequest && !rejectedSockets.has(socket)
       if (isLast) connections.markClosing(socket)
       return isLast
     }
@@ -303,23 +305,33 @@
 
   connections.attach(server)
 
+  /** Sends the last response of a connection whose bytes the parser refused. */
+  function sendParserRefusal (socket: Socket, code: string): void {
+    // The response ahead was the last one if its request asked for that.
+    if (!socket.writable) return
+    const status = code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
+    socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    socket.destroySoon()
+  }
+
   // The default error response of Node.js would be taken for the response to the first open request on the connection.
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     const { code = '' } = error
     const isParserError = code.startsWith('HPE_') && code !== INCOMPLETE_REQUEST_CODE
     // The parser reports its error again with all later bytes.
-    if (isParserError && connections.isClosing(socket)) return
+    if (isParserError && (connections.isClosing(socket) || rejectedSockets.has(socket))) return
     if (!isParserError || !socket.writable) {
       socket.destroy()
       return
     }
     counters.count('serving_refusals', 'malformed')
     log('callerMalformed', { code, open: countOpenOf(socket) })
-    connections.markClosing(socket)
-    if (countOpenOf(socket) > 0) return
-    const status = code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
-    socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
-    socket.destroySoon()
+    const latest = connections.getLatestRequest(socket)
+    if (latest === undefined || !openRequests.has(latest)) sendParserRefusal(socket, code)
+    else if (latest.incoming.complete) {
+      rejectedSockets.add(socket)
+      listenClosed(latest, () => { sendParserRefusal(socket, code) })
+    } else connections.markClosing(socket)
   })
 
   // Called when the server closes. The default implementation treats a connection as idle while a response is being
