--- a/packages/node/tests/entry/createEntryServer.test.ts
+++ b/packages/node/tests/entry/createEntryServer.test.ts
@@ -1,13 +1,34 @@
+import { addMilliseconds } from '@snipenotch/contracts'
 import { OPERATOR_TABLE, PLATFORM_HEADERS } from '@snipenotch/platform'
 import { expect } from 'chai'
-import type { AddressInfo } from 'node:net'
+import { type AddressInfo, connect, type Socket } from 'node:net'
 import { composePlatformConfiguration } from '../../../../platform/tests/composeWire.js'
 import type { StartExchange } from '../../src/entry/createExchange.js'
 import { createEntryServer, type EntryServer } from '../../src/entry/createEntryServer.js'
 import { createRetryBudgets } from '../../src/entry/createRetryBudgets.js'
 import { createMeshView } from '../../src/rows/createMeshView.js'
 import { createTestContext, type TestContext } from '../createTestContext.js'
-import { send } from '../startTestMesh.js'
+import { awaitCondition, send } from '../startTestMesh.js'
+
+/** Connection of a caller that stays open until the server ends it. */
+interface CallerConnection {
+  readonly socket: Socket
+  readonly read: () => string
+  /** Resolves when the server ends the connection; rejects if it resets it. */
+  readonly ended: Promise<void>
+}
+
+function openConnection (port: number): CallerConnection {
+  const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true, noDelay: true })
+  let text = ''
+  socket.on('data', (data) => { text += data.toString() })
+  const ended = new Promise<void>((resolve, reject) => { socket.once('end', resolve).once('error', reject) })
+  return { socket, read: () => text, ended }
+}
+
+const awaitPause = (): Promise<unknown> => new Promise((resolve) => { setTimeout(resolve, 30) })
+
+const listStatuses = (text: string): number[] => [...text.matchAll(/HTTP\/1.1 (\d+)/g)].map(([, status]) => Number(status))
 
 describe('createEntryServer', () => {
   let context: TestContext
@@ -61,4 +82,72 @@
       expect(context.counters.read('serving_losses', 'answer-malformed')).to.equal(1)
     })
   }
+
+  it('lets a caller that goes on sending read the 400 to its malformed head (guards against a response lost in a reset)', async () => {
+    const { socket, read, ended } = openConnection(port)
+    socket.write('malformed\r\n\r\n')
+    await ended
+    for (let count = 0; count < 3; count++) {
+      socket.write('more\r\n\r\n')
+      await awaitPause()
+    }
+    expect(socket.errored).to.equal(null)
+    expect(listStatuses(read())).to.deep.equal([400])
+    expect(context.counters.read('serving_refusals', 'malformed')).to.equal(1)
+    socket.end()
+    await awaitCondition('the connection is closed', () => entry.countConnections() === 0)
+  })
+
+  const heads: Array<[string, string, number]> = [
+    ['a blank in the name of a header', 'GET /parts/bad HTTP/1.1\r\nHost: a.example\r\nX Own: 1\r\n\r\n', 400],
+    ['a tab in the target', 'GET /parts/b\tad HTTP/1.1\r\nHost: a.example\r\n\r\n', 400],
+    ['a control character in a header', 'GET /parts/bad HTTP/1.1\r\nHost: a.example\r\nX-Own: \x01\r\n\r\n', 400],
+    ['a line without a colon', 'GET /parts/bad HTTP/1.1\r\nHost: a.example\r\nX-Own\r\n\r\n', 400],
+    ['no request line', 'malformed\r\n\r\n', 400],
+    ['too many bytes', `GET /parts/bad HTTP/1.1\r\nHost: a.example\r\nX-Own: ${'x'.repeat(70_000)}\r\n\r\n`, 431]
+  ]
+  for (const isStopping of [false, true]) {
+    for (const [title, malformedHead, status] of heads) {
+      it(`answers a head with ${title} behind the open requests of its connection${isStopping ? ', and stops' : ''} (guards against responses lost or out of order)`, async () => {
+        const started = new Map<string, () => void>()
+        startExchange = ({ attemptId }, onResult) => {
+          const headers = [PLATFORM_HEADERS.attemptId, attemptId]
+          const outcome = { kind: 'answered', status: 200, headers, body: Buffer.from('ok'), notRun: false } as const
+          started.set(attemptId, () => { onResult({ outcome, host: 'krakow-2', tries: 1 }) })
+          return { cancel: () => false, getHost: () => undefined }
+        }
+        const { socket, read, ended } = openConnection(port)
+        const compose = (id: string): string =>
+          `GET /parts/${id} HTTP/1.1\r\nHost: a.example\r\n${PLATFORM_HEADERS.attemptId}: ${id}\r\n\r\n`
+        socket.write(compose('first') + compose('second') + malformedHead)
+        await awaitCondition('the head is found malformed', () => context.counters.read('serving_refusals', 'malformed') === 1)
+        socket.write(compose('hidden'))
+        await awaitPause()
+        const now = context.clock.now()
+        if (isStopping) entry.stop({ lateFrom: now, answerBy: addMilliseconds(now, 10_000) })
+        await awaitCondition('both run', () => started.size === 2)
+        started.get('second')?.()
+        await awaitPause()
+        expect(read()).to.equal('')
+        started.get('first')?.()
+        await ended
+        expect(listStatuses(read())).to.deep.equal([200, 200, status])
+        expect([...read().matchAll(/attempt-id: (\w+)/g)].map(([, id]) => id)).to.deep.equal(['first', 'second'])
+        expect([...read().matchAll(/connection: (\S+)/gi)].map(([, option]) => option)).to.deep.equal(['keep-alive', 'keep-alive', 'close'])
+        expect(started).to.have.all.keys('first', 'second')
+        expect(context.counters.read('serving_refusals', 'malformed')).to.equal(1)
+        expect(socket.errored).to.equal(null)
+        socket.end()
+        await awaitCondition('the connection is closed', () => entry.countConnections() === 0)
+      })
+    }
+  }
+
+  it('sends nothing behind the last response of a connection (guards against a response that belongs to no request)', async () => {
+    const { socket, read, ended } = openConnection(port)
+    socket.write('GET /parts/1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\nmalformed\r\n\r\n')
+    await ended
+    expect(listStatuses(read())).to.deep.equal([502])
+    socket.end()
+  })
 })
