test(node): wait past the start of a node before its requests are counted

The two tests of leaves that an earlier process acknowledged sent requests for 0.5 s, but a node sends nothing to a backend server that may be cold within its first second (COLD_START_DELAY_MS), whatever it believes. The checks are the same, over 1.5 s.

--- a/packages/node/tests/createNode.test.ts
+++ b/packages/node/tests/createNode.test.ts
@@ -11,6 +11,10 @@
   answerSigned, awaitCondition, send, startTestMesh, type TestHost, type TestMesh
 } from './startTestMesh.js'
 
+/** More than the time after its start in which a node sends nothing to a cold backend server, in milliseconds. */
+const STARTED_MS = 1500
+const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
+
 describe('createNode', () => {
   let mesh: TestMesh
   let entry: TestHost
@@ -76,6 +80,15 @@
     expect(targetHost.backend.seen).to.be.empty
   })
 
+  /** Sends requests until a node that has just started would send one on to its backend server. */
+  async function sendPastStart ({ settings, context: { clock } }: TestHost): Promise<void> {
+    const endsAt = clock.now() + STARTED_MS
+    while (clock.now() < endsAt) {
+      await send(settings.callers.port, '/parts/1')
+      await awaitPause(50)
+    }
+  }
+
   it('honours a drain notice that a previous process acknowledged (guards against a delayed report accepted after a restart)', async () => {
     await targetHost.report({ state: 'draining' })
     await awaitCondition('the entry node knows', async () =>
@@ -84,10 +97,7 @@
     await awaitCondition('it has its configuration', async () =>
       (await send(restarted.settings.readiness.port, '/readiness')).status === 200)
     await restarted.report()
-    for (let index = 0; index < 10; index++) {
-      await send(entry.settings.callers.port, '/parts/1')
-      await new Promise((resolve) => { setTimeout(resolve, 50) })
-    }
+    await sendPastStart(entry)
     expect(restarted.backend.seen).to.be.empty
   })
 
@@ -99,10 +109,7 @@
     await awaitCondition('it has its configuration', async () =>
       (await send(restarted.settings.readiness.port, '/readiness')).status === 200)
     await restarted.report()
-    for (let index = 0; index < 10; index++) {
-      await send(restarted.settings.callers.port, '/parts/1')
-      await new Promise((resolve) => { setTimeout(resolve, 50) })
-    }
+    await sendPastStart(restarted)
     expect(restarted.backend.seen).to.be.empty
   })
 
