fix(node): keep the record of a backend server that has left until it has ended

What callers would see (DRAIN): a backend server says that it leaves (`deregister`, without `draining` before, and goes on serving for the drain time and longer), its node acknowledges that and stops; reports from before the leave arrive late at the next process, and the server gets requests again. Cause: a stop took `gone`, an acknowledged leave, for the end of the server, and removed the record of the host, which is all that the next process knows of the leave. meant to remove it only if the server has ended. Change: at a stop the record of a server that has left is removed only if the server refuses a health probe, or had refused a connection before. Cost: beside a server that still runs, the record stays, as it did for one that is `draining`; on a machine that is taken away, for good.

--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -256,6 +256,18 @@
     if (instance.resume(run, report.coldMs, clock.now())) dispatcher.update()
   }
 
+  /**
+   * Removes the record if the backend server has ended. One that has left may go on serving for longer than this
+   * process, and the next process must know that it leaves.
+   */
+  async function removeRecordOfEnded (): Promise<void> {
+    const hasLeft = (): boolean => instance.getRun()?.state === 'gone'
+    const path = view.getService(settings.service)?.healthPath
+    const isRefused = hasLeft() && path !== undefined && await probeInstance(settings.backend, path) === 'refused'
+    // A later run may have reported meanwhile.
+    if (instance.isDown() || (isRefused && hasLeft())) recordWriter.set(undefined)
+  }
+
   async function awaitEnd (isOver: () => boolean, limitAt: number): Promise<void> {
     while (!isOver() && clock.now() < limitAt) await new Promise((resolve) => { setTimeout(resolve, STOP_POLL_MS) })
   }
@@ -287,8 +299,7 @@
       entryServer.stop({ lateFrom: addMilliseconds(stoppedAt, CALLER_LINGER_MS), answerBy })
       rolloutController.stop()
       loadLogger.stop()
-      // The backend server may outlive this process; the next one must know that it is draining, so its record is kept.
-      if (instance.getRun()?.state === 'gone' || instance.isDown()) recordWriter.set(undefined)
+      removeRecordOfEnded().catch((error: unknown) => { log('internalError', { error: String(error) }) })
       await awaitEnd(() => false, Math.min(limitAt, stoppedAt + BACKEND_LINGER_MS))
       dispatcher.stop()
       dispatcher.update()
--- a/packages/node/tests/createNode.test.ts
+++ b/packages/node/tests/createNode.test.ts
@@ -6,6 +6,7 @@
 import { WebSocket } from 'ws'
 import { encodeBatch } from '../src/peers/forwardingCodec.js'
 import { composePlatformConfiguration, composeReport } from '../../../platform/tests/composeWire.js'
+import { formatHostKey, MESH_TABLE } from '../src/rows/TABLES.js'
 import { createJob } from './createJob.js'
 import {
   answerSigned, awaitCondition, send, startTestMesh, type TestHost, type TestMesh
@@ -13,6 +14,8 @@
 
 /** More than the time after its start in which a node sends nothing to a cold backend server, in milliseconds. */
 const STARTED_MS = 1500
+/** More than the time in which a stopped node writes its record, in milliseconds. */
+const RECORD_WRITE_MS = 200
 const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
 
 describe('createNode', () => {
@@ -101,6 +104,41 @@
     expect(restarted.backend.seen).to.be.empty
   })
 
+  /** Sends the leave of the backend server; returns the HTTP status of its acknowledgement. */
+  async function leave ({ settings, backend }: TestHost): Promise<number> {
+    const body = JSON.stringify({ born: backend.startedAt })
+    return (await send(settings.reports.port, '/rpc?call=instances.deregister&of=i-krakow-2', {}, { method: 'POST', body })).status
+  }
+
+  const readRecord = async (): Promise<string | undefined> => {
+    const { rows } = (await mesh.client.readTable(MESH_TABLE)).unwrap()
+    return rows.find(({ key }) => key === formatHostKey('krakow-2'))?.value
+  }
+
+  it('honours a leave that a process acknowledged before it stopped (guards against delayed reports of a server that goes on for a time)', async () => {
+    expect(await leave(targetHost)).to.equal(200)
+    await awaitCondition('the entry node knows', async () =>
+      (await send(entry.settings.callers.port, '/parts/1')).body === 'no-host\n')
+    await targetHost.node.stop()
+    await awaitPause(RECORD_WRITE_MS)
+    expect(await readRecord()).to.contain('"leaving":true')
+    const restarted = await mesh.startHost('krakow-2', 'parts')
+    await awaitCondition('it has its configuration', async () =>
+      (await send(restarted.settings.readiness.port, '/readiness')).status === 200)
+    await restarted.report()
+    await restarted.report()
+    await sendPastStart(entry)
+    expect(restarted.backend.seen).to.be.empty
+  })
+
+  it('removes its record when it stops beside a backend server that has left and ended (guards against records without a host)', async () => {
+    await leave(targetHost)
+    await awaitCondition('it is known to leave', async () => (await readRecord())?.includes('"leaving":true') === true)
+    targetHost.backend.close()
+    await targetHost.node.stop()
+    await awaitCondition('the record is removed', async () => (await readRecord()) === undefined)
+  })
+
   it('honours a drain notice that was not published to the store (guards against a delayed report accepted after a restart)', async () => {
     mesh.store.fault = 'refuse'
     await targetHost.report({ state: 'draining' })
