test(daemon): answers that are lost with the daemon that stops, failing

In the server alone, close() destroys a connection with a composed response of 20,000,000 bytes after 3,919,872.

--- a/packages/daemon/tests/requests/createRequestServer.test.ts
+++ b/packages/daemon/tests/requests/createRequestServer.test.ts
@@ -5,6 +5,9 @@
   awaitCondition, closeAll, createTestMesh, describeRefusal, listenOnFreePort, send, startHttpServer, startNode
 } from './fixtures.js'
 
+/** More than the buffers of a connection hold, in bytes. */
+const LARGE_ANSWER_BYTES = 20_000_000
+
 describe('createRequestServer', () => {
   afterEach(closeAll)
 
@@ -78,4 +81,20 @@
     await awaitCondition('the connection closes', () => closed)
     expect(response.match(/HTTP\/1\.1 /g)).to.have.length(1)
   })
+  it('closes without the loss of a response that a caller reads late (guards against a response that is taken for delivered once it is composed)', async () => {
+    const { context } = await startNode(createTestMesh(), 'a')
+    let hasComposed = false
+    const server = createRequestServer(context, (_incoming, outgoing) => {
+      outgoing.end(Buffer.alloc(LARGE_ANSWER_BYTES, 'x'))
+      hasComposed = true
+    })
+    const [host = '', port = ''] = (await listenOnFreePort(server)).split(':')
+    const socket = connect(Number(port), host, () => { socket.write('GET /clocks HTTP/1.1\r\nhost: a\r\n\r\n') })
+    socket.pause().on('error', () => undefined)
+    await awaitCondition('it is answered', () => hasComposed)
+    const closed = new Promise((resolve) => { server.close(resolve) })
+    await new Promise((resolve) => { socket.on('close', resolve).resume() })
+    expect(socket.bytesRead).to.be.greaterThan(LARGE_ANSWER_BYTES)
+    await closed
+  })
 })
--- a/packages/emulator/src/mesh/formatSettings.ts
+++ b/packages/emulator/src/mesh/formatSettings.ts
@@ -2,7 +2,8 @@
 
 /** Shared secret with which operators authenticate to the daemons. */
 export const OPERATORS_SECRET = 'operators-secret-for-the-emulator-only'
-const MESH_SECRET = 'mesh-secret-for-the-emulator-only-0000'
+/** Shared secret of the daemons. */
+export const MESH_SECRET = 'mesh-secret-for-the-emulator-only-0000'
 
 /** Addresses on which a daemon listens, each as `host:port`. */
 export interface ListenAddresses {
