fix(daemon): end each connection behind its last response, and exit when its caller has closed it

What callers saw when snipenotchd stopped: an answer that the operating system had taken but that had not arrived was lost when the caller sent another request behind it (128,465 of 1,500,000 bytes arrived); operators got responses that were cut, and so could other daemons (shown on the server alone); a request that was on its way to an idle connection met a reset; and a connection with unread requests on the peers' port was answered on and held the exit for more than 28 s.

Cause: a request counted as ended when it was composed or handed over. Behind that, close() and closeIdleConnections() destroyed connections whose responses were composed but not delivered (Node.js looks at `finished`, which is set by end()), admin connections were destroyed in any state, and the process exited at once: bytes that are unread at that time, or arrive later, reset the connection. Connections on which a request had begun when the server closed were not ended at all (by the code, until the idle timeout of 60 s).

Change: createServerConnections, the same for callers, peers and admin. A connection ends with a FIN behind its last response (on an idle one at once), is read on, and what comes behind is discarded; close() of the server waits until the callers have closed their connections, 2 s at most, and event 407 tells by port what was left. This also holds without a stop, behind `connection: close` and a 400. It works because a socket with nothing unread is closed with a FIN, and because the process lives until the caller's FIN shows that it has read the response.

Ruled out: that the drain ends too early for callers' requests (event 406 comes after their responses were handed over); a late reader behind another daemon (64,000,000 bytes) got all of them before the change too, 3 of 3 runs.

Not mended: a caller that does not read its response at all still holds the drain, before the ports close (seen for 40 s; what waits there is unchanged).

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -38,6 +38,7 @@
   retryBudgetSpent: { number: 404, level: 'warn', text: 'retry budget of a service spent; failures reach callers' },
   drainStarted: { number: 405, level: 'info', text: 'request ports draining' },
   drainFinished: { number: 406, level: 'info', text: 'no request left in flight' },
+  connectionsLeft: { number: 407, level: 'warn', text: 'connections that their callers had not closed end with this process' },
   backendDown: { number: 450, level: 'warn', text: 'backend server refuses connections' },
   backendUp: { number: 451, level: 'info', text: 'backend server accepts connections again' },
   requestsSuspected: { number: 452, level: 'warn', text: 'requests in flight at a crash of the backend server suspected' },
--- a/packages/daemon/src/admin/createAdminServer.ts
+++ b/packages/daemon/src/admin/createAdminServer.ts
@@ -1,6 +1,7 @@
 import { createHash, timingSafeEqual } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { validateWithSchema, formatProblem, drainOrderRequestSchema } from '@snipenotch/contracts'
+import { createServerConnections } from '../connections/createServerConnections.js'
 import type { ControlPlane } from '../node/ControlPlane.js'
 import type { NodeContext } from '../node/NodeContext.js'
 import type { DataPlane } from '../requests/DataPlane.js'
@@ -70,10 +71,14 @@
     }
   }
 
-  return createServer((incoming, outgoing) => {
+  const connections = createServerConnections(context.log)
+  const server = createServer((incoming, outgoing) => {
+    if (!connections.admitRequest(incoming, outgoing)) return
     handleRequest(incoming, outgoing).catch((error: unknown) => {
       context.log('internalError', { error: String(error) })
       if (!outgoing.headersSent) sendJson(outgoing, 500, { error: 'internal error' })
     })
   })
+  connections.attach(server)
+  return server
 }
--- a/packages/daemon/src/createDaemon.ts
+++ b/packages/daemon/src/createDaemon.ts
@@ -43,10 +43,7 @@
 }
 
 function closeServer (server: Server): Promise<void> {
-  return new Promise((resolve) => {
-    server.close(() => resolve())
-    server.closeIdleConnections()
-  })
+  return new Promise((resolve) => { server.close(() => resolve()) })
 }
 
 /** Creates a daemon from validated settings; it opens no ports until `start` is called. */
@@ -75,7 +72,6 @@
       await Promise.all([dataPlane.drain(), rolloutController.stop()])
       control.announce({ state: 'left' })
       control.stop()
-      admin.closeAllConnections()
       await Promise.all([closeServer(dataPlane.callerServer), closeServer(dataPlane.peerServer), closeServer(admin)])
       context.log('daemonStopped')
     }
--- a/packages/daemon/src/requests/createRequestServer.ts
+++ b/packages/daemon/src/requests/createRequestServer.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from 'node:http'
-import type { Duplex } from 'node:stream'
 import { HEADERS, type RefusalReason } from '@snipenotch/contracts'
+import { createServerConnections } from '../connections/createServerConnections.js'
 import type { NodeContext } from '../node/NodeContext.js'
 import { KEEP_ALIVE_TIMEOUT_MS } from './BoundedKeepAliveAgent.js'
 import { findRequestHeadFault } from './findHeadFault.js'
@@ -27,14 +27,7 @@
   context: NodeContext, listener: RequestListener,
   responseClass?: typeof ServerResponse<IncomingMessage>
 ): Server {
-  /**
-   * Number of pending responses on each connection; an error response written among them would be parsed as part of
-   * one.
-   */
-  const pendingResponses = new WeakMap<Duplex, number>()
-  const countPendingResponses = (socket: Duplex): number => pendingResponses.get(socket) ?? 0
-  /** Connections on which a malformed head has arrived; requests behind it are discarded. */
-  const closingSockets = new WeakSet<Duplex>()
+  const connections = createServerConnections(context.log)
 
   /**
    * Rejects a head that cannot be forwarded and closes its connection: the length of its body may be malformed as well,
@@ -42,7 +35,7 @@
    */
   function rejectHead ({ socket }: IncomingMessage, outgoing: ServerResponse, fault: string): void {
     context.log('requestHeadMalformed', { code: fault })
-    closingSockets.add(socket)
+    connections.closeConnection(socket)
     sendRefusal(
       outgoing, context.counters, { status: 400, reason: HEAD_MALFORMED_REASON, outcome: 'unknown' }, ['connection', 'close']
     )
@@ -68,23 +61,24 @@
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     ...(responseClass === undefined ? {} : { ServerResponse: responseClass })
   }, (incoming, outgoing) => {
-    const { socket } = incoming
-    if (closingSockets.has(socket)) {
-      incoming.resume()
-      return
-    }
-    pendingResponses.set(socket, countPendingResponses(socket) + 1)
-    outgoing.on('finish', () => pendingResponses.set(socket, countPendingResponses(socket) - 1))
-    handleRequest(incoming, outgoing)
+    if (connections.admitRequest(incoming, outgoing)) handleRequest(incoming, outgoing)
   })
+  connections.attach(server)
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     const isReset = error.code === 'ECONNRESET' || error.code === 'EPIPE'
+    // What follows the last response of a connection is discarded, malformed or not.
+    if (!isReset && connections.isClosing(socket)) return
     if (!isReset) {
       context.counters.count('refusals', HEAD_MALFORMED_REASON)
       context.log('requestHeadMalformed', { code: error.code ?? error.message })
     }
-    if (isReset || !socket.writable || countPendingResponses(socket) > 0) socket.destroy()
-    else socket.end(BAD_REQUEST_RESPONSE)
+    // An error response among pending responses would be parsed as part of one.
+    if (isReset || !socket.writable || connections.countPending(socket) > 0) {
+      socket.destroy()
+      return
+    }
+    socket.end(BAD_REQUEST_RESPONSE)
+    connections.closeConnection(socket)
   })
   return server
 }
--- a/packages/emulator/tests/integration/answersAtStop.test.ts
+++ b/packages/emulator/tests/integration/answersAtStop.test.ts
@@ -23,6 +23,7 @@
 /** Time for which a caller does not read after the last response, in milliseconds. */
 const READ_DELAY_MS = 300
 const DRAIN_FINISHED = '"event":406,'
+const CONNECTIONS_LEFT = '"event":407,'
 
 /** Connection of a caller that reads nothing until `read` is called. */
 interface LateReader {
@@ -148,6 +149,18 @@
       await closed
       expect(error, home.daemon.readOutput().slice(-1000)).to.equal(undefined)
       expect(await home.daemon.exited).to.equal(0)
+      expect(home.daemon.readOutput()).not.to.include(CONNECTIONS_LEFT)
     })
   }
+  it('end with the process and are logged if their callers never close them (guards against a caller that holds the exit)', async () => {
+    const sockets = (['requestAddress', 'peerAddress', 'adminAddress'] as const).map((port) =>
+      connect({ ...parseSocketAddress(home[port]), allowHalfOpen: true }).on('error', () => undefined).resume())
+    for (const socket of sockets) socket.write(composeRequest('/clocks/first'))
+    await awaitCondition('they are answered', () => sockets.every(({ bytesRead }) => bytesRead > 0), HANG_TIMEOUT_MS)
+    home.sendSignal('SIGTERM')
+    expect(await home.daemon.exited).to.equal(0)
+    const left = home.daemon.readOutput().split('\n').filter((line) => line.includes(CONNECTIONS_LEFT))
+    expect(left.map((line) => /"connections":1,"pending":0,"unsentBytes":0/.test(line))).to.deep.equal([true, true, true])
+    for (const socket of sockets) socket.destroy()
+  })
 })
