fix(node): bytes that do not begin with a method only end their connection behind the open responses

They may belong to the latest request, if its length was stated too short; a 400 would then be the response to no request. createNode.test.ts ("responds to the requests that precede a malformed one") failed with the 400 and is unchanged.

--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -69,6 +69,8 @@
 
 /** Parser error code of a connection that its caller closed in the middle of a request. */
 const INCOMPLETE_REQUEST_CODE = 'HPE_INVALID_EOF_STATE'
+/** Parser error code of bytes that do not begin with a method. */
+const NO_REQUEST_CODE = 'HPE_INVALID_METHOD'
 
 const REPLACED_HEADERS: ReadonlySet<string> = new Set([PLATFORM_HEADERS.callerService, PLATFORM_HEADERS.remainingMs, PLATFORM_HEADERS.targetInstance, 'content-length'])
 
@@ -331,10 +333,12 @@
     log('callerMalformed', { code, open: countOpenOf(socket) })
     const latest = connections.getLatestRequest(socket)
     if (latest === undefined || !openRequests.has(latest)) sendParserRefusal(socket, code)
-    else if (latest.incoming.complete) {
+    // The bytes belong to the latest request, or may do so if its length was stated too short.
+    else if (!latest.incoming.complete || code === NO_REQUEST_CODE) connections.markClosing(socket)
+    else {
       rejectedSockets.add(socket)
       listenClosed(latest, () => { sendParserRefusal(socket, code) })
-    } else connections.markClosing(socket)
+    }
   })
 
   // Called when the server closes. The default implementation treats a connection as idle while a response is being
