fix(node): a malformed head behind open requests is answered behind their responses

Caller: it pipelined requests with a malformed head behind them, got the responses to the sound ones and then the end of the connection, without any response to the last one. Change: the 400 (431 for too many bytes) is written when the response to the latest request is complete. Responses are sent in order, so it stands behind all of them. That latest response does not announce the end of the connection any more, also while the process stops; the 400 does. As before, bytes that do not begin with a method, or that belong to the body of an open request, only end the connection behind the open responses, as createNode.test.ts states.

--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -67,6 +67,8 @@
 
 /** Parser error code of a connection that its caller closed in the middle of a request. */
 const INCOMPLETE_REQUEST_CODE = 'HPE_INVALID_EOF_STATE'
+/** Parser error code of bytes that do not begin with a method. */
+const NO_REQUEST_CODE = 'HPE_INVALID_METHOD'
 
 const REPLACED_HEADERS: ReadonlySet<string> = new Set([PLATFORM_HEADERS.callerService, PLATFORM_HEADERS.remainingMs, PLATFORM_HEADERS.targetInstance, 'content-length'])
 
@@ -82,6 +84,8 @@
   let isTerminating = false
   const openRequests = new Set<CallerRequest>()
   const connections = createCallerConnections(context)
+  /** Connections whose last response is the one to a malformed head behind their open requests. */
+  const rejectedSockets = new WeakSet<Socket>()
 
   const countOpenOf = (socket: Socket): number =>
     [...openRequests].filter(({ incoming }) => incoming.socket === socket).length
@@ -93,7 +97,7 @@
     isLastOnConnection: (callerRequest) => {
       const { socket } = callerRequest.incoming
       const isClosing = shutdownDeadlines !== undefined || connections.isClosing(socket)
-      const isLast = isClosing && connections.getLatestRequest(socket) === callerRequest
+      const isLast = isClosing && connections.getLatestRequest(socket) === callerRequest && !rejectedSockets.has(socket)
       if (isLast) connections.markClosing(socket)
       return isLast
     }
@@ -303,23 +307,35 @@
 
   connections.attach(server)
 
+  /** Sends the last response of a connection whose bytes the parser refused. */
+  function sendParserRefusal (socket: Socket, code: string): void {
+    // The response ahead was the last one if its request asked for that.
+    if (!socket.writable) return
+    const status = code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
+    socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    socket.destroySoon()
+  }
+
   // The default error response of Node.js would be taken for the response to the first open request on the connection.
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     const { code = '' } = error
     const isParserError = code.startsWith('HPE_') && code !== INCOMPLETE_REQUEST_CODE
     // The parser reports its error again with all later bytes.
-    if (isParserError && connections.isClosing(socket)) return
+    if (isParserError && (connections.isClosing(socket) || rejectedSockets.has(socket))) return
     if (!isParserError || !socket.writable) {
       socket.destroy()
       return
     }
     counters.count('serving_refusals', 'malformed')
     log('callerMalformed', { code, open: countOpenOf(socket) })
-    connections.markClosing(socket)
-    if (countOpenOf(socket) > 0) return
-    const status = code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
-    socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
-    socket.destroySoon()
+    const latest = connections.getLatestRequest(socket)
+    if (latest === undefined || !openRequests.has(latest)) sendParserRefusal(socket, code)
+    // The bytes belong to the latest request, or may do so if its length was stated too short.
+    else if (!latest.incoming.complete || code === NO_REQUEST_CODE) connections.markClosing(socket)
+    else {
+      rejectedSockets.add(socket)
+      listenClosed(latest, () => { sendParserRefusal(socket, code) })
+    }
   })
 
   // Called when the server closes. The default implementation treats a connection as idle while a response is being
--- a/packages/node/tests/entry/createEntryServer.test.ts
+++ b/packages/node/tests/entry/createEntryServer.test.ts
@@ -1,3 +1,4 @@
+import { addMilliseconds } from '@snipenotch/contracts'
 import { OPERATOR_TABLE, PLATFORM_HEADERS } from '@snipenotch/platform'
 import { expect } from 'chai'
 import { type AddressInfo, connect, type Socket } from 'node:net'
@@ -96,4 +97,57 @@
     socket.end()
     await awaitCondition('the connection is closed', () => entry.countConnections() === 0)
   })
+
+  const heads: Array<[string, string, number]> = [
+    ['a blank in the name of a header', 'GET /parts/bad HTTP/1.1\r\nHost: a.example\r\nX Own: 1\r\n\r\n', 400],
+    ['a tab in the target', 'GET /parts/b\tad HTTP/1.1\r\nHost: a.example\r\n\r\n', 400],
+    ['a control character in a header', 'GET /parts/bad HTTP/1.1\r\nHost: a.example\r\nX-Own: \x01\r\n\r\n', 400],
+    ['a line without a colon', 'GET /parts/bad HTTP/1.1\r\nHost: a.example\r\nX-Own\r\n\r\n', 400],
+    ['no protocol', 'GET /parts/bad malformed\r\n\r\n', 400],
+    ['too many bytes', `GET /parts/bad HTTP/1.1\r\nHost: a.example\r\nX-Own: ${'x'.repeat(70_000)}\r\n\r\n`, 431]
+  ]
+  for (const isStopping of [false, true]) {
+    for (const [title, malformedHead, status] of heads) {
+      it(`answers a head with ${title} behind the open requests of its connection${isStopping ? ', and stops' : ''} (guards against responses lost or out of order)`, async () => {
+        const started = new Map<string, () => void>()
+        startExchange = ({ attemptId }, onResult) => {
+          const headers = [PLATFORM_HEADERS.attemptId, attemptId]
+          const outcome = { kind: 'answered', status: 200, headers, body: Buffer.from('ok'), notRun: false } as const
+          started.set(attemptId, () => { onResult({ outcome, host: 'krakow-2', tries: 1 }) })
+          return { cancel: () => false, getHost: () => undefined }
+        }
+        const { socket, read, ended } = openConnection(port)
+        const compose = (id: string): string =>
+          `GET /parts/${id} HTTP/1.1\r\nHost: a.example\r\n${PLATFORM_HEADERS.attemptId}: ${id}\r\n\r\n`
+        socket.write(compose('first') + compose('second') + malformedHead)
+        await awaitCondition('the head is found malformed', () => context.counters.read('serving_refusals', 'malformed') === 1)
+        socket.write(compose('hidden'))
+        await awaitPause()
+        const now = context.clock.now()
+        if (isStopping) entry.stop({ lateFrom: now, answerBy: addMilliseconds(now, 10_000) })
+        await awaitCondition('both run', () => started.size === 2)
+        started.get('second')?.()
+        await awaitPause()
+        expect(read()).to.equal('')
+        started.get('first')?.()
+        await ended
+        expect(listStatuses(read())).to.deep.equal([200, 200, status])
+        expect([...read().matchAll(/attempt-id: (\w+)/g)].map(([, id]) => id)).to.deep.equal(['first', 'second'])
+        expect([...read().matchAll(/connection: (\S+)/gi)].map(([, option]) => option)).to.deep.equal(['keep-alive', 'keep-alive', 'close'])
+        expect(started).to.have.all.keys('first', 'second')
+        expect(context.counters.read('serving_refusals', 'malformed')).to.equal(1)
+        expect(socket.errored).to.equal(null)
+        socket.end()
+        await awaitCondition('the connection is closed', () => entry.countConnections() === 0)
+      })
+    }
+  }
+
+  it('sends nothing behind the last response of a connection (guards against a response that belongs to no request)', async () => {
+    const { socket, read, ended } = openConnection(port)
+    socket.write('GET /parts/1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\nmalformed\r\n\r\n')
+    await ended
+    expect(listStatuses(read())).to.deep.equal([502])
+    socket.end()
+  })
 })
