--- a/packages/node/src/entry/createCallerConnections.ts
+++ b/packages/node/src/entry/createCallerConnections.ts
@@ -91,7 +91,9 @@
       if (idle.length === 0) return
       counters.count('caller_closes', 'idle', idle.length)
       log('idleConnectionsClosed', {
-        connections: idle.length, unused: idle.filter((socket) => !latestRequests.has(socket)).length, requests: listRequests(idle)
+        connections: idle.length,
+        unused: idle.filter((socket) => !latestRequests.has(socket)).length,
+        requests: listRequests(idle)
       })
       for (const socket of idle) endConnection(socket, IDLE_LINGER_MS)
     },
