fix(node): publish a leave that is acknowledged before the server has reported

What others would see (DRAIN): a node that has just started acknowledges the leave of its backend server before any report or healthy probe, and keeps it in memory only. Its record goes on saying that the host serves: other nodes send requests there, which are refused, and the next process of the node takes the leaving server for a serving one. Cause: a record is composed from the run that is known, and there is none. Change: the record that an earlier process wrote is published as leaving if the leave is of its run, also if the record is read after the leave. Evidence: createNode.test.ts, a leave at once after the start and 0.3 s later, with unhealthy probes: the record was still serving after 15 s, 2 of 2; published, 3 of 3 runs of both.

--- a/packages/decisions/src/serving/createInstanceState.ts
+++ b/packages/decisions/src/serving/createInstanceState.ts
@@ -61,6 +61,8 @@
   readonly getColdSince: (now: Milliseconds) => Milliseconds | undefined
   /** Time since which the server is known to be leaving; undefined if it is not. */
   readonly getLeavingSince: () => Milliseconds | undefined
+  /** True if a run has left, also one that has not reported to this node. */
+  readonly hasLeft: (instance: string, startedAt: number) => boolean
 }
 
 /**
@@ -181,6 +183,7 @@
     getColdUntil: () => coldUntil,
     isColdUnknown: (now) => getColdUnknownSince(now) !== undefined,
     getColdSince: (now) => coldUntil > now ? coldSince : getColdUnknownSince(now),
-    getLeavingSince: () => leavingSince
+    getLeavingSince: () => leavingSince,
+    hasLeft: (instance, startedAt) => departedRuns.find(instance, startedAt) !== undefined
   }
 }
--- a/packages/node/src/rows/createHostRecordPublisher.ts
+++ b/packages/node/src/rows/createHostRecordPublisher.ts
@@ -28,9 +28,16 @@
 ): HostRecordPublisher {
   const { settings, clock, log } = context
 
+  /** Returns the record that an earlier process of this node wrote, if its run has left since then. */
+  function composeDepartedRecord (): HostRecord | undefined {
+    const known = view.getHost(settings.host)
+    if (known === undefined || known.service !== settings.service) return undefined
+    return instance.hasLeft(known.instance, known.startedAt) ? { ...known, serving: false, leaving: true } : undefined
+  }
+
   function composeRecord (): HostRecord | undefined {
     const run = instance.getRun()
-    if (run === undefined) return undefined
+    if (run === undefined) return composeDepartedRecord()
     const leaving = instance.getLeavingSince() !== undefined
     const release = view.getRelease(settings.service)
     const rollout = release?.rollout?.to === run.version ? release.rollout : undefined
@@ -74,6 +81,8 @@
     update,
     applyRecordedDrain: () => {
       const record = view.getHost(settings.host)
+      // The leave may have arrived before the record was read.
+      if (record?.leaving === false && instance.hasLeft(record.instance, record.startedAt)) update()
       if (record?.leaving !== true || record.service !== settings.service) return
       if (instance.getLeavingSince() !== undefined) return
       instance.applyLeave(record.instance, record.startedAt, clock.now())
--- a/packages/node/tests/createNode.test.ts
+++ b/packages/node/tests/createNode.test.ts
@@ -131,6 +131,17 @@
     expect(restarted.backend.seen).to.be.empty
   })
 
+  for (const [title, pauseMs] of [['at once', 0], ['after it has read its record', 300]] as const) {
+    it(`publishes a leave that it acknowledges ${title}, before the server has reported (guards against a leave that ends with the process)`, async () => {
+      await targetHost.node.stop()
+      const restarted = await mesh.startHost('krakow-2', 'parts')
+      restarted.backend.isHealthy = false
+      await awaitPause(pauseMs)
+      expect(await leave(restarted)).to.equal(200)
+      await awaitCondition('it is known to leave', async () => (await readRecord())?.includes('"leaving":true') === true)
+    })
+  }
+
   it('removes its record when it stops beside a backend server that has left and ended (guards against records without a host)', async () => {
     await leave(targetHost)
     await awaitCondition('it is known to leave', async () => (await readRecord())?.includes('"leaving":true') === true)
