fix(node): refuse requests on idle connections until the process exits

Seen by callers: a request on a kept connection that was read whole and got no answer, at a node that stops. Change: idle connections stay open until the process exits and what arrives on them is refused with 503 and the end of the connection; a head that has arrived in part as well. A connection that was destroyed is not counted as lingering for good, accepting at the close takes 250 ms at most, and the end of keep-alive timeouts is counted.

--- a/packages/daemon/src/observability/createCounters.ts
+++ b/packages/daemon/src/observability/createCounters.ts
@@ -21,8 +21,11 @@
   serving_resends: 'not-run' | 'failed' | 'lost' | 'budget-spent'
   /** Requests by result at the node that their caller is connected to. */
   serving_requests: 'received' | 'answered' | 'failed' | 'refused' | 'left' | 'cut'
-  /** Connections of callers that a node closed without a request that it knew of, or that ended with its process. */
-  caller_closes: 'idle' | 'abandoned'
+  /**
+   * Connections of callers that a node closed without an open request: at its stop, or unused for the keep-alive timeout;
+   * and those that ended with its process although their callers may not have had their response.
+   */
+  caller_closes: 'idle' | 'timeout' | 'abandoned'
   /** Loads that the backend server stated in its responses. */
   instance_loads: 'used' | InstanceLoadFault
   /** Errors thrown while a node handled something: contained there, or outside any handling. */
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -56,6 +56,8 @@
 const EXIT_RESERVE_MS = 300
 /** Time reserved for sending the responses that are given because the grace period ends, in milliseconds. */
 const LAST_RESPONSES_MS = 150
+/** Longest time for accepting the connections that wait when the server of callers closes, in milliseconds. */
+const ACCEPT_LIMIT_MS = 250
 /** Time in which the other nodes read the last outcomes and close their connections, in milliseconds. */
 const LINK_CLOSE_MS = 1000
 /** Number of missed status reports after which the backend server is probed. */
@@ -323,18 +325,25 @@
       await awaitEnd(() => false, Math.min(limitAt, stoppedAt + CALLER_LINGER_MS))
       // Requests that the backend server still runs may make calls through this node.
       await awaitEnd(() => dispatcher.countOpen() === 0, answerBy)
-      await acceptWaiting(answerBy)
+      await acceptWaiting(Math.min(answerBy, addMilliseconds(clock.now(), ACCEPT_LIMIT_MS)))
       entryServer.server.close()
       const isIdle = (): boolean =>
         entryServer.countOpen() === 0 && dispatcher.countOpen() === 0 && forwardingServer.countUnsentBytes() === 0
       await awaitEnd(isIdle, answerBy)
+      // Requests that arrive from now on are refused.
       entryServer.endOpenRequests()
-      await awaitEnd(isIdle, limitAt)
       forwardingServer.end()
+      await awaitEnd(isIdle, limitAt)
       // Outcomes and responses have arrived only once the other side has closed the connection.
       const linksEndAt = Math.min(limitAt, addMilliseconds(clock.now(), LINK_CLOSE_MS))
       await awaitEnd(() => forwardingServer.countOpen() === 0, linksEndAt)
-      await awaitEnd(() => entryServer.countConnections() === 0, limitAt)
+      const isDelivered = (): boolean => isIdle() && entryServer.countLingering() === 0
+      do {
+        await awaitEnd(isDelivered, limitAt)
+        await awaitRead()
+      } while (!isDelivered() && clock.now() < limitAt)
+      entryServer.closeIdle()
+      await awaitRead()
       for (const follower of followers) follower.stop()
       reader.stop()
       rolloutTraffic.stop()
--- a/packages/node/src/entry/createCallerConnections.ts
+++ b/packages/node/src/entry/createCallerConnections.ts
@@ -15,10 +15,12 @@
   readonly isClosing: (socket: Socket) => boolean
   /** Closes a connection gracefully behind its last response. */
   readonly end: (socket: Socket) => void
-  /** Closes the connections that are not in `busySockets` gracefully. */
+  /** Closes the connections that are not in `busySockets` and not lingering. */
   readonly closeIdle: (busySockets: ReadonlySet<Socket>) => void
   /** Connections that have not ended. */
   readonly countOpen: () => number
+  /** Connections whose callers may not have their last response yet. */
+  readonly countLingering: () => number
   /** Connections accepted so far. */
   readonly countAccepted: () => number
   /** Logs the connections that end because the process exits. */
@@ -30,11 +32,6 @@
  * closes it as soon as it has read the response, which it may do late.
  */
 const RESPONSE_LINGER_MS = 10_000
-/**
- * Time for which an idle connection is read after its end has been sent, in milliseconds: the delay of a congested link
- * and several round trips.
- */
-const IDLE_LINGER_MS = 2000
 /** Maximum number of request ids in one log line. */
 const MAX_LISTED_REQUESTS = 20
 
@@ -53,12 +50,13 @@
    * Sends the end of a connection and reads it until its caller closes it, which shows that the last response has
    * arrived. Closing a socket with unread data would reset the connection, and so would data that arrives afterwards.
    */
-  function endConnection (socket: Socket, lingerMs = RESPONSE_LINGER_MS): void {
-    if (lingeringSockets.has(socket)) return
+  function endConnection (socket: Socket): void {
+    // A destroyed socket may not emit 'close' any more.
+    if (lingeringSockets.has(socket) || socket.destroyed) return
     closingSockets.add(socket)
     lingeringSockets.add(socket)
     socket.end()
-    const timer = setTimeout(() => { socket.destroy() }, lingerMs)
+    const timer = setTimeout(() => { socket.destroy() }, RESPONSE_LINGER_MS)
     timer.unref()
     socket.once('close', () => {
       clearTimeout(timer)
@@ -85,7 +83,7 @@
     getLatestRequest: (socket) => latestRequests.get(socket),
     markClosing: (socket) => { closingSockets.add(socket) },
     isClosing: (socket) => closingSockets.has(socket),
-    end: (socket) => { endConnection(socket) },
+    end: endConnection,
     closeIdle: (busySockets) => {
       const idle = [...sockets].filter((socket) => !busySockets.has(socket) && !lingeringSockets.has(socket))
       if (idle.length === 0) return
@@ -95,9 +93,11 @@
         unused: idle.filter((socket) => !latestRequests.has(socket)).length,
         requests: listRequests(idle)
       })
-      for (const socket of idle) endConnection(socket, IDLE_LINGER_MS)
+      // A request that has not been read is reset, which tells its caller that it has not run.
+      for (const socket of idle) socket.destroy()
     },
     countOpen: () => sockets.size,
+    countLingering: () => lingeringSockets.size,
     countAccepted: () => accepted,
     logAbandoned: () => {
       if (sockets.size === 0) return
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -27,6 +27,10 @@
   readonly countOpen: () => number
   /** Connections of callers that have not ended. */
   readonly countConnections: () => number
+  /** Connections whose callers may not have their last response yet. */
+  readonly countLingering: () => number
+  /** Closes the connections on which nothing is owed. */
+  readonly closeIdle: () => void
   /** Connections of callers accepted so far. */
   readonly countAccepted: () => number
   /** Logs the connections of callers that end because the process exits. */
@@ -82,8 +86,6 @@
   const trafficSplitter = createTrafficSplitter(random)
   const attemptAgeEstimator = createAttemptAgeEstimator()
   let shutdownDeadlines: ShutdownDeadlines | undefined
-  /** Set when the server accepts no more connections: each one ends with its last response. */
-  let isClosed = false
   /** Set when the process is exiting: no request is started any more. */
   let isTerminating = false
   const openRequests = new Set<CallerRequest>()
@@ -115,6 +117,7 @@
       route: callerRequest.route,
       backendHost: callerRequest.getHost?.(),
       isStopping: shutdownDeadlines !== undefined,
+      error: callerRequest.incoming.socket.errored?.message,
       durationMs: Math.round(clock.now() - callerRequest.arrivedAt)
     })
   }
@@ -261,7 +264,8 @@
       openRequests.delete(callerRequest)
       buffers.release(holder)
       // A connection that is no longer read is closed after its last response.
-      const isEnding = isClosed || connections.isClosing(incoming.socket)
+      // A response that began before the stop did not announce the end of its connection.
+      const isEnding = shutdownDeadlines !== undefined || connections.isClosing(incoming.socket)
       if (isEnding && countOpenOf(incoming.socket) === 0) connections.end(incoming.socket)
     })
     const limits = view.getConfiguration()?.limits
@@ -341,18 +345,22 @@
     }
   })
 
-  // Called when the server closes. The default implementation treats a connection as idle while a response is being
-  // sent.
-  server.closeIdleConnections = () => {
-    isClosed = true
-    connections.closeIdle(new Set([...openRequests].map(({ incoming }) => incoming.socket)))
-  }
+  // Called when the server closes. The default implementation closes a connection while its response is being sent, and
+  // idle ones, on which requests may arrive: until the process exits, these are refused.
+  server.closeIdleConnections = () => undefined
+
+  server.on('timeout', (socket: Socket) => {
+    counters.count('caller_closes', 'timeout')
+    socket.destroy()
+  })
 
   return {
     server,
     stop: (deadlines) => { shutdownDeadlines = deadlines },
     countOpen: () => openRequests.size,
     countConnections: connections.countOpen,
+    countLingering: connections.countLingering,
+    closeIdle: () => { connections.closeIdle(new Set([...openRequests].map(({ incoming }) => incoming.socket))) },
     countAccepted: connections.countAccepted,
     logAbandoned: connections.logAbandoned,
     endOpenRequests: () => {
--- a/packages/node/tests/answersAtStop.test.ts
+++ b/packages/node/tests/answersAtStop.test.ts
@@ -24,6 +24,8 @@
 
 const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
 
+/** Bytes of a request that end within its head. */
+const HEAD_PART_BYTES = 40
 /** Connections that are opened while the process is paused. */
 const WAITING_CALLERS = 100
 
@@ -212,6 +214,61 @@
     expect(node.readOutput()).to.include('"event":842').and.not.include('"event":843')
   })
 
+  it('are sent to requests on idle connections while the process awaits another caller (guards against a request that is read and discarded)', async () => {
+    const idle = [connect(node.callers, '127.0.0.1'), connect(node.callers, '127.0.0.1')]
+    const received: string[] = idle.map(() => '')
+    idle.forEach((socket, index) => {
+      socket.on('data', (chunk: Buffer) => { received[index] = `${received[index] ?? ''}${chunk.toString()}` })
+    })
+    for (const socket of idle) socket.write(composeRequest('served'))
+    await awaitCondition('they are served', () => received.every((text) => text.endsWith('served')))
+    const busy = openLateReader(node.callers)
+    busy.socket.write(composeRequest('busy'))
+    await awaitCondition('it runs', () => answers.size === 1)
+    node.child.kill('SIGTERM')
+    await awaitPause(EARLIEST_EXIT_MS - 1000)
+    answers.get('/clocks/busy')?.(LARGE_ANSWER_BYTES)
+    const text = composeRequest('part')
+    idle[1]?.write(text.slice(0, HEAD_PART_BYTES))
+    await awaitPause(1200)
+    idle[0]?.write(composeRequest('whole'))
+    idle[1]?.write(text.slice(HEAD_PART_BYTES))
+    await awaitCondition('both are answered', () => received.every((text) => parseResponses(text).length === 2))
+    expect(parseResponses((await busy.read()).text)).to.have.length(1)
+    for (const text of received) expect(parseResponses(text).map(({ status }) => status)).to.deep.equal([200, 503])
+    expect(await node.exited).to.equal(0)
+    expect(node.readOutput()).not.to.include('"event":843')
+  })
+
+  it('arrive whole although bytes that are no request follow (guards against an answer that a parser error resets)', async () => {
+    const caller = openLateReader(node.callers)
+    caller.socket.write(composeRequest('late'))
+    await awaitCondition('it runs', () => answers.size === 1)
+    node.child.kill('SIGTERM')
+    await awaitPause(500)
+    answers.get('/clocks/late')?.(LARGE_ANSWER_BYTES)
+    for (const bytes of ['\0garbage\r\n\r\n', 'more\r\n\r\n', 'more\r\n\r\n']) {
+      await awaitPause(300)
+      caller.socket.write(bytes)
+    }
+    const { text, error } = await caller.read()
+    expect(error).to.equal(undefined)
+    expect(text.length).to.be.greaterThan(LARGE_ANSWER_BYTES)
+    expect(await node.exited).to.equal(0)
+  })
+
+  it('do not hold up the exit for callers that keep idle connections (guards against a stop that lasts until its limit)', async () => {
+    const sockets = [connect({ port: node.callers, host: '127.0.0.1', allowHalfOpen: true }), connect({ port: node.callers, host: '127.0.0.1', allowHalfOpen: true })]
+    let received = ''
+    for (const socket of sockets) socket.on('data', (chunk: Buffer) => { received += chunk.toString() })
+    sockets[0]?.write(composeRequest('served'))
+    await awaitCondition('it is served', () => received.endsWith('served'))
+    node.child.kill('SIGTERM')
+    expect(await node.exited).to.equal(0)
+    expect(node.readOutput()).to.match(/"event":842,"connections":2,"unused":1/).and.not.include('"event":843')
+    for (const socket of sockets) socket.destroy()
+  })
+
   it('are sent to callers whose connections wait to be accepted (guards against requests that are reset when the server closes)', async () => {
     const exited = node.exited
     node.child.kill('SIGTERM')
