--- a/packages/emulator/tests/integration/answersAtStop.test.ts
+++ b/packages/emulator/tests/integration/answersAtStop.test.ts
@@ -18,6 +18,8 @@
 const LATE_MS = 1800
 /** More than the receive buffer of a caller that does not read holds, less than a daemon can hand over, in bytes. */
 const LARGE_ANSWER_BYTES = 1_500_000
+/** More than all buffers between a backend server and a caller behind two daemons hold, in bytes. */
+const STUCK_ANSWER_BYTES = 64_000_000
 /** Enough that their responses fill the buffers of a connection. */
 const PIPELINED_REQUESTS = 40_000
 /** Time for which a caller does not read after the last response, in milliseconds. */
@@ -163,4 +165,14 @@
     expect(left.map((line) => /"connections":1,"pending":0,"unsentBytes":0/.test(line))).to.deep.equal([true, true, true])
     for (const socket of sockets) socket.destroy()
   })
+
+  it('do not hold the exit if their callers never read them (guards against a drain that waits for a stuck caller)', async () => {
+    const caller = openLateReader(entry.requestAddress)
+    caller.socket.write(composeRequest('/clocks/stuck', [`${RESPONSE_BYTES_HEADER}: ${STUCK_ANSWER_BYTES}`]))
+    await awaitRun()
+    entry.sendSignal('SIGTERM')
+    expect(await entry.daemon.exited).to.equal(0)
+    expect(entry.daemon.readOutput()).to.match(/"event":407,.*"connections":1,"pending":1,"unsentBytes":[1-9]/)
+    caller.socket.destroy()
+  })
 })
