fix(daemon): a caller that takes no byte of its response does not hold the exit

Cause: the drain waits until the operating system has taken each response, and nothing ends an exchange whose response has begun at the caller's node; the deadline applies until then.

Ruled out: a fixed limit behind the deadline or the last byte, as it would cut callers on slow links; 2 s as for the end of a connection, as socket buffers report room in large steps.

Open: this is done for callers' connections only. On the peers' port, the drain waits until the deadline of the request, as before.

--- a/packages/daemon/src/connections/createServerConnections.ts
+++ b/packages/daemon/src/connections/createServerConnections.ts
@@ -19,6 +19,8 @@
   readonly isClosing: (socket: Duplex) => boolean
   /** Returns the number of requests of a connection whose responses have not been delivered. */
   readonly countPending: (socket: Duplex) => number
+  /** From now on, a connection whose caller takes no byte of a response for `DELIVERY_STALL_MS` is destroyed. */
+  readonly limitStalls: () => void
 }
 
 interface Connection {
@@ -33,16 +35,22 @@
  * while responses are pending.
  */
 const CLOSE_LIMIT_MS = 2000
+/**
+ * Time in milliseconds, at most twice, after which a caller that takes no byte counts as stuck. Socket buffers report
+ * room in large steps, so that a slow caller seems to pause.
+ */
+const DELIVERY_STALL_MS = 5000
 
 /** Creates the connections of one server; none at first. */
 export function createServerConnections (log: EventLog): ServerConnections {
   const connections = new Map<Duplex, Connection>()
-  /** Connections that their callers had not closed when their time ended after the close of the server. */
+  /** Connections that their callers had not closed when their time ended while the server stopped. */
   const left = { connections: 0, pending: 0, unsentBytes: 0 }
-  let isServerClosing = false
+  let isStopping = false
+  let server: Server | undefined
 
   function endLimit ({ socket, pending }: Connection): void {
-    if (isServerClosing) {
+    if (isStopping) {
       left.connections += 1
       left.pending += pending
       left.unsentBytes += socket.writableLength
@@ -69,6 +77,14 @@
     if (connection.pending === 0) endConnection(connection)
   }
 
+  function checkStall (socket: Socket): void {
+    const connection = connections.get(socket)
+    if (connection === undefined) return
+    if (connection.pending === 0) endConnection(connection)
+    else if (socket.writableLength > 0) endLimit(connection)
+    else socket.setTimeout(DELIVERY_STALL_MS)
+  }
+
   function addConnection (socket: Socket): void {
     const connection: Connection = { socket, pending: 0, isClosing: false, limitTimer: undefined }
     connections.set(socket, connection)
@@ -81,14 +97,15 @@
   }
 
   return {
-    attach: (server) => {
+    attach: (attached) => {
       let port: number | undefined
+      server = attached
       server.on('connection', addConnection)
       // Called by `close`; the implementation of Node.js destroys connections on which responses are being delivered.
       server.closeIdleConnections = () => {
-        const address = server.address()
+        const address = attached.address()
         port = typeof address === 'object' ? address?.port : undefined
-        isServerClosing = true
+        isStopping = true
         for (const connection of connections.values()) {
           startLimit(connection)
           closeConnection(connection)
@@ -114,6 +131,12 @@
       if (connection !== undefined) closeConnection(connection)
     },
     isClosing: (socket) => connections.get(socket)?.isClosing === true,
-    countPending: (socket) => connections.get(socket)?.pending ?? 0
+    countPending: (socket) => connections.get(socket)?.pending ?? 0,
+    limitStalls: () => {
+      isStopping = true
+      // Applies to new connections, and to each connection from its next request on.
+      server?.setTimeout(DELIVERY_STALL_MS, checkStall)
+      for (const { socket } of connections.values()) socket.setTimeout(DELIVERY_STALL_MS)
+    }
   }
 }
--- a/packages/daemon/src/requests/createDataPlane.ts
+++ b/packages/daemon/src/requests/createDataPlane.ts
@@ -1,4 +1,5 @@
 import { createHostLoads, createVersionFaultDetector, LeastLoadedPolicy } from '@snipenotch/decisions'
+import { createServerConnections } from '../connections/createServerConnections.js'
 import type { ControlPlane } from '../node/ControlPlane.js'
 import type { NodeContext } from '../node/NodeContext.js'
 import { createRequestServer } from './createRequestServer.js'
@@ -30,6 +31,7 @@
   const forwarder = createForwarder(context)
   const runner = createExchangeRunner(context, control, { home, router, forwarder, recorder, hostLoads })
   const entry = createEntryHandler(context, view, router, createKeyIssuer(context, router), runner)
+  const callerConnections = createServerConnections(log)
   let evidenceTimer: NodeJS.Timeout | undefined
 
   function reportEvidence (): void {
@@ -40,10 +42,10 @@
   }
 
   return {
-    callerServer: createRequestServer(context, entry.handle),
-    peerServer: createRequestServer(
-      context, createPeerRequestHandler(context, view, home), createPeerResponseClass(home.formatLoad)
-    ),
+    callerServer: createRequestServer(context, entry.handle, { connections: callerConnections }),
+    peerServer: createRequestServer(context, createPeerRequestHandler(context, view, home), {
+      responseClass: createPeerResponseClass(home.formatLoad)
+    }),
     start: () => {
       home.start()
       evidenceTimer = setInterval(reportEvidence, EVIDENCE_INTERVAL_MS)
@@ -53,6 +55,7 @@
       const grace = settings.requests.drain_grace_ms
       log('drainStarted', { grace })
       await new Promise((resolve) => setTimeout(resolve, grace))
+      callerConnections.limitStalls()
       // Requests that the backend server is still running may call other services through this node, so the entry
       // handler
       // stops only after the home handler has drained.
--- a/packages/daemon/src/requests/createRequestServer.ts
+++ b/packages/daemon/src/requests/createRequestServer.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from 'node:http'
 import { HEADERS, type RefusalReason } from '@snipenotch/contracts'
-import { createServerConnections } from '../connections/createServerConnections.js'
+import { createServerConnections, type ServerConnections } from '../connections/createServerConnections.js'
 import type { NodeContext } from '../node/NodeContext.js'
 import { KEEP_ALIVE_TIMEOUT_MS } from './BoundedKeepAliveAgent.js'
 import { findRequestHeadFault } from './findHeadFault.js'
@@ -20,15 +20,20 @@
 const BAD_REQUEST_RESPONSE = 'HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-type: text/plain\r\n' +
   `content-length: ${BAD_REQUEST_BODY.length}\r\n${HEADERS.outcome}: unknown\r\n${HEADERS.reason}: ${HEAD_MALFORMED_REASON}\r\n\r\n${BAD_REQUEST_BODY}`
 
+/** Options of a request server. */
+export interface RequestServerOptions {
+  readonly responseClass?: typeof ServerResponse<IncomingMessage>
+  /** The connections of the server, for a caller of this function that uses them too. */
+  readonly connections?: ServerConnections
+}
+
 /**
  * Creates an HTTP server that limits the size and duration of request heads, but not the duration of request bodies.
  */
 export function createRequestServer (
   context: NodeContext, listener: RequestListener,
-  responseClass?: typeof ServerResponse<IncomingMessage>
+  { responseClass, connections = createServerConnections(context.log) }: RequestServerOptions = {}
 ): Server {
-  const connections = createServerConnections(context.log)
-
   /**
    * Rejects a head that cannot be forwarded and closes its connection: the length of its body may be malformed as well,
    * and what follows would be taken for another request.
--- a/packages/emulator/tests/integration/answersAtStop.test.ts
+++ b/packages/emulator/tests/integration/answersAtStop.test.ts
@@ -20,6 +20,10 @@
 const LARGE_ANSWER_BYTES = 1_500_000
 /** More than all buffers between a backend server and a caller behind two daemons hold, in bytes. */
 const STUCK_ANSWER_BYTES = 64_000_000
+/** Interval, in milliseconds, in each of which a slow caller takes some 65,536 bytes. */
+const SLOW_READ_INTERVAL_MS = 25
+/** Takes a slow caller longer than a stall may last, in bytes. */
+const SLOW_ANSWER_BYTES = 30_000_000
 /** Enough that their responses fill the buffers of a connection. */
 const PIPELINED_REQUESTS = 40_000
 /** Time for which a caller does not read after the last response, in milliseconds. */
@@ -166,6 +170,24 @@
     for (const socket of sockets) socket.destroy()
   })
 
+  it('arrive whole at a caller that reads them slowly (guards against a limit on the delivery that takes a slow caller for a stuck one)', async () => {
+    const caller = openLateReader(entry.requestAddress)
+    caller.socket.write(composeRequest('/clocks/slow', [`${RESPONSE_BYTES_HEADER}: ${SLOW_ANSWER_BYTES}`]))
+    await awaitRun()
+    entry.sendSignal('SIGTERM')
+    const reading = caller.read()
+    caller.socket.on('data', () => {
+      caller.socket.pause()
+      setTimeout(() => { caller.socket.resume() }, SLOW_READ_INTERVAL_MS)
+    })
+    const { text, error } = await reading
+    expect(error, entry.daemon.readOutput().slice(-1000)).to.equal(undefined)
+    expect(text.length).to.be.greaterThan(SLOW_ANSWER_BYTES)
+    expect(countWhole(text)).to.equal(1)
+    expect(await entry.daemon.exited).to.equal(0)
+    expect(entry.daemon.readOutput()).not.to.include(CONNECTIONS_LEFT)
+  })
+
   it('do not hold the exit if their callers never read them (guards against a drain that waits for a stuck caller)', async () => {
     const caller = openLateReader(entry.requestAddress)
     caller.socket.write(composeRequest('/clocks/stuck', [`${RESPONSE_BYTES_HEADER}: ${STUCK_ANSWER_BYTES}`]))
