test(node): callers over slow links, nodes stopped together and uploads in the soak

New kinds at the end of the list: 'nodes stopped together' (a third of the nodes or a half get SIGTERM within a second; until each closes its idle connections, callers that pipeline and uploads come to it) and 'uploads'. SOAK_ONLY plays the named kinds alone. Signals and exits are in the timeline.

The check at the socket, recordCut, is unchanged; a request that runs only after its connection has ended without an answer counts as lost as well. createCallers and SERVICES are moved out of runSoak.

--- a/packages/node/tests/soak/createRequestRecorder.ts
+++ b/packages/node/tests/soak/createRequestRecorder.ts
@@ -4,6 +4,8 @@
   readonly service: string
   readonly isIdempotent: boolean
   readonly body: string
+  /** Bytes of the response beyond the echo of the request. */
+  readonly answerBytes: number
 }
 
 /** Records the requests and responses of callers and the runs of backend servers, and detects violated guarantees. */
@@ -28,19 +30,22 @@
 }
 
 /** Composes the body of a backend server's response to a request. */
-export const composeAnswerBody = (id: string, body: string): string => `${id}:${body}`
+export const composeAnswerBody = (id: string, body: string, answerBytes = 0): string => `${id}:${body}${'y'.repeat(answerBytes)}`
 
 /** Creates an empty record. */
 export function createRequestRecorder (): RequestRecorder {
-  const sent = new Map<string, SentRequest>()
+  const sent = new Map<string, SentRequest & { readonly sentAt: number }>()
   const runs = new Map<string, number>()
   const refused = new Set<string>()
   const open = new Set<string>()
+  /** Requests whose connection ended without a response. */
+  const cut = new Set<string>()
   const broken: string[] = []
   const events: string[] = []
   const startedAt = performance.now()
   const answers: Record<string, number> = {}
-  const recordEvent = (event: string): void => { events.push(`${Math.round(performance.now() - startedAt)} ${event}`) }
+  const computeTime = (): number => Math.round(performance.now() - startedAt)
+  const recordEvent = (event: string): void => { events.push(`${computeTime()} ${event}`) }
   const recordViolation = (promise: string, detail: string): void => {
     broken.push(`${promise}: ${detail}`)
     recordEvent(`violation of ${promise}: ${detail}`)
@@ -48,7 +53,7 @@
 
   return {
     recordSent: (request) => {
-      sent.set(request.id, request)
+      sent.set(request.id, { ...request, sentAt: computeTime() })
       open.add(request.id)
     },
     recordRun: (id, service, body) => {
@@ -58,6 +63,7 @@
       else if (request.body !== body) recordViolation('unasked', `${id} ran with another body`)
       const count = (runs.get(id) ?? 0) + 1
       runs.set(id, count)
+      if (cut.has(id)) recordViolation('lost', `${id} ran after its connection ended without an answer`)
       if (count > 1 && request?.isIdempotent === false) recordViolation('twice', `${id} ran ${count} times`)
     },
     recordAnswer: (id, { status, echoedId, body }) => {
@@ -67,14 +73,18 @@
       if (status === 503) refused.add(id)
       if (status !== 200) return
       if (echoedId !== id) recordViolation('mixed', `${id} got the answer of ${echoedId}`)
-      if (body !== composeAnswerBody(id, request?.body ?? '')) recordViolation('mixed', `${id} got another body`)
+      if (body !== composeAnswerBody(id, request?.body ?? '', request?.answerBytes)) recordViolation('mixed', `${id} got another body`)
       if (!runs.has(id)) recordViolation('mixed', `${id} was answered and never ran`)
     },
     recordEnd: (id) => {
       open.delete(id)
       answers.none = (answers.none ?? 0) + 1
     },
-    recordCut: (id) => { if (runs.has(id)) recordViolation('lost', `${id} ran and its caller got no answer`) },
+    recordCut: (id) => {
+      cut.add(id)
+      if (!runs.has(id)) return
+      recordViolation('lost', `${id} ran and its caller got no answer, sent at ${sent.get(id)?.sentAt ?? 0}`)
+    },
     recordViolation,
     recordEvent,
     listEvents: () => events,
--- a/packages/node/tests/soak/runSoak.ts
+++ b/packages/node/tests/soak/runSoak.ts
@@ -1,12 +1,13 @@
 import { createRandom } from '@snipenotch/stand-ins'
-import { createStoreClient, PLATFORM_HEADERS } from '@snipenotch/platform'
+import { createStoreClient } from '@snipenotch/platform'
 import { mkdtempSync, rmSync } from 'node:fs'
-import { Agent, request } from 'node:http'
 import { tmpdir } from 'node:os'
 import { composePlatformConfiguration } from '../../../../platform/tests/composeWire.js'
 import { startStoreStandIn, type StoreStandIn } from '../../../../platform/tests/startStoreStandIn.js'
+import { type Callers, CALLER_TIME_MS, createCallers, END_SLACK_MS } from './createCallers.js'
 import { createRequestRecorder, type RequestRecorder } from './createRequestRecorder.js'
 import { sendMalformedRequest } from './malformedHeads.js'
+import { SERVICES } from './SERVICES.js'
 import { COLD_PER_SECOND, type SoakHost, startSoakHost } from './startSoakHost.js'
 
 /** Options of `runSoak`. */
@@ -20,6 +21,8 @@
   readonly faultMs: number
   /** Number of kinds of faults to draw from, in the order of `FAULTS`; all by default. */
   readonly kinds?: number | undefined
+  /** Names of the kinds among them to draw from; all by default. */
+  readonly only?: readonly string[] | undefined
 }
 
 /** Violations, number of responses by status, and the faults that were injected. */
@@ -33,21 +36,8 @@
   readonly logs: Readonly<Record<string, string>>
 }
 
-/** Services, whether their requests are idempotent, and their number of hosts. */
-const SERVICES = [
-  { service: 'parts', isIdempotent: true, hosts: 3 },
-  { service: 'orders', isIdempotent: false, hosts: 3 }
-] as const
 const DATA_CENTRES = ['krakow', 'tarnow', 'rzeszow'] as const
 const REQUEST_INTERVAL_MS = 12
-/** Share of callers that disconnect before the response. */
-const LEAVING_SHARE = 0.05
-/** Share of requests with a body large enough to be pulled, and its size in bytes. */
-const LARGE_SHARE = 0.1
-const LARGE_BYTES = 60_000
-/** Timeout of callers in milliseconds, and the time beyond it after which a request counts as held forever. */
-const CALLER_TIME_MS = 1500
-const END_SLACK_MS = 3000
 /** Longest recovery time after the last fault, in milliseconds: a drain in progress and the users' bound. */
 const RECOVERY_MS = 15_000
 /** Time for which an operator's write is retried while the store is unavailable, in milliseconds. */
@@ -56,6 +46,18 @@
 const MALFORMED_REQUESTS = 16
 /** Share of responses with a malformed head while a backend server is faulty. */
 const MALFORMED_SHARE = 0.3
+/** Share of the nodes that are stopped together, at least, and the time within which they are, in milliseconds. */
+const HERD_SHARE = 1 / 3
+const HERD_MS = 1000
+/** Requests with a large body that are sent at once. */
+const UPLOADS = 12
+/** The same to each node that is stopped with others, when it gets the signal. */
+const HERD_UPLOADS = 4
+/** Callers that pipeline at each node that is stopped with others, and the most requests of each. */
+const HERD_PIPELINES = 10
+const HERD_PIPELINED = 20
+/** Time after the signal in which these callers come, in milliseconds: until the node closes idle connections. */
+const HERD_CALLERS_MS = 2400
 const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
 
 /** Components that faults act on. */
@@ -64,6 +66,7 @@
   readonly store: StoreStandIn
   readonly random: () => number
   readonly recorder: RequestRecorder
+  readonly callers: Callers
   readonly publish: () => Promise<void>
   /** Orders or ends the evacuation of a data centre. */
   readonly evacuate: (dataCentre: string, isOut: boolean) => Promise<void>
@@ -129,7 +132,29 @@
     await awaitPause(500 + random() * 1500)
     host.setMalformedShare(0)
   },
-  'malformed requests': (environment, host) => sendMalformedRequests(environment, host)
+  'malformed requests': (environment, host) => sendMalformedRequests(environment, host),
+  'nodes stopped together': (environment) => stopNodesTogether(environment),
+  uploads: ({ callers }, host) => callers.sendUploads(host, UPLOADS)
+}
+
+/** Stops a third of the nodes or more while each has requests of callers over slow links. */
+async function stopNodesTogether ({ hosts, random, callers }: SoakEnvironment): Promise<void> {
+  const count = Math.ceil(hosts.length * HERD_SHARE) + Math.floor(random() * 2)
+  const first = Math.floor(random() * hosts.length)
+  // Every second host, so that one of each service goes on.
+  const herd = Array.from({ length: count }, (_, index) => hosts[(first + index * 2) % hosts.length])
+  await Promise.all(herd.map(async (host) => {
+    const delayMs = random() * HERD_MS
+    const restartMs = random() * 500
+    if (host === undefined) return
+    await awaitPause(delayMs)
+    host.signal('SIGTERM', restartMs)
+    const pipelines = Array.from({ length: HERD_PIPELINES }, async (_, index) => {
+      await awaitPause(index * HERD_CALLERS_MS / HERD_PIPELINES)
+      await callers.sendPipelined(host, HERD_PIPELINED)
+    })
+    await Promise.all([callers.sendUploads(host, HERD_UPLOADS), ...pipelines])
+  }))
 }
 
 /** Sends requests with a malformed head for each service to a node; each must be rejected at once. */
@@ -145,58 +170,6 @@
   }
 }
 
-/** Sends one request to a node and records how it ends; resolves with the HTTP status, or 0 without a response. */
-function sendOne (
-  recorder: RequestRecorder, agent: Agent, host: SoakHost, serial: number, random: () => number
-): Promise<number> {
-  const { service, isIdempotent } = SERVICES[random() < 0.5 ? 0 : 1]
-  const id = `soak-${serial}`
-  const body = isIdempotent ? '' : `order ${serial}${random() < LARGE_SHARE ? 'x'.repeat(LARGE_BYTES) : ''}`
-  const breaks = host.countInterruptions()
-  recorder.recordSent({ id, service, isIdempotent, body })
-  return new Promise((resolve) => {
-    let hasLeft = false
-    let isDone = false
-    const leave = (): void => {
-      hasLeft = true
-      outgoing.destroy()
-    }
-    const end = (): void => {
-      isDone = true
-      recorder.recordEnd(id)
-      if (!hasLeft && host.countInterruptions() === breaks) recorder.recordCut(id)
-      resolve(0)
-    }
-    const outgoing = request({
-      agent,
-      host: '127.0.0.1',
-      port: host.callersPort,
-      method: isIdempotent ? 'GET' : 'POST',
-      path: `/${service}/${serial}`,
-      headers: { host: 'a.example', [PLATFORM_HEADERS.attemptId]: id, [PLATFORM_HEADERS.remainingMs]: String(CALLER_TIME_MS) }
-    }, (incoming) => {
-      const chunks: Buffer[] = []
-      incoming.on('data', (chunk: Buffer) => chunks.push(chunk))
-      incoming.on('error', end)
-      incoming.on('end', () => {
-        if (!incoming.complete) return
-        isDone = true
-        const status = incoming.statusCode ?? 0
-        const echoedId = String(incoming.headers[PLATFORM_HEADERS.attemptId] ?? '')
-        recorder.recordAnswer(id, { status, echoedId, body: Buffer.concat(chunks).toString() })
-        resolve(status)
-      })
-    })
-    outgoing.on('error', end)
-    outgoing.end(body)
-    if (random() < LEAVING_SHARE) setTimeout(leave, random() * 60)
-    setTimeout(() => {
-      if (!hasLeft && !isDone && host.countInterruptions() === breaks) recorder.recordViolation('held', `${id} has no response`)
-      leave()
-    }, CALLER_TIME_MS + END_SLACK_MS).unref()
-  })
-}
-
 interface OpenSoakEnvironment extends SoakEnvironment {
   readonly close: () => Promise<void>
 }
@@ -205,6 +178,7 @@
   options: SoakOptions, recorder: RequestRecorder, directory: string
 ): Promise<OpenSoakEnvironment> {
   const random = createRandom(options.seed)
+  const callers = createCallers({ recorder, random, linkSeed: options.seed + 1 })
   const store = await startStoreStandIn()
   const client = createStoreClient(store.address)
   let version = 0
@@ -252,9 +226,11 @@
     store,
     random,
     recorder,
+    callers,
     publish,
     evacuate,
     close: async () => {
+      callers.close()
       for (const { host, countNodes } of hosts) {
         if (countNodes() > 1) recorder.recordViolation('soak', `${countNodes()} nodes at ${host}`)
       }
@@ -272,7 +248,6 @@
   const recorder = createRequestRecorder()
   const directory = mkdtempSync(`${tmpdir()}/snipenotch-soak-`)
   const environment = await startEnvironment(options, recorder, directory)
-  const agent = new Agent({ keepAlive: true })
   const faults: string[] = []
   const open = new Set<Promise<unknown>>()
   const recent: number[] = []
@@ -281,7 +256,7 @@
     const host = environment.hosts[serial % environment.hosts.length]
     if (host === undefined) return
     serial += 1
-    const sent = sendOne(recorder, agent, host, serial, environment.random).then((status) => {
+    const sent = environment.callers.sendNext(host).then((status) => {
       recent.push(status)
       if (recent.length > 60) recent.shift()
     }).finally(() => { open.delete(sent) })
@@ -299,9 +274,9 @@
   try {
     await awaitServed('at the start')
     const playing: Array<Promise<void>> = []
+    const names = Object.keys(FAULTS).slice(0, options.kinds).filter((name) => options.only?.includes(name) !== false)
     const endsAt = performance.now() + options.faultMs
     while (performance.now() < endsAt) {
-      const names = Object.keys(FAULTS).slice(0, options.kinds)
       const name = names[Math.floor(environment.random() * names.length)] ?? ''
       const host = environment.hosts[Math.floor(environment.random() * environment.hosts.length)]
       if (host === undefined) break
@@ -316,7 +291,6 @@
     await Promise.race([Promise.all(open), awaitPause(CALLER_TIME_MS + END_SLACK_MS)])
   } finally {
     clearInterval(callers)
-    agent.destroy()
     await environment.close()
     rmSync(directory, { recursive: true, force: true })
   }
--- a/packages/node/tests/soak/soak.test.ts
+++ b/packages/node/tests/soak/soak.test.ts
@@ -2,12 +2,12 @@
 import { execFileSync } from 'node:child_process'
 import { mkdirSync, writeFileSync } from 'node:fs'
 import path from 'node:path'
-import { runSoak } from './runSoak.js'
+import { runSoak, type SoakOptions } from './runSoak.js'
 
 /** Seeds that once failed, with the cause. */
-const REGRESSIONS: ReadonlyArray<{ readonly seed: number, readonly cause: string, readonly kinds: number }> = [
-  { seed: 3029, cause: 'a second stop signal ended a stopping node at once', kinds: 17 },
-  { seed: 20_261_204, cause: 'a cold backend server got too many requests', kinds: 19 }
+const REGRESSIONS: ReadonlyArray<Pick<SoakOptions, 'seed' | 'kinds' | 'only'> & { readonly cause: string }> = [
+  { seed: 3029, cause: 'a second stop signal ended a stopping node at once', kinds: 17, only: undefined },
+  { seed: 20_261_204, cause: 'a cold backend server got too many requests', kinds: 19, only: undefined }
 ]
 /** Time limit for bundling the node on a busy machine, in milliseconds. */
 const BUILD_TIMEOUT_MS = 60_000
@@ -18,6 +18,8 @@
   Number(process.env.SOAK_FIRST ?? 1) + index)
 
 const handKinds = process.env.SOAK_KINDS === undefined ? undefined : Number(process.env.SOAK_KINDS)
+/** Names of kinds given on the command line: `SOAK_ONLY='nodes stopped together,uploads'`. */
+const handOnly = process.env.SOAK_ONLY?.split(',')
 /** Folder for the timeline and the logs of runs that fail. */
 const logFolder = process.env.SOAK_LOGS
 /** Folder with another build of the project, whose nodes then run beside those of this one. */
@@ -34,12 +36,13 @@
   })
 
   const cases = handSeeds.length > 0
-    ? handSeeds.map((seed) => ({ seed, cause: 'by hand', kinds: handKinds }))
-    : [{ seed: CI_SEED, cause: 'in CI', kinds: undefined }, ...REGRESSIONS]
-  for (const { seed, cause, kinds } of cases) {
+    ? handSeeds.map((seed) => ({ seed, cause: 'by hand', kinds: handKinds, only: handOnly }))
+    : [{ seed: CI_SEED, cause: 'in CI', kinds: undefined, only: undefined }, ...REGRESSIONS]
+  for (const { seed, cause, kinds, only } of cases) {
     it(`violates no guarantee with seed ${seed} (${cause})`, async function () {
       this.timeout(faultMs + 60_000)
-      const { broken, answers, faults, events, logs } = await runSoak({ bundle, otherBundle, seed, faultMs, kinds })
+      const options = { bundle, otherBundle, seed, faultMs, kinds, only }
+      const { broken, answers, faults, events, logs } = await runSoak(options)
       if (broken.length > 0 && logFolder !== undefined) {
         mkdirSync(logFolder, { recursive: true })
         const files = { ...logs, events: events.join('\n') }
--- a/packages/node/tests/soak/startSoakHost.ts
+++ b/packages/node/tests/soak/startSoakHost.ts
@@ -50,6 +50,8 @@
   readonly random: () => number
 }
 
+/** Parameter of a request with the bytes of its response beyond the echo of the request. */
+export const ANSWER_BYTES_PARAMETER = 'answer-bytes'
 const SLOTS = 4
 /**
  * Requests per second that a cold backend server can take, and the number above which the users count it as overloaded.
@@ -119,7 +121,8 @@
         incoming.socket.end(composeMalformedResponse(id, random))
         return
       }
-      const text = composeAnswerBody(id, body)
+      const answerBytes = Number(new URLSearchParams(incoming.url?.split('?')[1]).get(ANSWER_BYTES_PARAMETER))
+      const text = composeAnswerBody(id, body, answerBytes)
       const headers = { [PLATFORM_HEADERS.attemptId]: id, [PLATFORM_HEADERS.signature]: 'signed', 'Content-Length': Buffer.byteLength(text) }
       response.writeHead(200, headers).end(text)
     }, 5 + random() * 50)
@@ -214,6 +217,7 @@
     logs.add(started)
     recorder.recordEvent(`node of ${host} starts`)
     const forget = (): void => {
+      recorder.recordEvent(`node of ${host} has exited`)
       nodes.delete(started)
       if (node === started) node = undefined
     }
@@ -236,6 +240,7 @@
       const target = node
       if (target === undefined) return
       target.child.kill(name)
+      recorder.recordEvent(`${name} to the node of ${host}`)
       if (BREAKS.has(name)) breaks += 1
       if (!KILLS.has(name)) return
       target.exited.then(() => { setTimeout(startNode, restartMs) }, () => undefined)
