test(node): a soak seed of stops under slow links, which loses answers with their processes

Seed 4551 draws from it, 'uploads' and three kinds that end no connection.

Run on, one soak at a time: with these kinds 4 of 5 seeds failed (4551 to 4555, not 4554), 18 answers lost, all composed 3 to 191 ms before the process exited. Trial: with a bundle whose process exits 1.1 s later, the same five seeds passed, and so did 4541 to 4546 with 'nodes stopped together' alone, all of which fail without it. With that kind alone, one run (4543) also had a fifth request at a backend server of four slots, 3 ms after a caller left; it is not traced, and so the kind is not played alone here.

--- a/packages/node/tests/soak/soak.test.ts
+++ b/packages/node/tests/soak/soak.test.ts
@@ -4,10 +4,13 @@
 import path from 'node:path'
 import { runSoak, type SoakOptions } from './runSoak.js'
 
+/** Stops under callers over slow links, beside kinds that end no connection. */
+const STOPS = ['nodes stopped together', 'uploads', 'settings reloaded', 'configuration changes', 'store forgets'] as const
 /** Seeds that once failed, with the cause. */
 const REGRESSIONS: ReadonlyArray<Pick<SoakOptions, 'seed' | 'kinds' | 'only'> & { readonly cause: string }> = [
   { seed: 3029, cause: 'a second stop signal ended a stopping node at once', kinds: 17, only: undefined },
-  { seed: 20_261_204, cause: 'a cold backend server got too many requests', kinds: 19, only: undefined }
+  { seed: 20_261_204, cause: 'a cold backend server got too many requests', kinds: 19, only: undefined },
+  { seed: 4551, cause: 'answers were lost with their processes', kinds: 23, only: STOPS }
 ]
 /** Time limit for bundling the node on a busy machine, in milliseconds. */
 const BUILD_TIMEOUT_MS = 60_000
