--- a/packages/daemon/src/observability/createCounters.ts
+++ b/packages/daemon/src/observability/createCounters.ts
@@ -22,8 +22,8 @@
   /** Requests by result at the node that their caller is connected to. */
   serving_requests: 'received' | 'answered' | 'failed' | 'refused' | 'left' | 'cut'
   /**
-   * Connections of callers that a node closed without an open request: at its stop, or unused for the keep-alive timeout;
-   * and those that ended with its process although their callers may not have had their response.
+   * Connections of callers that a node closed without an open request, at its stop or unused for the keep-alive
+   * timeout, and those that ended with its process although their callers may not have had their response.
    */
   caller_closes: 'idle' | 'timeout' | 'abandoned'
   /** Loads that the backend server stated in its responses. */
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -291,6 +291,23 @@
     } while (entryServer.countAccepted() > accepted && clock.now() < limitAt)
   }
 
+  const isIdle = (): boolean =>
+    entryServer.countOpen() === 0 && dispatcher.countOpen() === 0 && forwardingServer.countUnsentBytes() === 0
+
+  /**
+   * Waits until all outcomes and responses have arrived, which shows only when the other side closes its connection.
+   * Requests that arrive meanwhile are refused, and their responses awaited as well.
+   */
+  async function awaitDelivered (limitAt: number): Promise<void> {
+    const linksEndAt = Math.min(limitAt, addMilliseconds(clock.now(), LINK_CLOSE_MS))
+    await awaitEnd(() => forwardingServer.countOpen() === 0, linksEndAt)
+    const isDelivered = (): boolean => isIdle() && entryServer.countLingering() === 0
+    do {
+      await awaitEnd(isDelivered, limitAt)
+      await awaitRead()
+    } while (!isDelivered() && clock.now() < limitAt)
+  }
+
   return {
     start: async () => {
       for (const follower of followers) follower.start()
@@ -327,21 +344,12 @@
       await awaitEnd(() => dispatcher.countOpen() === 0, answerBy)
       await acceptWaiting(Math.min(answerBy, addMilliseconds(clock.now(), ACCEPT_LIMIT_MS)))
       entryServer.server.close()
-      const isIdle = (): boolean =>
-        entryServer.countOpen() === 0 && dispatcher.countOpen() === 0 && forwardingServer.countUnsentBytes() === 0
       await awaitEnd(isIdle, answerBy)
       // Requests that arrive from now on are refused.
       entryServer.endOpenRequests()
       forwardingServer.end()
       await awaitEnd(isIdle, limitAt)
-      // Outcomes and responses have arrived only once the other side has closed the connection.
-      const linksEndAt = Math.min(limitAt, addMilliseconds(clock.now(), LINK_CLOSE_MS))
-      await awaitEnd(() => forwardingServer.countOpen() === 0, linksEndAt)
-      const isDelivered = (): boolean => isIdle() && entryServer.countLingering() === 0
-      do {
-        await awaitEnd(isDelivered, limitAt)
-        await awaitRead()
-      } while (!isDelivered() && clock.now() < limitAt)
+      await awaitDelivered(limitAt)
       entryServer.closeIdle()
       await awaitRead()
       for (const follower of followers) follower.stop()
