--- a/packages/node/tests/answersAtStop.test.ts
+++ b/packages/node/tests/answersAtStop.test.ts
@@ -1,20 +1,14 @@
-import { createStoreClient, PLATFORM_HEADERS } from '@snipenotch/platform'
+import { PLATFORM_HEADERS } from '@snipenotch/platform'
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { execFileSync } from 'node:child_process'
-import { mkdtempSync, rmSync } from 'node:fs'
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { type AddressInfo, connect, type Socket } from 'node:net'
-import { tmpdir } from 'node:os'
-import { composePlatformConfiguration, composeReport, HEALTH_PATH } from '../../../platform/tests/composeWire.js'
-import { type StoreStandIn, startStoreStandIn } from '../../../platform/tests/startStoreStandIn.js'
-import { type NodeProcess, startNodeProcess } from './startNodeProcess.js'
-import { answerSigned, awaitCondition, send } from './startTestMesh.js'
+import { connect, type Socket } from 'node:net'
+import type { NodeProcess } from './startNodeProcess.js'
+import { type ServingNode, startServingNode } from './startServingNode.js'
+import { awaitCondition } from './startTestMesh.js'
 
 /** Time limit for bundling the node on a busy machine, in milliseconds. */
 const BUILD_TIMEOUT_MS = 60_000
-const REPORT_INTERVAL_MS = 250
-const SLOTS = 60
 /** Time after SIGTERM at which a node without open requests ends, in milliseconds. */
 const EARLIEST_EXIT_MS = 2300
 /** More than the socket buffers of both ends hold before the caller reads, in bytes. */
@@ -109,14 +103,9 @@
 }
 
 describe('answers of a process that stops', () => {
-  let store: StoreStandIn
-  let backend: Server
+  let serving: ServingNode
   let node: NodeProcess
-  let directory: string
-  let reporter: NodeJS.Timeout
-  /** Paths of the requests that the backend server has begun to run, and what answers each. */
-  let ran: Set<string>
-  let answers: Map<string, (size: number) => void>
+  let answers: ServingNode['answers']
 
   before(function () {
     this.timeout(BUILD_TIMEOUT_MS)
@@ -124,50 +113,13 @@
   })
 
   async function startNode (): Promise<void> {
-    ran = new Set()
-    answers = new Map()
-    store = await startStoreStandIn()
-    const client = createStoreClient(store.address)
-    const configuration = composePlatformConfiguration(1, ['clocks'], { coldPerSecond: 10_000, timeoutMs: 60_000 })
-    await client.write([], [{ table: 'op', key: 'config', value: JSON.stringify(configuration) }])
-    client.close()
-    backend = createServer((incoming: IncomingMessage, response: ServerResponse) => {
-      const { url = '' } = incoming
-      if (url === HEALTH_PATH) response.writeHead(200, { [PLATFORM_HEADERS.instance]: 'i-1', 'Content-Length': 0 }).end()
-      else if (url === '/clocks/served') answerSigned(incoming, response, 'served')
-      else {
-        ran.add(url)
-        answers.set(url, (size) => { answerSigned(incoming, response, 'x'.repeat(size)) })
-      }
-    })
-    await new Promise<void>((resolve) => { backend.listen(0, '127.0.0.1', resolve) })
-    const address = `127.0.0.1:${(backend.address() as AddressInfo).port}`
-    directory = mkdtempSync(`${tmpdir()}/snipenotch-answers-`)
-    node = await startNodeProcess({
-      directory, host: 'krakow-1', backend: address, store: `${store.address.host}:${store.address.port}`
-    })
-    let sequence = 0
-    reporter = setInterval(() => {
-      sequence += 1
-      const { path, body } = composeReport('i-1', { address, service: 'clocks', dataCentre: 'krakow', sequence, slots: SLOTS })
-      send(node.reports, path, {}, { method: 'POST', body }).catch(() => undefined)
-    }, REPORT_INTERVAL_MS)
-    await awaitCondition('requests are served', () =>
-      send(node.callers, '/clocks/served').then(({ status }) => status === 200, () => false))
-  }
-
-  async function stopNode (): Promise<void> {
-    clearInterval(reporter)
-    node.child.kill('SIGKILL')
-    await node.exited
-    backend.closeAllConnections()
-    backend.close()
-    await store.close()
-    rmSync(directory, { recursive: true, force: true })
+    serving = await startServingNode()
+    node = serving.process
+    answers = serving.answers
   }
 
   beforeEach(startNode)
-  afterEach(stopNode)
+  afterEach(() => serving.close())
 
   it('arrive whole at a caller that reads them late and has sent more (guards against an answer that is lost with its process)', async () => {
     const caller = openLateReader(node.callers)
@@ -284,7 +236,7 @@
     const ended = await Promise.all(callers.map(({ read }) => read()))
     const statuses = ended.map(({ text }) => parseResponses(text)[0]?.status)
     expect(statuses.filter((status) => status !== 503), node.readOutput().slice(-1000)).to.deep.equal([])
-    expect(ran).to.have.property('size', 0)
+    expect(answers).to.have.property('size', 0)
     expect(await exited).to.equal(0)
   })
 
@@ -293,7 +245,7 @@
     const caller = openLateReader(node.callers)
     const paths = plan.requests.map((_, serial) => `${index}-${serial}`)
     for (const name of paths) caller.socket.write(composeRequest(name))
-    await awaitCondition('its requests run', () => paths.every((name) => ran.has(`/clocks/${name}`)))
+    await awaitCondition('its requests run', () => paths.every((name) => answers.has(`/clocks/${name}`)))
     return await stopping.then(async () => {
       plan.requests.forEach(({ answerAt, bytes }, serial) => {
         setTimeout(() => { answers.get(`/clocks/${paths[serial] ?? ''}`)?.(bytes) }, answerAt)
@@ -308,7 +260,7 @@
           ? []
           : [`${name}: ${found?.status ?? 'no complete response'} ${JSON.stringify(plan)}`]
       }).concat(responses.flatMap(({ status, attemptId }) =>
-        status === 503 && ran.has(`/clocks/${attemptId}`) ? [`${attemptId} was refused and ran`] : []))
+        status === 503 && answers.has(`/clocks/${attemptId}`) ? [`${attemptId} was refused and ran`] : []))
     })
   }
 
@@ -318,7 +270,7 @@
     let isFirst = true
     await fc.assert(fc.asyncProperty(callerPlans, async (plans) => {
       if (!isFirst) {
-        await stopNode()
+        await serving.close()
         await startNode()
       }
       isFirst = false
@@ -326,7 +278,7 @@
       stopping = new Promise((resolve) => { stop = resolve })
       const played = Promise.all(plans.map((plan, index) => playCaller(index, plan)))
       const count = plans.reduce((sum, { requests }) => sum + requests.length, 0)
-      await awaitCondition('all requests run', () => ran.size === count)
+      await awaitCondition('all requests run', () => answers.size === count)
       node.child.kill('SIGTERM')
       stop()
       expect((await played).flat(), node.readOutput().slice(-1500)).to.deep.equal([])
--- a/packages/node/tests/outcomesAtStop.test.ts
+++ b/packages/node/tests/outcomesAtStop.test.ts
@@ -1,23 +1,18 @@
 import { addMilliseconds, createSystemClock } from '@snipenotch/contracts'
-import { createStoreClient, PLATFORM_HEADERS } from '@snipenotch/platform'
+import { PLATFORM_HEADERS } from '@snipenotch/platform'
 import { expect } from 'chai'
 import { execFileSync } from 'node:child_process'
-import { mkdtempSync, rmSync } from 'node:fs'
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { type AddressInfo, connect } from 'node:net'
-import { tmpdir } from 'node:os'
+import { connect } from 'node:net'
 import { WebSocket } from 'ws'
-import { composePlatformConfiguration, composeReport, HEALTH_PATH } from '../../../platform/tests/composeWire.js'
-import { type StoreStandIn, startStoreStandIn } from '../../../platform/tests/startStoreStandIn.js'
 import { decodeBatch, encodeBatch } from '../src/peers/forwardingCodec.js'
 import type { ForwardingMessage } from '../src/peers/ForwardingMessage.js'
 import { createJob } from './createJob.js'
-import { type NodeProcess, startNodeProcess } from './startNodeProcess.js'
-import { answerSigned, awaitCondition, send } from './startTestMesh.js'
+import type { NodeProcess } from './startNodeProcess.js'
+import { type ServingNode, startServingNode } from './startServingNode.js'
+import { awaitCondition } from './startTestMesh.js'
 
 /** Time limit for bundling the node on a busy machine, in milliseconds. */
 const BUILD_TIMEOUT_MS = 60_000
-const REPORT_INTERVAL_MS = 250
 const REQUESTS = 3
 /** The outcomes together are more than the other node's socket buffer takes before it reads, in bytes. */
 const ANSWER_BYTES = 500_000
@@ -62,12 +57,8 @@
 }
 
 describe('outcomes of a process that stops', () => {
-  let store: StoreStandIn
-  let backend: Server
+  let serving: ServingNode
   let node: NodeProcess
-  let directory: string
-  let reporter: NodeJS.Timeout
-  let answers: Array<() => void>
 
   before(function () {
     this.timeout(BUILD_TIMEOUT_MS)
@@ -75,43 +66,10 @@
   })
 
   beforeEach(async () => {
-    answers = []
-    store = await startStoreStandIn()
-    const client = createStoreClient(store.address)
-    const configuration = composePlatformConfiguration(1, ['clocks'], { coldPerSecond: 10_000 })
-    await client.write([], [{ table: 'op', key: 'config', value: JSON.stringify(configuration) }])
-    client.close()
-    backend = createServer((incoming: IncomingMessage, response: ServerResponse) => {
-      const { url = '' } = incoming
-      if (url === HEALTH_PATH) response.writeHead(200, { [PLATFORM_HEADERS.instance]: 'i-1', 'Content-Length': 0 }).end()
-      else if (url === '/clocks/served') answerSigned(incoming, response, 'served')
-      else answers.push(() => { answerSigned(incoming, response, 'x'.repeat(ANSWER_BYTES)) })
-    })
-    await new Promise<void>((resolve) => { backend.listen(0, '127.0.0.1', resolve) })
-    const address = `127.0.0.1:${(backend.address() as AddressInfo).port}`
-    directory = mkdtempSync(`${tmpdir()}/snipenotch-outcomes-`)
-    node = await startNodeProcess({
-      directory, host: 'krakow-1', backend: address, store: `${store.address.host}:${store.address.port}`
-    })
-    let sequence = 0
-    reporter = setInterval(() => {
-      sequence += 1
-      const { path, body } = composeReport('i-1', { address, service: 'clocks', dataCentre: 'krakow', sequence })
-      send(node.reports, path, {}, { method: 'POST', body }).catch(() => undefined)
-    }, REPORT_INTERVAL_MS)
-    await awaitCondition('requests are served', () =>
-      send(node.callers, '/clocks/served').then(({ status }) => status === 200, () => false))
-  })
-
-  afterEach(async () => {
-    clearInterval(reporter)
-    node.child.kill('SIGKILL')
-    await node.exited
-    backend.closeAllConnections()
-    backend.close()
-    await store.close()
-    rmSync(directory, { recursive: true, force: true })
+    serving = await startServingNode()
+    node = serving.process
   })
+  afterEach(() => serving.close())
 
   it('arrive whole at a node that reads them late and sends more (guards against outcomes that are lost with their process)', async () => {
     const link = await openLink(node.requests)
@@ -130,11 +88,11 @@
         headers: ['Host', 'a.example', PLATFORM_HEADERS.attemptId, `id-${id}`]
       })
     })))
-    await awaitCondition('all run', () => answers.length === REQUESTS)
+    await awaitCondition('all run', () => serving.answers.size === REQUESTS)
     node.child.kill('SIGTERM')
     await awaitCondition('it is stopping', () => node.readOutput().includes('"event":101'))
     link.socket.pause()
-    for (const answer of answers) answer()
+    for (const answer of serving.answers.values()) answer(ANSWER_BYTES)
     const sending = setInterval(() => { link.send({ kind: 'cancel', id: 1000 }) }, SEND_INTERVAL_MS)
     await awaitCondition('it refuses connections', async () => !(await isListening(node.requests)))
     await awaitPause(UNREAD_MS)
