test(stand-ins): release connections that cannot be reset

Cause: the test process held 20,000 descriptors, its limit; 22,000 sockets of the machine were closed and not released. Node.js 20.20.2 cannot reset a socket whose end has been sent, and then never closes its handle. Change: such a socket is destroyed.

--- a/packages/stand-ins/src/proxy/createFaultProxy.ts
+++ b/packages/stand-ins/src/proxy/createFaultProxy.ts
@@ -66,6 +66,15 @@
   return connectionRuleSchema.parse({})
 }
 
+/**
+ * Resets a connection. One whose end has been sent is closed instead: Node.js cannot reset it and would never release its
+ * descriptor.
+ */
+function resetSocket (socket: Socket): void {
+  if (socket.writableEnded) socket.destroy()
+  else socket.resetAndDestroy()
+}
+
 function listenOn (server: Server, host: string, port: number): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', reject)
@@ -97,8 +106,8 @@
   let isPaused = false
 
   function resetConnection ({ client, server }: ProxiedConnection): void {
-    client.resetAndDestroy()
-    server?.resetAndDestroy()
+    resetSocket(client)
+    if (server !== undefined) resetSocket(server)
   }
 
   /** Delivers a chunk, or the part of it before the cut; returns true if the connection was cut. */
@@ -122,7 +131,7 @@
       to?.once('close', () => resolve())
       to?.end(part, () => resolve())
     })
-    from?.resetAndDestroy()
+    if (from !== undefined) resetSocket(from)
     return true
   }
 
@@ -174,7 +183,7 @@
     const rule = pickRule(rules, random)
     if (rule.refuse) {
       counts.refused += 1
-      client.resetAndDestroy()
+      resetSocket(client)
       return
     }
     if (rule.blackHole) {
@@ -187,7 +196,7 @@
     const connection = { client, server }
     attachConnection(connection)
     // If the server cannot be reached, the client sees a reset connection.
-    server.on('error', () => { if (!silentConnections.has(connection)) client.resetAndDestroy() })
+    server.on('error', () => { if (!silentConnections.has(connection)) resetSocket(client) })
     forwardBytes(connection, rule, 'to-server', client).catch(() => undefined)
     forwardBytes(connection, rule, 'to-client', server).catch(() => undefined)
   }
--- a/packages/stand-ins/tests/proxy/createFaultProxy.test.ts
+++ b/packages/stand-ins/tests/proxy/createFaultProxy.test.ts
@@ -1,10 +1,13 @@
 import { once } from 'node:events'
+import { readdirSync } from 'node:fs'
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { expect } from 'chai'
 import { createFaultProxy, pickRule, type FaultProxy } from '../../src/proxy/createFaultProxy.js'
 import { createRandom } from '../../src/random/createRandom.js'
 
 const RESPONSE = 'answer-of-the-server'
+const RESET_CONNECTIONS = 50
+const countDescriptors = (): number => readdirSync('/proc/self/fd').length
 
 describe('createFaultProxy', () => {
   let server: Server
@@ -148,6 +151,21 @@
     silent.client.destroy()
   })
 
+  it('releases connections that their target ends and then resets (guards against tests that run out of descriptors)', async () => {
+    server.on('connection', (socket) => { socket.end() })
+    const before = countDescriptors()
+    const clients = Array.from({ length: RESET_CONNECTIONS }, () => {
+      const client = connect({ host: '127.0.0.1', port: Number(proxy.address.split(':')[1]), allowHalfOpen: true })
+      return client.on('error', () => undefined).resume()
+    })
+    await Promise.all(clients.map((client) => once(client, 'end')))
+    for (const socket of sockets) socket.resetAndDestroy()
+    for (const client of clients) client.write('question')
+    await delay()
+    for (const client of clients) client.destroy()
+    await awaitCondition(() => countDescriptors() <= before)
+  })
+
   it('picks the same rules for the same seed (guards against failures that cannot be reproduced)', () => {
     const rules = [{ share: 0.3, rule: { blackHole: true } }, { share: 0.2, rule: { dropAnswers: true } }]
     const list = (seed: number): string[] => {
