--- a/packages/stand-ins/src/proxy/createFaultProxy.ts
+++ b/packages/stand-ins/src/proxy/createFaultProxy.ts
@@ -67,8 +67,8 @@
 }
 
 /**
- * Resets a connection. One whose end has been sent is closed instead: Node.js cannot reset it and would never release its
- * descriptor.
+ * Resets a connection. One whose end has been sent is closed instead: Node.js cannot reset it and would never release
+ * its descriptor.
  */
 function resetSocket (socket: Socket): void {
   if (socket.writableEnded) socket.destroy()
