--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -266,6 +266,8 @@
       // A connection that is no longer read is closed after its last response.
       // A response that began before the stop did not announce the end of its connection.
       const isEnding = shutdownDeadlines !== undefined || connections.isClosing(incoming.socket)
+      // The response to a malformed head is still to follow.
+      if (rejectedSockets.has(incoming.socket)) return
       if (isEnding && countOpenOf(incoming.socket) === 0) connections.end(incoming.socket)
     })
     const limits = view.getConfiguration()?.limits
