fix(node): requests that cross the close frame of a stopping node are sent to another host

Cause: a node that stops closes its forwarding connections with a close frame and passes over requests that arrive behind it. The entry node ends all that is fully sent and has no outcome as `connection-lost`, as it may have run.

Evidence: on a request sent behind an accepted one ends with `connection-lost` (test of createForwardingConnection), and the close frame carries no reason (test of createForwardingServer). Both tests fail there and pass now.

Ruled out: an outcome for each such request, as nothing may be sent behind a close frame; asking the other nodes to stop sending first, which costs a round trip of each stop.

Why it works: ids of requests increase on a connection, and messages stay in order, so the id of the last accepted one divides what may have run from what has not. The reason of the close frame carries it; nodes of earlier builds ignore it, and send none.

--- a/packages/node/src/entry/createForwardingConnection.ts
+++ b/packages/node/src/entry/createForwardingConnection.ts
@@ -5,7 +5,7 @@
 import { runContained } from '../operations/runContained.js'
 import { createBatchSender } from '../peers/createBatchSender.js'
 import { WEBSOCKET_OPTIONS } from '../peers/WEBSOCKET_OPTIONS.js'
-import { decodeBatch } from '../peers/forwardingCodec.js'
+import { decodeBatch, decodeLastRequest } from '../peers/forwardingCodec.js'
 import { LARGE_BODY_BYTES, type ForwardingMessage, type TableVersions } from '../peers/ForwardingMessage.js'
 
 /** Connection to the node of another host, multiplexing forwarded requests. */
@@ -119,13 +119,16 @@
     return isOpen && found !== undefined && found.sentBytes === found.job.body.length && !sender.remove(id)
   }
 
-  /** Ends all pending requests: those not fully sent have not run, the others may have. */
-  function handleClose (detail: string): void {
+  /**
+   * Ends all pending requests. Those not fully sent and those behind the last one that the other node has accepted have
+   * not run, the others may have.
+   */
+  function handleClose (detail: string, lastAccepted = Infinity): void {
     if (isEnded) return
     isEnded = true
     if (!isOpen) onUnreachable(detail)
     for (const id of [...pending.keys()]) {
-      end(id, isFullySent(id)
+      end(id, id <= lastAccepted && isFullySent(id)
         ? { kind: 'lost', reason: 'connection-lost' }
         : { kind: 'refused', reason: 'host-unreachable', waitMs: 0 })
     }
@@ -148,7 +151,7 @@
     for (const message of messages) runContained(context, () => { handleMessage(message) })
   })
   socket.on('error', (error) => { handleClose(error.message) })
-  socket.on('close', () => { handleClose('connection closed') })
+  socket.on('close', (_, reason) => { handleClose('connection closed', decodeLastRequest(reason)) })
 
   return {
     send: (job, onOutcome) => {
--- a/packages/node/src/home/acceptForwardingConnection.ts
+++ b/packages/node/src/home/acceptForwardingConnection.ts
@@ -5,7 +5,7 @@
 import { runContained } from '../operations/runContained.js'
 import { isEventLoopDelayed, runUnlessAbandoned } from '../operations/runUnlessAbandoned.js'
 import { createBatchSender } from '../peers/createBatchSender.js'
-import { decodeBatch } from '../peers/forwardingCodec.js'
+import { decodeBatch, encodeLastRequest } from '../peers/forwardingCodec.js'
 import type { ForwardedJob, ForwardingMessage, TableVersions } from '../peers/ForwardingMessage.js'
 import type { BodyReceiver, IncomingBody } from './createBodyReceiver.js'
 import type { BackendDispatcher } from './createBackendDispatcher.js'
@@ -16,6 +16,8 @@
  * requests end sooner, and each heartbeat wakes two processes.
  */
 export const HEARTBEAT_INTERVAL_MS = 200
+/** Status code of a close frame without an error. */
+const NORMAL_CLOSURE = 1000
 
 /** Server side of a connection on which another node forwards requests. */
 export interface AcceptedConnection {
@@ -56,6 +58,8 @@
   /** Time of the last outgoing message, or of the first request received since then while none was open. */
   let idleSince = clock.now()
   let isEnding = false
+  /** Id of the last request that was accepted; ids increase on a connection. */
+  let lastRequest = 0
 
   function send (message: ForwardingMessage): void {
     idleSince = clock.now()
@@ -71,7 +75,7 @@
   function closeIfIdle (): void {
     if (!isEnding || openJobs.size > 0) return
     sender.flush()
-    socket.close()
+    socket.close(NORMAL_CLOSURE, encodeLastRequest(lastRequest))
   }
 
   function end (id: number, job: BackendJob, outcome: JobOutcome): void {
@@ -131,8 +135,9 @@
 
   /** Begins a request unless the other node has cancelled it meanwhile. */
   function handleRequest (id: number, forwarded: ForwardedJob, begin: (job: BackendJob) => void): void {
-    // Its outcome could not be sent behind the close frame.
+    // Its outcome could not be sent behind the close frame, which tells the other node that it has not run.
     if (socket.readyState !== socket.OPEN) return
+    lastRequest = id
     const job: BackendJob = { ...forwarded, isInternal: false, isBodyFetched: false, arrivedAt: clock.now() }
     if (openJobs.size === 0) idleSince = job.arrivedAt
     openJobs.set(id, job)
--- a/packages/node/src/peers/forwardingCodec.ts
+++ b/packages/node/src/peers/forwardingCodec.ts
@@ -171,3 +171,14 @@
   }
   return messages
 }
+
+const LAST_REQUEST = /^last-request=(\d{1,15})$/
+
+/** Encodes the reason of a close frame: the id of the last request that was accepted, 0 if there was none. */
+export const encodeLastRequest = (id: number): string => `last-request=${id}`
+
+/** Decodes the reason of a close frame; undefined if it names no request, as with nodes of earlier builds. */
+export function decodeLastRequest (reason: Buffer): number | undefined {
+  const found = LAST_REQUEST.exec(reason.toString('latin1'))?.[1]
+  return found === undefined ? undefined : Number(found)
+}
--- a/packages/node/tests/entry/createForwardingConnection.test.ts
+++ b/packages/node/tests/entry/createForwardingConnection.test.ts
@@ -4,7 +4,7 @@
 import { type WebSocket, WebSocketServer } from 'ws'
 import { createForwardingConnection, type ForwardingConnection } from '../../src/entry/createForwardingConnection.js'
 import type { BackendJob, JobOutcome } from '../../src/home/BackendJob.js'
-import { decodeBatch, encodeBatch } from '../../src/peers/forwardingCodec.js'
+import { decodeBatch, encodeBatch, encodeLastRequest } from '../../src/peers/forwardingCodec.js'
 import type { ForwardingMessage } from '../../src/peers/ForwardingMessage.js'
 import { createJob, createRecord } from '../createJob.js'
 import { createTestContext } from '../createTestContext.js'
@@ -104,6 +104,17 @@
     expect(unreachable).to.be.empty
   })
 
+  it('refuses the requests behind the last one that the host accepted before it closed (guards against 502 for requests that have not run)', async () => {
+    for (const attemptId of ['accepted', 'behind']) send(createJob({ attemptId, idempotent: false }))
+    await awaitCondition('both arrived', () => received.length === 2)
+    accepted?.close(1000, encodeLastRequest(1))
+    await awaitCondition('both ended', () => outcomes.length === 2)
+    expect(outcomes).to.deep.equal([
+      { kind: 'lost', reason: 'connection-lost' }, { kind: 'refused', reason: 'host-unreachable', waitMs: 0 }
+    ])
+    expect(unreachable).to.be.empty
+  })
+
   it('refuses a request whose body was not fully pulled when the connection ends (guards against an upload reported as lost)', async () => {
     send(createJob({ body: Buffer.alloc(50_000), idempotent: false }))
     await awaitCondition('it is offered', () => received.length === 1)
--- a/packages/node/tests/home/createForwardingServer.test.ts
+++ b/packages/node/tests/home/createForwardingServer.test.ts
@@ -5,7 +5,7 @@
 import { HEARTBEAT_INTERVAL_MS } from '../../src/home/acceptForwardingConnection.js'
 import { createForwardingServer, type ForwardingServer } from '../../src/home/createForwardingServer.js'
 import type { JobOutcome } from '../../src/home/BackendJob.js'
-import { decodeBatch, encodeBatch } from '../../src/peers/forwardingCodec.js'
+import { decodeBatch, decodeLastRequest, encodeBatch } from '../../src/peers/forwardingCodec.js'
 import type { ForwardingMessage } from '../../src/peers/ForwardingMessage.js'
 import { createJob } from '../createJob.js'
 import { createTestContext } from '../createTestContext.js'
@@ -153,6 +153,20 @@
     expect(running).to.be.empty
   })
 
+  it('names the last request that it has accepted when it closes (guards against 502 for requests that have not run)', async () => {
+    const reason = new Promise<Buffer>((resolve) => { socket.once('close', (_, text) => { resolve(text) }) })
+    send({ kind: 'run', id: 4, job: createLongJob() })
+    await awaitCondition('it runs', () => running.length === 1)
+    running[0]?.(DONE)
+    await awaitCondition('it ended', () => count('outcome') === 1)
+    socket.pause()
+    server.end()
+    send({ kind: 'run', id: 5, job: createLongJob() })
+    socket.resume()
+    expect(decodeLastRequest(await reason)).to.equal(4)
+    expect(running).to.have.length(1)
+  })
+
   it('refuses the handshake of a connection that was accepted before the end (guards against requests on a connection that ends)', async () => {
     const { port } = server.server.address() as AddressInfo
     const late = connect(port, '127.0.0.1')
--- a/packages/node/tests/peers/forwardingCodec.test.ts
+++ b/packages/node/tests/peers/forwardingCodec.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { pack } from 'msgpackr'
-import { decodeBatch, encodeBatch } from '../../src/peers/forwardingCodec.js'
+import { decodeBatch, decodeLastRequest, encodeBatch, encodeLastRequest } from '../../src/peers/forwardingCodec.js'
 import type { ForwardedJob, ForwardingMessage } from '../../src/peers/ForwardingMessage.js'
 
 const JOB: ForwardedJob = {
@@ -78,6 +78,13 @@
     }
   })
 
+  it('decodes the last request of a close frame, and nothing from any other reason (guards against a false "not run")', () => {
+    fc.assert(fc.property(fc.nat(), (id) => decodeLastRequest(Buffer.from(encodeLastRequest(id))) === id))
+    for (const reason of ['', 'last-request=', 'last-request=-1', 'last-request=1.5', 'last-request=1 ', `last-request=${'9'.repeat(16)}`]) {
+      expect(decodeLastRequest(Buffer.from(reason)), reason).to.equal(undefined)
+    }
+  })
+
   it('rejects malformed frames without an exception (guards against a peer that crashes a node)', () => {
     const wrong = [
       {}, 'x', [1], [[0]], [['run', 1]], [[0, 1, 'parts']], [[9, 1]],
