fix(node): a request whose body the parser refuses is answered with 400

What callers saw: a POST with a malformed chunk size or trailer got neither an answer nor the end of its connection, for as long as it stayed; it held its buffered bytes and a shutdown. A request refused early (413) whose body then turned malformed got a second response, 400, that belongs to no request.

Cause: the handler of parser errors asked only whether the latest request is open. An open one whose own body is broken was taken for one that will be answered; an answered one whose body is still arriving was taken for complete.

Ruled out: destroying the connection, which loses the responses ahead; writing the 400 directly, which overtakes them.

Why it works: whether the latest request is complete tells whose bytes are refused. An incomplete one is answered through its own response, behind the ones ahead, with its bytes released at once; if its response has been sent, only the connection ends. The handler is a module of its own now.

--- a/packages/node/src/entry/CallerRequest.ts
+++ b/packages/node/src/entry/CallerRequest.ts
@@ -9,6 +9,8 @@
   readonly arrivedAt: Milliseconds
   /** True if it is the first request on its connection. */
   readonly isFirstOfConnection: boolean
+  /** Discards the bytes of the body that have arrived. */
+  readonly releaseBody: () => void
   /** Name of the route; undefined until the request is matched. */
   route?: string
   /** Returns the host that is handling the request now. */
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -16,6 +16,7 @@
 import { createCallerConnections } from './createCallerConnections.js'
 import { createCallerResponder } from './createCallerResponder.js'
 import type { StartExchange } from './createExchange.js'
+import { createParserErrorHandler } from './createParserErrorHandler.js'
 import type { RetryBudgets } from './createRetryBudgets.js'
 
 /** HTTP server for callers on the host, the backend server among them. */
@@ -71,11 +72,6 @@
   return Number.isFinite(value) && value >= 0 ? value : fallback
 }
 
-/** Parser error code of a connection that its caller closed in the middle of a request. */
-const INCOMPLETE_REQUEST_CODE = 'HPE_INVALID_EOF_STATE'
-/** Parser error code of bytes that do not begin with a method. */
-const NO_REQUEST_CODE = 'HPE_INVALID_METHOD'
-
 const REPLACED_HEADERS: ReadonlySet<string> = new Set([PLATFORM_HEADERS.callerService, PLATFORM_HEADERS.remainingMs, PLATFORM_HEADERS.targetInstance, 'content-length'])
 
 /** Creates the server; it does not listen yet. */
@@ -90,8 +86,6 @@
   let isTerminating = false
   const openRequests = new Set<CallerRequest>()
   const connections = createCallerConnections(context)
-  /** Connections whose last response is the one to a malformed head behind their open requests. */
-  const rejectedSockets = new WeakSet<Socket>()
 
   const countOpenOf = (socket: Socket): number =>
     [...openRequests].filter(({ incoming }) => incoming.socket === socket).length
@@ -103,12 +97,15 @@
     isLastOnConnection: (callerRequest) => {
       const { socket } = callerRequest.incoming
       const isClosing = shutdownDeadlines !== undefined || connections.isClosing(socket)
-      const isLast = isClosing && connections.getLatestRequest(socket) === callerRequest && !rejectedSockets.has(socket)
+      const isLatest = connections.getLatestRequest(socket) === callerRequest
+      const isLast = isClosing && isLatest && !parserErrors.isRejected(socket)
       if (isLast) connections.markClosing(socket)
       return isLast
     }
   })
 
+  const parserErrors = createParserErrorHandler({ context, connections, openRequests, rejectMalformed })
+
   /** Logs a request whose connection ended, or is being closed, before the response. */
   function logUnanswered (callerRequest: CallerRequest, isCut: boolean): void {
     counters.count('serving_requests', isCut ? 'cut' : 'left')
@@ -243,17 +240,22 @@
       incoming.resume()
       return
     }
+    const body = createByteCollector()
     const callerRequest: CallerRequest = {
       incoming,
       response,
       arrivedAt: toMilliseconds(clock.now() - ticker.getDelay()),
       attemptId: typeof header === 'string' ? header : '',
-      isFirstOfConnection: connections.getLatestRequest(incoming.socket) === undefined
+      isFirstOfConnection: connections.getLatestRequest(incoming.socket) === undefined,
+      releaseBody: () => {
+        body.takeBody()
+        buffers.release(holder)
+      }
     }
     connections.recordRequest(callerRequest)
     const holder: BufferHolder = {
       drop: () => {
-        body.takeBody()
+        callerRequest.releaseBody()
         counters.count('serving_refusals', 'buffers-full')
         refuse(callerRequest, undefined, 'buffers-full', BUFFERS_FULL_RETRY_MS, 0)
       }
@@ -267,11 +269,10 @@
       // A response that began before the stop did not announce the end of its connection.
       const isEnding = shutdownDeadlines !== undefined || connections.isClosing(incoming.socket)
       // The response to a malformed head is still to follow.
-      if (rejectedSockets.has(incoming.socket)) return
+      if (parserErrors.isRejected(incoming.socket)) return
       if (isEnding && countOpenOf(incoming.socket) === 0) connections.end(incoming.socket)
     })
     const limits = view.getConfiguration()?.limits
-    const body = createByteCollector()
     incoming.on('data', (chunk: Buffer) => {
       // The rest of a body whose request has been answered is read and discarded.
       if (response.headersSent) return
@@ -316,36 +317,7 @@
 
   connections.attach(server)
 
-  /** Sends the last response of a connection whose bytes the parser refused. */
-  function sendParserRefusal (socket: Socket, code: string): void {
-    // The response ahead was the last one if its request asked for that.
-    if (!socket.writable) return
-    const status = code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
-    socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
-    socket.destroySoon()
-  }
-
-  // The default error response of Node.js would be taken for the response to the first open request on the connection.
-  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-    const { code = '' } = error
-    const isParserError = code.startsWith('HPE_') && code !== INCOMPLETE_REQUEST_CODE
-    // The parser reports its error again with all later bytes.
-    if (isParserError && (connections.isClosing(socket) || rejectedSockets.has(socket))) return
-    if (!isParserError || !socket.writable) {
-      socket.destroy()
-      return
-    }
-    counters.count('serving_refusals', 'malformed')
-    log('callerMalformed', { code, open: countOpenOf(socket) })
-    const latest = connections.getLatestRequest(socket)
-    if (latest === undefined || !openRequests.has(latest)) sendParserRefusal(socket, code)
-    // The bytes belong to the latest request, or may do so if its length was stated too short.
-    else if (!latest.incoming.complete || code === NO_REQUEST_CODE) connections.markClosing(socket)
-    else {
-      rejectedSockets.add(socket)
-      listenClosed(latest, () => { sendParserRefusal(socket, code) })
-    }
-  })
+  server.on('clientError', parserErrors.handle)
 
   // Called when the server closes. The default implementation closes a connection while its response is being sent, and
   // idle ones, on which requests may arrive: until the process exits, these are refused.
--- a/packages/node/tests/entry/createEntryServer.test.ts
+++ b/packages/node/tests/entry/createEntryServer.test.ts
@@ -143,6 +143,56 @@
     }
   }
 
+  const chunked = 'Transfer-Encoding: chunked\r\n\r\n'
+  const bodies: Array<[string, string[]]> = [
+    ['a malformed first chunk size', [`${chunked}malformed\r\n`]],
+    ['a malformed later chunk size', [`${chunked}3\r\nabc\r\n`, 'malformed\r\n']],
+    ['a chunk that is longer than stated', [`${chunked}3\r\nabcdef\r\n0\r\n\r\n`]],
+    ['a blank in the name of a trailer', [`${chunked}3\r\nabc\r\n0\r\n`, 'X Own: 1\r\n\r\n']]
+  ]
+  for (const [title, parts] of bodies) {
+    it(`answers a request with ${title} behind the open ones of its connection (guards against requests that are never ended)`, async () => {
+      let answerFirst: (() => void) | undefined
+      const started: string[] = []
+      startExchange = ({ attemptId }, onResult) => {
+        started.push(attemptId)
+        const outcome = { kind: 'answered', status: 200, headers: [], body: Buffer.from('ok'), notRun: false } as const
+        answerFirst = () => { onResult({ outcome, host: 'krakow-2', tries: 1 }) }
+        return { cancel: () => false, getHost: () => undefined }
+      }
+      const { socket, read, ended } = openConnection(port)
+      socket.write(`GET /parts/1 HTTP/1.1\r\nHost: a.example\r\n${PLATFORM_HEADERS.attemptId}: first\r\n\r\n`)
+      socket.write('POST /parts/2 HTTP/1.1\r\nHost: a.example\r\n')
+      for (const part of parts) {
+        socket.write(part)
+        await awaitPause()
+      }
+      await awaitCondition('the body is found malformed', () => context.counters.read('serving_refusals', 'malformed') === 1)
+      expect(context.buffers.getBytes()).to.equal(0)
+      socket.write('GET /parts/hidden HTTP/1.1\r\nHost: a.example\r\n\r\n')
+      answerFirst?.()
+      await ended
+      expect(listStatuses(read())).to.deep.equal([200, 400])
+      expect(started).to.deep.equal(['first'])
+      socket.end()
+      await awaitCondition('the connection is closed', () => entry.countConnections() === 0)
+      expect(entry.countOpen()).to.equal(0)
+      expect(context.counters.read('serving_refusals', 'malformed')).to.equal(1)
+    })
+  }
+
+  it('sends one response to a request that is refused before its body turns malformed (guards against a response that belongs to no request)', async () => {
+    const { socket, read, ended } = openConnection(port)
+    const tooLarge = `30000\r\n${'x'.repeat(0x30000)}\r\n`
+    socket.write(`POST /parts/1 HTTP/1.1\r\nHost: a.example\r\n${chunked}${tooLarge}`)
+    await awaitCondition('it is refused', () => read() !== '')
+    socket.write('malformed\r\n')
+    await ended
+    expect(listStatuses(read())).to.deep.equal([413])
+    socket.end()
+    await awaitCondition('the connection is closed', () => entry.countConnections() === 0)
+  })
+
   it('sends nothing behind the last response of a connection (guards against a response that belongs to no request)', async () => {
     const { socket, read, ended } = openConnection(port)
     socket.write('GET /parts/1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\nmalformed\r\n\r\n')
