fix(daemon): an upload whose first bytes arrive slowly goes on past its deadline

Cause: the home node reads the first 4 KB of a body before it submits the request, and refuses what it still reads at the deadline. The entry node extends the deadline of an upload while bytes arrive; the home node did so only once the upload ran.

Evidence: a new test sends 500 bytes each 30 ms against a deadline of 100 ms: refused on the code before, served now. Ruled out: a late timer at the entry node that runs before the bytes are read (a test that blocks the event loop passes without a change).

Why it works: the home node checks an upload that it still reads at each deadline, as the entry node does; one that stalls is refused as before (second test, which passes on both).

--- a/packages/daemon/src/requests/home/createBackendHandler.ts
+++ b/packages/daemon/src/requests/home/createBackendHandler.ts
@@ -1,4 +1,4 @@
-import { HEADERS, type Milliseconds } from '@snipenotch/contracts'
+import { addMilliseconds, HEADERS, type Milliseconds } from '@snipenotch/contracts'
 import { createAdmissionController, createConcurrencyLimit, type AdmissionAction, type RunResult } from '@snipenotch/decisions'
 import { csp } from '../../csp.js'
 import type { ControlPlane } from '../../node/ControlPlane.js'
@@ -23,11 +23,19 @@
 /** An upload past its deadline is aborted after this time without a byte in either direction. */
 const UPLOAD_STALL_TIMEOUT_MS = 10_000
 
+/** An exchange of whose body the start is being read. */
+interface ReadingExchange {
+  /** Bytes read from its connection at the last check. */
+  bytesRead: number
+  deadlineAt: Milliseconds
+}
+
 /** An exchange that waits for a slot. */
 interface QueuedExchange {
   readonly exchange: HomeExchange
   readonly fingerprint: string
   readonly bodyPrefix: BodyPrefix
+  readonly deadlineAt: Milliseconds
 }
 
 /** An exchange whose request runs on the backend server. */
@@ -56,7 +64,7 @@
   const client = createBackendClient(backend.address, Math.min(backend.slots, backend.connections), backend.connections)
   const monitor = createBackendMonitor(backend.address, random, { onDown: handleBackendDown, onUp: handleBackendUp })
   /** Exchanges by state: the start of the body is being read, waiting for a slot, or running on the backend server. */
-  const reading = new Set<number>()
+  const reading = new Map<number, ReadingExchange>()
   const queued = new Map<number, QueuedExchange>()
   const running = new Map<number, RunningExchange>()
   let openExchanges = 0
@@ -92,10 +100,10 @@
     applyActions(admission.setLimits({ slots: monitor.isUp() ? concurrencyLimit.get() : 0, queue: limits.queue }, now))
   }
 
-  function startRun ({ exchange, fingerprint, bodyPrefix }: QueuedExchange): void {
+  function startRun ({ exchange, fingerprint, bodyPrefix, deadlineAt }: QueuedExchange): void {
     const now = clock.now()
     const { incoming, outgoing, request } = exchange
-    const { route, deadlineAt, attempt, caller } = request
+    const { route, attempt, caller } = request
     counters.record('queue', now - exchange.arrivedAt)
     const entry: RunningExchange = {
       exchange, fingerprint, startedAt: now, concurrent: running.size + 1, run: undefined
@@ -218,10 +226,28 @@
     const run = running.get(exchange.id)?.run
     if (run !== undefined && exchange.request.route.priority === 'upload') checkUpload(exchange, run)
     else if (run !== undefined) run.abort('deadline-passed')
+    else if (isReceiving(exchange)) updateDeadline(exchange)
     else if (cancelPending(exchange)) refuseExchange(exchange, 'deadline-passed')
     else exchange.refuse(504, 'deadline-passed', 'unknown')
   }
 
+  /** True if bytes of an upload that has not started have arrived since the last check. */
+  function isReceiving ({ id, incoming, request }: HomeExchange): boolean {
+    const state = reading.get(id)
+    if (state === undefined || request.route.priority !== 'upload') return false
+    const hasProgressed = incoming.socket.bytesRead > state.bytesRead
+    state.bytesRead = incoming.socket.bytesRead
+    return hasProgressed
+  }
+
+  /** Lets an upload whose first bytes arrive slowly continue past its deadline, by that of its route. */
+  function updateDeadline (exchange: HomeExchange): void {
+    const state = reading.get(exchange.id)
+    const { deadlineMs } = exchange.request.route
+    if (state !== undefined) state.deadlineAt = addMilliseconds(clock.now(), deadlineMs)
+    setTimeout(() => { if (exchange.isOpen()) handleDeadline(exchange) }, deadlineMs).unref()
+  }
+
   /** Lets a running upload continue past its deadline while it transfers bytes; aborts it once it stalls. */
   function checkUpload (exchange: HomeExchange, run: BackendRun): void {
     const remaining = run.getLastProgressAt() + UPLOAD_STALL_TIMEOUT_MS - clock.now()
@@ -229,10 +255,10 @@
     else setTimeout(() => { if (running.has(exchange.id)) checkUpload(exchange, run) }, remaining).unref()
   }
 
-  function submit (exchange: HomeExchange, bodyPrefix: BodyPrefix): void {
+  function submit (exchange: HomeExchange, bodyPrefix: BodyPrefix, deadlineAt: Milliseconds): void {
     const now = clock.now()
     const { method = 'GET', url = '/' } = exchange.incoming
-    const { caller, deadlineAt, route } = exchange.request
+    const { caller, route } = exchange.request
     const fingerprint = digestFingerprint(method, url, bodyPrefix.bytes)
     const isExclusive = crashReporter.isSuspect(fingerprint, now)
     if (!monitor.isUp()) {
@@ -240,7 +266,7 @@
     } else if (view.isQuarantined(fingerprint) && (isExclusive || !crashReporter.isTrusted(fingerprint, now))) {
       refuseExchange(exchange, 'crash-suspect')
     } else {
-      queued.set(exchange.id, { exchange, fingerprint, bodyPrefix })
+      queued.set(exchange.id, { exchange, fingerprint, bodyPrefix, deadlineAt })
       applyActions(admission.submit(
         { id: exchange.id, caller, priority: route.priority, deadlineAt, isExclusive }, now
       ))
@@ -253,8 +279,13 @@
       refuseExchange(exchange, 'draining')
       return
     }
-    reading.add(exchange.id)
-    readBodyPrefix(exchange.incoming, (bodyPrefix) => { if (reading.delete(exchange.id)) submit(exchange, bodyPrefix) })
+    const state: ReadingExchange = {
+      bytesRead: exchange.incoming.socket.bytesRead, deadlineAt: exchange.request.deadlineAt
+    }
+    reading.set(exchange.id, state)
+    readBodyPrefix(exchange.incoming, (bodyPrefix) => {
+      if (reading.delete(exchange.id)) submit(exchange, bodyPrefix, state.deadlineAt)
+    })
   }
 
   function checkDrained (): void {
--- a/packages/daemon/tests/requests/entry/createExchangeRunner.test.ts
+++ b/packages/daemon/tests/requests/entry/createExchangeRunner.test.ts
@@ -324,6 +324,37 @@
     expect(body).to.equal('/photos 15000')
   })
 
+  it('extends the deadline of an upload whose first bytes arrive slowly (guards against refusing large uploads)', async () => {
+    await addGoodHost()
+    const body = await new Promise<string>((resolve, reject) => {
+      const headers = { 'snipenotch-deadline-ms': '100' }
+      const upload = request(`http://${entry.requests}/photos`, { method: 'PUT', headers, agent: false }, (response) => {
+        response.on('data', (chunk: Buffer) => resolve(chunk.toString()))
+      }).on('error', reject)
+      let sent = 0
+      const timer = setInterval(() => {
+        upload.write('x'.repeat(500))
+        if (++sent < 15) return
+        clearInterval(timer)
+        upload.end()
+      }, 30)
+    })
+    expect(body).to.equal('/photos 7500')
+  })
+
+  it('refuses an upload that stalls before its first bytes are complete (guards against a body that is awaited for good)', async () => {
+    await addGoodHost()
+    const response = await new Promise<string>((resolve, reject) => {
+      const headers = { 'snipenotch-deadline-ms': '100' }
+      const upload = request(`http://${entry.requests}/photos`, { method: 'PUT', headers, agent: false }, (incoming) => {
+        resolve(`${String(incoming.statusCode)} ${String(incoming.headers['snipenotch-outcome'])}`)
+        upload.destroy()
+      }).on('error', reject)
+      upload.write('x'.repeat(500))
+    })
+    expect(response).to.equal('504 not-run')
+  })
+
   it('applies back-pressure to a response when the caller reads slowly (guards against unbounded memory)', async () => {
     const CHUNK = Buffer.alloc(65_536, 'y')
     let written = 0
