--- a/packages/daemon/tests/requests/entry/createExchangeRunner.test.ts
+++ b/packages/daemon/tests/requests/entry/createExchangeRunner.test.ts
@@ -306,40 +306,31 @@
     expect(held).to.be.below(12 * 1024 * 1024)
   })
 
-  it('extends the deadline of an upload while bytes arrive (guards against aborting large uploads)', async () => {
-    await addGoodHost()
-    const body = await new Promise<string>((resolve, reject) => {
+  /** Uploads 15 chunks with a deadline of 100 ms, one in each interval; resolves with the body of the response. */
+  function sendChunks (chunkBytes: number, intervalMs: number): Promise<string> {
+    return new Promise((resolve, reject) => {
       const headers = { 'snipenotch-deadline-ms': '100' }
       const upload = request(`http://${entry.requests}/photos`, { method: 'PUT', headers, agent: false }, (response) => {
         response.on('data', (chunk: Buffer) => resolve(chunk.toString()))
       }).on('error', reject)
       let sent = 0
       const timer = setInterval(() => {
-        upload.write('x'.repeat(1000))
+        upload.write('x'.repeat(chunkBytes))
         if (++sent < 15) return
         clearInterval(timer)
         upload.end()
-      }, 20)
+      }, intervalMs)
     })
-    expect(body).to.equal('/photos 15000')
+  }
+
+  it('extends the deadline of an upload while bytes arrive (guards against aborting large uploads)', async () => {
+    await addGoodHost()
+    expect(await sendChunks(1000, 20)).to.equal('/photos 15000')
   })
 
   it('extends the deadline of an upload whose first bytes arrive slowly (guards against refusing large uploads)', async () => {
     await addGoodHost()
-    const body = await new Promise<string>((resolve, reject) => {
-      const headers = { 'snipenotch-deadline-ms': '100' }
-      const upload = request(`http://${entry.requests}/photos`, { method: 'PUT', headers, agent: false }, (response) => {
-        response.on('data', (chunk: Buffer) => resolve(chunk.toString()))
-      }).on('error', reject)
-      let sent = 0
-      const timer = setInterval(() => {
-        upload.write('x'.repeat(500))
-        if (++sent < 15) return
-        clearInterval(timer)
-        upload.end()
-      }, 30)
-    })
-    expect(body).to.equal('/photos 7500')
+    expect(await sendChunks(500, 30)).to.equal('/photos 7500')
   })
 
   it('refuses an upload that stalls before its first bytes are complete (guards against a body that is awaited for good)', async () => {
