feat(routing): placement counts the bytes of responses

Load: downloads of 90 KB beside small requests. Cause: the candidate finder reckoned 1,200 bytes for head and response on every route, so that downloads crossed data centres as if they were small. Change: each entry node learns the size of a route's responses and counts it, both ways, in the cost of another data centre and of a narrow link. Costs of small responses are unchanged.

--- a/packages/node/src/entry/createCandidateFinder.ts
+++ b/packages/node/src/entry/createCandidateFinder.ts
@@ -10,6 +10,12 @@
   readonly record: HostRecord
 }
 
+/** Bytes that a request moves over the network: its body, and the body that is expected in response. */
+export interface RequestBytes {
+  readonly request: number
+  readonly response: number
+}
+
 /** Finds the hosts that are eligible to run a request. */
 export interface CandidateFinder {
   /**
@@ -17,7 +23,7 @@
    * of a version under rollout are returned only if it was drawn.
    */
   readonly find: (
-    service: string, version: string | undefined, bytes: number, tried: ReadonlySet<string>
+    service: string, version: string | undefined, bytes: RequestBytes, tried: ReadonlySet<string>
   ) => Candidate[]
   /** Number of hosts that serve a service, eligible or not. */
   readonly count: (service: string) => number
@@ -39,12 +45,14 @@
  */
 const OTHER_DATA_CENTRE_COST_MS_PER_KB = 3
 /**
- * Factor for a body's transfer time over the slower of the two network links: a body delays its own request and those
- * queued behind it on the link.
+ * Factor for the transfer time of both bodies over the slower of the two network links: a body delays its own request
+ * and those queued behind it on the link.
  */
 const TRANSFER_WEIGHT = 2
-/** Assumed size of a request head and a short response, in bytes. */
-const HEAD_AND_RESPONSE_BYTES = 1200
+/** Assumed size of the heads of a request and its response, in bytes. */
+const HEAD_BYTES = 400
+/** Size of a response body whose transfer time is negligible on every link, in bytes. */
+const SHORT_RESPONSE_BYTES = 2000
 
 /** Part of the mesh view that the finder uses. */
 type FinderView = Pick<MeshView, 'listServing' | 'isEvacuated' | 'isVersionAllowed' | 'getRelease'>
@@ -54,15 +62,16 @@
   { settings, random }: NodeContext, view: FinderView, health: Pick<HostHealth, 'isDown'>,
   evidence: Pick<VersionEvidence, 'findCut'>
 ): CandidateFinder {
-  function computeDistanceMs (record: HostRecord, bytes: number): number {
+  function computeDistanceMs (record: HostRecord, { request, response }: RequestBytes): number {
     if (record.host === settings.host) return 0
-    const transferMs = computeTransferMs(bytes, record.linkMbps, settings.linkMbps) * TRANSFER_WEIGHT
+    const transferredBytes = request + Math.max(0, response - SHORT_RESPONSE_BYTES)
+    const transferMs = computeTransferMs(transferredBytes, record.linkMbps, settings.linkMbps) * TRANSFER_WEIGHT
     if (record.dataCentre === settings.dataCentre) return OTHER_HOST_COST_MS + transferMs
-    const costMs = (bytes + HEAD_AND_RESPONSE_BYTES) / 1024 * OTHER_DATA_CENTRE_COST_MS_PER_KB
+    const costMs = (request + response + HEAD_BYTES) / 1024 * OTHER_DATA_CENTRE_COST_MS_PER_KB
     return OTHER_DATA_CENTRE_COST_MS + transferMs + costMs
   }
 
-  function buildCandidates (records: readonly HostRecord[], bytes: number): Candidate[] {
+  function buildCandidates (records: readonly HostRecord[], bytes: RequestBytes): Candidate[] {
     return records.map((record) => ({
       record, host: record.host, slots: record.slots, distanceMs: computeDistanceMs(record, bytes)
     }))
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -1,11 +1,11 @@
 import type { MeshRoute, Milliseconds, ServingRefusalReason } from '@snipenotch/contracts'
-import type { EvidenceReport, LoadBalancer } from '@snipenotch/decisions'
+import { createResponseSizes, type EvidenceReport, type LoadBalancer } from '@snipenotch/decisions'
 import type { NodeContext } from '../NodeContext.js'
 import type { BackendDispatcher } from '../home/createBackendDispatcher.js'
 import { FIRST_FAILURE_STATUS, type BackendJob, type JobOutcome } from '../home/BackendJob.js'
 import { runContained } from '../operations/runContained.js'
 import { LARGE_BODY_BYTES } from '../peers/ForwardingMessage.js'
-import type { Candidate, CandidateFinder } from './createCandidateFinder.js'
+import type { Candidate, CandidateFinder, RequestBytes } from './createCandidateFinder.js'
 import type { ForwardingClient } from './createForwardingClient.js'
 import type { RetryBudgets } from './createRetryBudgets.js'
 import type { RolloutTraffic } from './createRolloutTraffic.js'
@@ -96,6 +96,7 @@
   { context, dispatcher, client, finder, loadBalancer, retryBudgets, rolloutTraffic, onEvidence }: ExchangeOptions
 ): StartExchange {
   const { settings, clock, log, counters } = context
+  const responseSizes = createResponseSizes()
 
   function computeBusyLimit (service: string): number {
     const share = finder.count(service) / HOSTS_PER_BUSY_REFUSAL
@@ -119,6 +120,8 @@
     /** Latest outcome of an attempt that ran, or may have run. */
     let lastRun: { readonly outcome: JobOutcome, readonly host: string } | undefined
 
+    const getBytes = (): RequestBytes => ({ request: request.body.length, response: responseSizes.get(route.name) })
+
     function end (outcome: JobOutcome, host: string | undefined): void {
       current = undefined
       currentHost = undefined
@@ -187,7 +190,7 @@
       if (lostRuns >= MAX_LOST_RUNS) return false
       if (attemptsMade >= route.maxAttempts || hostsAsked >= MAX_HOSTS_ASKED) return false
       if (deadlineAt - clock.now() < route.targetLatencyMs * MIN_RETRY_TIME_SHARE) return false
-      if (finder.find(service, version, 0, tried).length === 0) return false
+      if (finder.find(service, version, getBytes(), tried).length === 0) return false
       if (!retryBudgets.take(service)) {
         counters.count('serving_resends', 'budget-spent')
         return false
@@ -221,6 +224,7 @@
         return
       }
       tries += 1
+      if (outcome.kind === 'answered') responseSizes.record(route.name, outcome.body.length)
       if (outcome.kind === 'lost') lostRuns += 1
       const isNotRun = outcome.kind === 'answered' && outcome.notRun
       if (!isNotRun) lastRun = { outcome, host: candidate.host }
@@ -231,12 +235,12 @@
     }
 
     function sendToNextHost (): void {
-      const bytes = request.body.length
+      const bytes = getBytes()
       const candidates = hostsAsked < MAX_HOSTS_ASKED ? finder.find(service, version, bytes, tried) : []
       if (candidates.some(({ host }) => host === settings.host)) {
         loadBalancer.recordLoad(settings.host, dispatcher.getLoad(), clock.now())
       }
-      const requirements = { targetLatencyMs: route.targetLatencyMs, hasLargeBody: bytes > LARGE_BODY_BYTES }
+      const requirements = { targetLatencyMs: route.targetLatencyMs, hasLargeBody: bytes.request > LARGE_BODY_BYTES }
       const chosen = loadBalancer.choose(candidates, requirements, clock.now())
       const candidate = candidates.find(({ host }) => host === chosen?.host)
       if (candidate === undefined) {
--- a/packages/node/tests/entry/createCandidateFinder.test.ts
+++ b/packages/node/tests/entry/createCandidateFinder.test.ts
@@ -16,8 +16,8 @@
     isVersionAllowed: () => true,
     getRelease: () => undefined
   }, { isDown: () => false }, { findCut: () => undefined })
-  const measure = (bytes: number): Record<string, number> => Object.fromEntries(
-    finder.find('parts', undefined, bytes, new Set()).map(({ host, distanceMs }) => [host, Math.round(distanceMs)]))
+  const measure = (request: number, response = 800): Record<string, number> => Object.fromEntries(
+    finder.find('parts', undefined, { request, response }, new Set()).map(({ host, distanceMs }) => [host, Math.round(distanceMs)]))
 
   it('includes the transfer time of a large body over a slow link (guards against uploads that saturate the links of a few hosts)', () => {
     expect(measure(60_000)).to.deep.equal({ 'krakow-1': 0, wide: 17, narrow: 124, far: 199 })
@@ -27,6 +27,10 @@
     expect(measure(0)).to.deep.equal({ 'krakow-1': 0, wide: 10, narrow: 10, far: 17 })
   })
 
+  it('keeps a large response in its data centre (guards against downloads that cross data centres as if they were small)', () => {
+    expect(measure(0, 90_000)).to.deep.equal({ 'krakow-1': 0, wide: 20, narrow: 178, far: 288 })
+  })
+
   it('returns no host of the new version for a request drawn for the old one (guards against retries past the share of a rollout)', () => {
     const mixed = [createRecord('old'), createRecord('new', { version: 'v2' })]
     const rollout = {
@@ -39,7 +43,7 @@
       getRelease: () => ({ service: 'parts', stable: 'v1', denied: [], rollout })
     }, { isDown: () => false }, { findCut: () => undefined })
     const findHosts = (version: string, tried: string[]): string[] =>
-      mixedFinder.find('parts', version, 0, new Set(tried)).map(({ host }) => host)
+      mixedFinder.find('parts', version, { request: 0, response: 0 }, new Set(tried)).map(({ host }) => host)
     expect(findHosts('v1', ['old'])).to.deep.equal([])
     expect(findHosts('v2', ['new'])).to.deep.equal(['old'])
   })
