feat(home): large responses leave in parts at the rate of the link

Load: downloads of 90 KB over links of 10 Mbit/s, beside small requests and internal calls. Cause: responses queued in the sockets of the home node, so that calls with deadlines of 362 ms waited behind megabytes of downloads. Change: the home node sends responses above 16 KB in parts with at most 30 ms of its link ahead, reports the backlog of the link, and refuses at once a request whose response could not arrive in time. Nodes of earlier builds get whole responses.

--- a/packages/decisions/src/serving/createLoadBalancer.ts
+++ b/packages/decisions/src/serving/createLoadBalancer.ts
@@ -11,6 +11,8 @@
   readonly failureShare: number
   /** Time until a large body offered now would begin to arrive, in milliseconds. */
   readonly fetchMs: number
+  /** Time until the link of the host has room for another large response, in milliseconds; 0 if unknown. */
+  readonly linkMs?: number
 }
 
 /** A host that can run a request. */
@@ -26,6 +28,8 @@
   readonly targetLatencyMs: number
   /** True if the body is large, so that the chosen host has to fetch it. */
   readonly hasLargeBody: boolean
+  /** True if the response is expected to be large, so that it waits for the link of the chosen host. */
+  readonly hasLargeResponse?: boolean
 }
 
 /**
@@ -56,6 +60,7 @@
   serviceMs: number
   failureShare: number
   fetchMs: number
+  linkMs: number
   avoidUntil: Milliseconds
 }
 
@@ -98,6 +103,7 @@
         serviceMs: 0,
         failureShare: 0,
         fetchMs: 0,
+        linkMs: 0,
         avoidUntil: zero
       }
       hosts.set(host, found)
@@ -119,7 +125,8 @@
     const utilisation = Math.min(1, load / slots)
     const failureMs = state.failureShare * performanceWeight * request.targetLatencyMs * 2
     const fetchMs = request.hasLargeBody ? state.fetchMs * loadWeight : 0
-    return waitMs + fetchMs + serviceMs * (1 + SATURATION_SLOWDOWN * utilisation * utilisation) + failureMs +
+    const linkMs = request.hasLargeResponse === true ? state.linkMs * loadWeight : 0
+    return waitMs + fetchMs + linkMs + serviceMs * (1 + SATURATION_SLOWDOWN * utilisation * utilisation) + failureMs +
       candidate.distanceMs
   }
 
@@ -143,6 +150,7 @@
     state.serviceMs = load.serviceMs
     state.failureShare = load.failureShare
     state.fetchMs = load.fetchMs
+    state.linkMs = load.linkMs ?? 0
   }
 
   return {
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -240,7 +240,11 @@
       if (candidates.some(({ host }) => host === settings.host)) {
         loadBalancer.recordLoad(settings.host, dispatcher.getLoad(), clock.now())
       }
-      const requirements = { targetLatencyMs: route.targetLatencyMs, hasLargeBody: bytes.request > LARGE_BODY_BYTES }
+      const requirements = {
+        targetLatencyMs: route.targetLatencyMs,
+        hasLargeBody: bytes.request > LARGE_BODY_BYTES,
+        hasLargeResponse: bytes.response > LARGE_BODY_BYTES
+      }
       const chosen = loadBalancer.choose(candidates, requirements, clock.now())
       const candidate = candidates.find(({ host }) => host === chosen?.host)
       if (candidate === undefined) {
--- a/packages/node/src/entry/createForwardingConnection.ts
+++ b/packages/node/src/entry/createForwardingConnection.ts
@@ -2,6 +2,7 @@
 import { WebSocket } from 'ws'
 import type { NodeContext } from '../NodeContext.js'
 import type { BackendJob, JobOutcome } from '../home/BackendJob.js'
+import { type BufferHolder, updateBuffer } from '../operations/BufferHolder.js'
 import { runContained } from '../operations/runContained.js'
 import { createBatchSender } from '../peers/createBatchSender.js'
 import { WEBSOCKET_OPTIONS } from '../peers/WEBSOCKET_OPTIONS.js'
@@ -47,6 +48,10 @@
   /** Bytes of the body sent so far. */
   sentBytes: number
   readonly job: BackendJob
+  /** Parts of the response body received so far. */
+  readonly parts: Buffer[]
+  /** Counts the parts towards the memory of this node. */
+  readonly holder: BufferHolder
   readonly onOutcome: (outcome: JobOutcome) => void
 }
 
@@ -54,7 +59,7 @@
 export function createForwardingConnection (
   { context, record, onUnreachable, onVersions }: ForwardingConnectionOptions
 ): ForwardingConnection {
-  const { clock, counters, log } = context
+  const { buffers, clock, counters, log } = context
   const socket = new WebSocket(`ws://${record.requestAddress}/`, {
     ...WEBSOCKET_OPTIONS,
     handshakeTimeout: CONNECT_TIMEOUT_MS,
@@ -73,6 +78,7 @@
     const found = pending.get(id)
     if (found === undefined) return
     pending.delete(id)
+    buffers.release(found.holder)
     delete found.job.cancel
     if (outcome.kind === 'lost') counters.count('serving_losses', outcome.reason)
     runContained(context, () => { found.onOutcome(outcome) }, undefined, { request: found.job.attemptId })
@@ -81,6 +87,7 @@
   function cancel (id: number): boolean {
     const found = pending.get(id)
     pending.delete(id)
+    if (found !== undefined) buffers.release(found.holder)
     if (sender.remove(id)) return true
     sender.add({ kind: 'cancel', id })
     return found !== undefined && found.sentBytes < found.job.body.length
@@ -103,12 +110,35 @@
     if (sentAt === undefined) return
     const transitMs = Math.max(0, clock.now() - sentAt - message.processingMs)
     counters.record('transit', transitMs)
-    end(message.id, { ...message.outcome, transitMs })
+    end(message.id, { ...buildOutcome(message), transitMs })
+  }
+
+  /** Returns the outcome of a message, with the parts of the response body that arrived ahead of it. */
+  function buildOutcome ({ id, outcome }: Extract<ForwardingMessage, { kind: 'outcome' }>): JobOutcome {
+    const parts = pending.get(id)?.parts ?? []
+    if (outcome.kind !== 'answered' || parts.length === 0) return outcome
+    return { ...outcome, body: Buffer.concat([...parts, outcome.body]) }
+  }
+
+  /** Keeps a part of a response body; a request that has ended gets no more. */
+  function handlePart (id: number, part: Buffer): void {
+    const found = pending.get(id)
+    if (found === undefined) return
+    found.parts.push(part)
+    updateBuffer(buffers, found.holder, part.length)
+  }
+
+  /** Gives up a response whose parts do not fit into the buffers of this node. */
+  function cancelResponse (id: number): void {
+    if (!pending.has(id)) return
+    sender.add({ kind: 'cancel', id })
+    end(id, { kind: 'lost', reason: 'answer-endless' })
   }
 
   function handleMessage (message: ForwardingMessage): void {
     if (message.kind === 'outcome') handleOutcome(message)
     else if (message.kind === 'pull') sendParts(message.id, message.bytes)
+    else if (message.kind === 'part') handlePart(message.id, message.part)
   }
 
   const isEnding = (): boolean => socket.readyState === socket.CLOSING
@@ -159,9 +189,11 @@
       if (pending.size === 0) lastActivityAt = clock.now()
       const bytes = job.body.length
       const isOffered = bytes > LARGE_BODY_BYTES
-      pending.set(id, { sentAt: clock.now(), sentBytes: isOffered ? 0 : bytes, job, onOutcome })
+      const holder: BufferHolder = { drop: () => { cancelResponse(id) } }
+      pending.set(id, { sentAt: clock.now(), sentBytes: isOffered ? 0 : bytes, job, parts: [], holder, onOutcome })
+      const forwarded = { ...job, acceptsParts: true }
       job.cancel = () => cancel(id)
-      sender.add(isOffered ? { kind: 'offer', id, job: { ...job, body: EMPTY_BODY }, bytes } : { kind: 'run', id, job })
+      sender.add(isOffered ? { kind: 'offer', id, job: { ...forwarded, body: EMPTY_BODY }, bytes } : { kind: 'run', id, job: forwarded })
     },
     countPending: () => pending.size,
     countPendingBytes: () =>
--- a/packages/node/src/home/BackendJob.ts
+++ b/packages/node/src/home/BackendJob.ts
@@ -17,6 +17,8 @@
   readonly headers: readonly string[]
   readonly body: Buffer
   readonly arrivedAt: Milliseconds
+  /** True if the node that forwards the request accepts the body of its response in parts. */
+  readonly acceptsParts?: boolean | undefined
   /**
    * Takes permission to send the request to another host although its outcome at this one is unknown; false if the
    * outcome must be awaited.
--- a/packages/node/src/home/acceptForwardingConnection.ts
+++ b/packages/node/src/home/acceptForwardingConnection.ts
@@ -6,16 +6,19 @@
 import { isEventLoopDelayed, runUnlessAbandoned } from '../operations/runUnlessAbandoned.js'
 import { createBatchSender } from '../peers/createBatchSender.js'
 import { decodeBatch, encodeLastRequest } from '../peers/forwardingCodec.js'
-import type { ForwardedJob, ForwardingMessage, TableVersions } from '../peers/ForwardingMessage.js'
+import { type ForwardedJob, type ForwardingMessage, LARGE_BODY_BYTES, type TableVersions } from '../peers/ForwardingMessage.js'
 import type { BodyReceiver, IncomingBody } from './createBodyReceiver.js'
 import type { BackendDispatcher } from './createBackendDispatcher.js'
 import type { BackendJob, JobOutcome } from './BackendJob.js'
+import type { OutgoingResponse, ResponseSender } from './createResponseSender.js'
 
 /**
  * Time in milliseconds without an outgoing message, while requests are open, after which a heartbeat is sent. Most
  * requests end sooner, and each heartbeat wakes two processes.
  */
 export const HEARTBEAT_INTERVAL_MS = 200
+/** Unsent bytes of a connection above which it gets no further parts of responses: its receiver does not read. */
+const MAX_UNSENT_PART_BYTES = 65_536
 /** Status code of a close frame without an error. */
 const NORMAL_CLOSURE = 1000
 
@@ -37,6 +40,7 @@
   readonly context: NodeContext
   readonly dispatcher: Pick<BackendDispatcher, 'run' | 'findRefusal' | 'getLoad'>
   readonly receiver: BodyReceiver
+  readonly responseSender: ResponseSender
   /** Versions of this node's copies of the tables. */
   readonly getVersions: () => TableVersions
   readonly socket: WebSocket
@@ -47,13 +51,17 @@
 
 /** Handles the requests that one other node forwards over `socket`, and sends their outcomes back. */
 export function acceptForwardingConnection (options: AcceptedConnectionOptions): AcceptedConnection {
-  const { context, dispatcher, receiver, getVersions, socket, peer, onClose } = options
+  const { context, dispatcher, receiver, responseSender, getVersions, socket, peer, onClose } = options
   const { buffers, clock, counters, log, ticker } = context
   const sender = createBatchSender(socket, context)
   const openJobs = new Map<number, BackendJob>()
   /** Bodies of open requests that are still being fetched, by request id. */
   const pendingBodies = new Map<number, IncomingBody>()
-  /** Requests whose bodies were fetched, or are being fetched. */
+  /** Responses that wait for the link, by request id. */
+  const outgoing = new Map<number, OutgoingResponse>()
+  /** Bytes of the link that are reserved for the expected responses, by request id. */
+  const reserved = new Map<number, number>()
+  /** Requests whose bodies were fetched, or are being fetched, and those whose responses wait for the link. */
   const holders = new Map<number, BufferHolder>()
   /** Time of the last outgoing message, or of the first request received since then while none was open. */
   let idleSince = clock.now()
@@ -72,24 +80,84 @@
     holders.delete(id)
   }
 
+  function releaseLink (id: number): void {
+    responseSender.release(reserved.get(id) ?? 0)
+    reserved.delete(id)
+  }
+
   function closeIfIdle (): void {
     if (!isEnding || openJobs.size > 0) return
     sender.flush()
     socket.close(NORMAL_CLOSURE, encodeLastRequest(lastRequest))
   }
 
-  function end (id: number, job: BackendJob, outcome: JobOutcome): void {
+  function sendOutcome (id: number, job: BackendJob, outcome: JobOutcome): void {
     openJobs.delete(id)
-    pendingBodies.delete(id)
     releaseBuffer(id)
     const known = outcome.load ?? dispatcher.getLoad()
     // Requests whose bodies are still being fetched will need slots soon.
-    const load = { ...known, load: known.load + receiver.count(), fetchMs: receiver.getBacklogMs() }
+    const load = {
+      ...known,
+      load: known.load + receiver.count(),
+      fetchMs: receiver.getBacklogMs(),
+      linkMs: responseSender.getBacklogMs()
+    }
     const processingMs = clock.now() - job.arrivedAt
     send({ kind: 'outcome', id, outcome: { ...outcome, load }, versions: getVersions(), processingMs })
     closeIfIdle()
   }
 
+  /** Sends a large response in parts as the link has room; the request stays open until the last one is sent. */
+  function sendInParts (id: number, job: BackendJob, outcome: Extract<JobOutcome, { kind: 'answered' }>): void {
+    const response: OutgoingResponse = {
+      bytes: outcome.body.length,
+      body: outcome.body,
+      priority: job.priority,
+      targetAt: job.targetAt,
+      deadlineAt: job.deadlineAt,
+      isBlocked: () => socket.bufferedAmount > MAX_UNSENT_PART_BYTES,
+      drop: () => { socket.terminate() },
+      sendPart: (part) => { send({ kind: 'part', id, part }) },
+      sendLast: (rest) => {
+        outgoing.delete(id)
+        sendOutcome(id, job, { ...outcome, body: rest })
+      }
+    }
+    const holder: BufferHolder = { drop: () => undefined }
+    holders.set(id, holder)
+    updateBuffer(buffers, holder, response.bytes)
+    // A response that is ready is always delivered.
+    buffers.settle(holder)
+    outgoing.set(id, response)
+    responseSender.send(response)
+  }
+
+  function end (id: number, job: BackendJob, outcome: JobOutcome): void {
+    pendingBodies.delete(id)
+    releaseBuffer(id)
+    releaseLink(id)
+    const bytes = outcome.kind === 'answered' ? outcome.body.length : 0
+    if (outcome.kind === 'answered') responseSender.recordSize(job.route, bytes)
+    if (outcome.kind === 'answered' && bytes > LARGE_BODY_BYTES && job.acceptsParts === true) {
+      sendInParts(id, job, outcome)
+      return
+    }
+    responseSender.recordSent(bytes)
+    sendOutcome(id, job, outcome)
+  }
+
+  /** Begins a request, unless the link is so busy that its response could not arrive before the deadline. */
+  function beginUnlessLinkBusy (id: number, job: BackendJob, begin: (job: BackendJob) => void): void {
+    const waitMs = responseSender.findOverload(job)
+    if (waitMs === undefined) {
+      reserved.set(id, responseSender.reserve(job.route))
+      begin(job)
+      return
+    }
+    counters.count('serving_refusals', 'link-full')
+    end(id, job, { kind: 'refused', reason: 'busy', waitMs })
+  }
+
   function run (id: number, job: BackendJob): void {
     openJobs.set(id, job)
     dispatcher.run(job, (outcome) => { end(id, job, outcome) })
@@ -145,7 +213,7 @@
     const request = { mayBeStale: isEventLoopDelayed(ticker), isAbandoned }
     const recordAbandoned = (): void => { counters.count('serving_requests', 'left') }
     const beginOrFail = (): void => {
-      runContained(context, () => { begin(job) }, () => {
+      runContained(context, () => { beginUnlessLinkBusy(id, job, begin) }, () => {
         end(id, job, { kind: 'lost', reason: 'internal-error' })
       }, { request: job.attemptId })
     }
@@ -162,7 +230,11 @@
     openJobs.delete(id)
     pendingBodies.delete(id)
     releaseBuffer(id)
+    releaseLink(id)
     if (body !== undefined) receiver.cancel(body)
+    const response = outgoing.get(id)
+    if (response !== undefined) responseSender.cancel(response)
+    outgoing.delete(id)
     job?.cancel?.()
     closeIfIdle()
   }
--- a/packages/node/src/home/createForwardingServer.ts
+++ b/packages/node/src/home/createForwardingServer.ts
@@ -6,6 +6,7 @@
 import { type AcceptedConnection, acceptForwardingConnection } from './acceptForwardingConnection.js'
 import { createBodyReceiver } from './createBodyReceiver.js'
 import type { BackendDispatcher } from './createBackendDispatcher.js'
+import { createResponseSender } from './createResponseSender.js'
 
 /** Interval between checks of the connections, in milliseconds. */
 const CHECK_INTERVAL_MS = 50
@@ -31,13 +32,21 @@
   const { clock, counters, log, settings, ticker } = context
   const connections = new Set<AcceptedConnection>()
   const receiver = createBodyReceiver(clock, settings.linkMbps)
+  const responseSender = createResponseSender(context)
 
   const server = createServer((_, response) => { response.writeHead(404, { 'content-length': 0 }).end() })
   const webSocketServer = new WebSocketServer({ ...WEBSOCKET_OPTIONS, server })
   webSocketServer.on('connection', (socket, incoming) => {
     const peer = incoming.socket.remoteAddress ?? ''
     const connection = acceptForwardingConnection({
-      context, dispatcher, receiver, getVersions, socket, peer, onClose: () => { connections.delete(connection) }
+      context,
+      dispatcher,
+      receiver,
+      responseSender,
+      getVersions,
+      socket,
+      peer,
+      onClose: () => { connections.delete(connection) }
     })
     connections.add(connection)
   })
@@ -49,7 +58,7 @@
   })
 
   const countUnsentBytes = (): number =>
-    [...webSocketServer.clients].reduce((sum, socket) => sum + socket.bufferedAmount, 0)
+    [...webSocketServer.clients].reduce((sum, socket) => sum + socket.bufferedAmount, responseSender.countBytes())
 
   function logAbandoned (): void {
     const abandoned = webSocketServer.clients.size
@@ -76,6 +85,7 @@
       stopChecks()
       server.close()
       logAbandoned()
+      responseSender.close()
       for (const socket of webSocketServer.clients) socket.terminate()
     }
   }
--- a/packages/node/src/peers/ForwardingMessage.ts
+++ b/packages/node/src/peers/ForwardingMessage.ts
@@ -13,7 +13,7 @@
 export type ForwardedJob = Pick<
   BackendJob,
   'service' | 'route' | 'priority' | 'idempotent' | 'targetAt' | 'deadlineAt' | 'targetLatencyMs' | 'attemptId' |
-  'callerService' | 'method' | 'target' | 'headers' | 'body'
+  'callerService' | 'method' | 'target' | 'headers' | 'body' | 'acceptsParts'
 >
 
 /** Messages about forwarded requests. `id` identifies a request within one connection. */
@@ -23,7 +23,10 @@
   | { readonly kind: 'offer', readonly id: number, readonly job: ForwardedJob, readonly bytes: number }
   /** Requests the next bytes of an offered body. */
   | { readonly kind: 'pull', readonly id: number, readonly bytes: number }
-  /** A chunk of an offered body. */
+  /**
+   * A chunk of an offered body, or, from the node of the backend server, of a response body. The outcome that follows
+   * holds the rest of the response body.
+   */
   | { readonly kind: 'part', readonly id: number, readonly part: Buffer }
   /** The caller has disconnected, or the request was sent to another host. */
   | { readonly kind: 'cancel', readonly id: number }
--- a/packages/node/src/peers/forwardingCodec.ts
+++ b/packages/node/src/peers/forwardingCodec.ts
@@ -12,12 +12,22 @@
 /** Fields of an encoded message, in order. */
 type EncodedFields = unknown[]
 
+/** Encodes the optional fields of a job as a map behind the others, which nodes of earlier builds pass over. */
+function encodeJobOptions ({ acceptsParts }: ForwardedJob): EncodedFields {
+  return acceptsParts === true ? [{ parts: true }] : []
+}
+
+function decodeJobOptions (encoded: unknown): Pick<ForwardedJob, 'acceptsParts'> {
+  if (typeof encoded !== 'object' || encoded === null) return {}
+  return 'parts' in encoded && encoded.parts === true ? { acceptsParts: true } : {}
+}
+
 /** Encodes deadlines as remaining times, because the clocks of two hosts are unrelated. */
 function encodeJob (job: ForwardedJob, now: Milliseconds): EncodedFields {
   return [
     job.service, job.route, job.priority, job.idempotent, Math.round(job.targetAt - now),
     Math.round(job.deadlineAt - now), job.targetLatencyMs, job.attemptId, job.callerService, job.method, job.target,
-    job.headers, job.body
+    job.headers, job.body, ...encodeJobOptions(job)
   ]
 }
 
@@ -31,7 +41,7 @@
     ? null
     : [
         load.load, computeRounded(load.slots, 10), Math.round(load.serviceMs), computeRounded(load.failureShare, 100),
-        Math.round(load.fetchMs)
+        Math.round(load.fetchMs), 1, Math.round(load.linkMs ?? 0)
       ]
   const common = [id, encodedLoad, versions, Math.round(processingMs)]
   // The last field, so that nodes of earlier builds pass over it.
@@ -71,7 +81,7 @@
 
 function decodeJob (fields: readonly unknown[], now: Milliseconds): ForwardedJob | undefined {
   const [service, route, priority, idempotent, targetRemainingMs, remainingMs, targetLatencyMs, ...rest] = fields
-  const [attemptId, callerService, method, target, headers, body] = rest
+  const [attemptId, callerService, method, target, headers, body, options] = rest
   if (!isString(service) || !isString(route) || !isString(attemptId) || !isString(callerService)) return undefined
   if (!isString(method) || !isString(target) || !isHeaderList(headers) || !Buffer.isBuffer(body)) return undefined
   if (!isNumber(priority) || !isNumber(targetRemainingMs) || !isNumber(remainingMs) ||
@@ -89,16 +99,18 @@
     method,
     target,
     headers,
-    body
+    body,
+    ...decodeJobOptions(options)
   }
 }
 
 function decodeLoad (encodedLoad: unknown): ReportedLoad | undefined {
   if (!Array.isArray(encodedLoad) || !encodedLoad.every(isNumber)) return undefined
-  const [load, slots, serviceMs, failureShare, fetchMs] = encodedLoad
+  // Nodes of earlier builds report the first five only.
+  const [load, slots, serviceMs, failureShare, fetchMs, , linkMs = 0] = encodedLoad
   if (load === undefined || slots === undefined) return undefined
   if (serviceMs === undefined || failureShare === undefined || fetchMs === undefined) return undefined
-  return { load, slots, serviceMs, failureShare, fetchMs }
+  return { load, slots, serviceMs, failureShare, fetchMs, ...(linkMs > 0 ? { linkMs } : {}) }
 }
 
 function decodeOutcome (code: number, fields: readonly unknown[]): JobOutcome | undefined {
--- a/packages/node/tests/entry/createForwardingConnection.test.ts
+++ b/packages/node/tests/entry/createForwardingConnection.test.ts
@@ -64,6 +64,22 @@
     expect(connection.countPending()).to.equal(0)
   })
 
+  it('joins the parts of a response, and reports it as lost if the connection ends between them (guards against partial responses)', async () => {
+    for (const attemptId of ['whole', 'cut']) send(createJob({ attemptId }))
+    await awaitCondition('both arrived', () => received.length === 2)
+    const [whole, cut] = received.map((message) => 'id' in message ? message.id : 0)
+    for (const id of [whole, cut]) answer({ kind: 'part', id: id ?? 0, part: Buffer.from('first ') })
+    const outcome: JobOutcome = { kind: 'answered', status: 200, headers: [], body: Buffer.from('rest'), notRun: false }
+    answer({ kind: 'outcome', id: whole ?? 0, outcome, versions: [], processingMs: 0 })
+    await awaitCondition('one ended', () => outcomes.length === 1)
+    expect(outcomes[0]).to.have.property('kind', 'answered')
+    if (outcomes[0]?.kind === 'answered') expect(outcomes[0].body.toString()).to.equal('first rest')
+    accepted?.terminate()
+    await awaitCondition('the other ended', () => outcomes.length === 2)
+    expect(outcomes[1]).to.include({ kind: 'lost', reason: 'connection-lost' })
+    expect(context.buffers.getBytes()).to.equal(0)
+  })
+
   it('delivers the outcomes behind one whose handling throws (guards against sound responses that are lost)', async () => {
     connection.send(createJob({ attemptId: 'faulty' }), () => { throw new Error('defect') })
     for (const attemptId of ['same-frame', 'next-frame']) send(createJob({ attemptId }))
--- a/packages/node/tests/home/createForwardingServer.test.ts
+++ b/packages/node/tests/home/createForwardingServer.test.ts
@@ -16,7 +16,7 @@
 const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
 
 describe('createForwardingServer', () => {
-  const context = createTestContext()
+  const context = createTestContext({ linkMbps: 40 })
   let server: ForwardingServer
   let socket: WebSocket
   let received: ForwardingMessage[]
@@ -85,6 +85,39 @@
     await awaitCondition('the connection is closed', () => isClosed)
   })
 
+  it('sends a large response in parts that make up the body, and small ones ahead of its rest (guards against small responses that wait behind downloads)', async () => {
+    const body = Buffer.from(Array.from({ length: 200_000 }, (_, index) => index % 251))
+    send({ kind: 'run', id: 1, job: { ...createLongJob(), acceptsParts: true } }, { kind: 'run', id: 2, job: createLongJob() })
+    await awaitCondition('both run', () => running.length === 2)
+    running[0]?.({ kind: 'answered', status: 200, headers: [], body, notRun: false })
+    running[1]?.(DONE)
+    await awaitCondition('both ended', () => count('outcome') === 2)
+    const parts = received.flatMap((message) => message.kind === 'part' && message.id === 1 ? [message.part] : [])
+    const [small, last] = received.flatMap((message) => message.kind === 'outcome' ? [message] : [])
+    expect([small?.id, last?.id]).to.deep.equal([2, 1])
+    expect(last?.outcome).to.have.property('kind', 'answered')
+    if (last?.outcome.kind === 'answered') expect(Buffer.concat([...parts, last.outcome.body]).equals(body)).to.equal(true)
+    expect(context.buffers.getBytes()).to.equal(0)
+  })
+
+  it('sends a large response whole to a node that does not accept parts (guards against damaged responses between builds)', async () => {
+    send({ kind: 'run', id: 1, job: createLongJob() })
+    await awaitCondition('it runs', () => running.length === 1)
+    running[0]?.({ kind: 'answered', status: 200, headers: [], body: Buffer.alloc(200_000), notRun: false })
+    await awaitCondition('it ended', () => count('outcome') === 1)
+    expect(count('part')).to.equal(0)
+  })
+
+  it('counts the parts that wait as unsent, and forgets those of a cancelled request (guards against a stop that cuts responses)', async () => {
+    send({ kind: 'run', id: 1, job: { ...createLongJob(), acceptsParts: true } })
+    await awaitCondition('it runs', () => running.length === 1)
+    running[0]?.({ kind: 'answered', status: 200, headers: [], body: Buffer.alloc(2_000_000), notRun: false })
+    expect(server.countUnsentBytes()).to.be.above(1_000_000)
+    send({ kind: 'cancel', id: 1 })
+    await awaitCondition('nothing waits', () => server.countUnsentBytes() === 0)
+    expect(context.buffers.getBytes()).to.equal(0)
+  })
+
   it('refuses an offered request before any of its body is sent (guards against bodies transferred in vain)', async () => {
     send({ kind: 'offer', id: 1, job: createLongJob('full'), bytes: 50_000 })
     await awaitCondition('it is refused', () => count('outcome') === 1)
