feat(entry): teams with keys, and requests that fail closed after a removal

Callers identify their team by a key; backend servers must see the team's name and never the key, and a removed key must not run anywhere after the time of revocation.

A team's priority replaces the route's. ForwardedJob.team travels in a trailing map. With fail-closed, keys are served only while the copy is proven recent: ages count from when the store or the reader was asked, on the monotonic and the wall clock (isRevocationKnown), and the operator's table is polled each 600 instead of 1,200 ms.

--- a/packages/contracts/src/mesh/meshConfigurationSchema.ts
+++ b/packages/contracts/src/mesh/meshConfigurationSchema.ts
@@ -22,6 +22,8 @@
   maxAttempts: z.number().int().positive(),
   /** Priority; 0 is the highest. */
   priority: z.number(),
+  /** True if requests need no key although the configuration has teams. */
+  isPublic: z.boolean(),
   parts: z.array(routePartSchema).min(1)
 })
 
@@ -44,19 +46,32 @@
   idleTimeoutMs: z.number().positive()
 })
 
+/** A team of callers, identified by any of its keys. */
+export const meshTeamSchema = z.object({
+  name: z.string().min(1),
+  /** Priority of the team's requests, instead of the priority of their routes; 0 is the highest. */
+  priority: z.number().optional(),
+  /** SHA-256 digests of the team's keys, as returned by `digestTeamKey`. */
+  keyDigests: z.array(z.string())
+})
+
 /** The configuration that every node applies. The version number never decreases. */
 export const meshConfigurationSchema = z.object({
   version: z.number(),
   routes: z.array(meshRouteSchema),
   services: z.array(meshServiceSchema),
-  limits: meshLimitsSchema
+  limits: meshLimitsSchema,
+  /** If there is any, requests on routes that are not public need a key. */
+  teams: z.array(meshTeamSchema)
 })
 
 /** A route of the operator's configuration. */
 export type MeshRoute = z.infer<typeof meshRouteSchema>
 /** A service of the operator's configuration. */
 export type MeshService = z.infer<typeof meshServiceSchema>
+/** A team of the operator's configuration. */
+export type MeshTeam = z.infer<typeof meshTeamSchema>
 /** Request limits of the operator's configuration. Sizes are in bytes, times in milliseconds. */
 export type MeshLimits = z.infer<typeof meshLimitsSchema>
-/** The operator's configuration: routes, services and limits of one version. */
+/** The operator's configuration: routes, services, limits and teams of one version. */
 export type MeshConfiguration = z.infer<typeof meshConfigurationSchema>
--- a/packages/contracts/src/mesh/nodeSettingsSchema.ts
+++ b/packages/contracts/src/mesh/nodeSettingsSchema.ts
@@ -30,6 +30,10 @@
   reportIntervalMs: z.number().positive(),
   /** Time within which a change of the configuration must be in force, in milliseconds. */
   applyMs: z.number().positive(),
+  /** True if requests with keys are refused while keys may have been removed without this node knowing. */
+  failClosed: z.boolean(),
+  /** Time after which no request with a removed key may run, in milliseconds; undefined if not stated. */
+  revocationMs: z.number().positive().optional(),
   /** Time from acknowledging that the backend server leaves to the last request sent to it, in milliseconds. */
   drainMs: z.number().positive(),
   /** Time from the stop signal to the end of the process, in milliseconds. */
--- a/packages/contracts/src/mesh/servingReasons.ts
+++ b/packages/contracts/src/mesh/servingReasons.ts
@@ -2,7 +2,7 @@
 export type ServingRefusalReason =
   | 'no-configuration'
   | 'no-route'
-  /** No route is known, and the configuration may have changed since it was last known to be current. */
+  /** No route or key is known, or keys may have been removed, and the configuration may have changed meanwhile. */
   | 'configuration-outdated'
   | 'no-host'
   /** The queue is too long for the request to meet its deadline. */
@@ -32,6 +32,12 @@
   | 'buffers-full'
   /** The caller sent data that is not a valid HTTP request. */
   | 'malformed'
+  /** The route needs a team's key, and the request carries none. */
+  | 'key-missing'
+  /** The request's `Authorization` is repeated, over-long or in another format. */
+  | 'key-malformed'
+  /** No team has the key. */
+  | 'key-unknown'
 
 /** Why it is unknown whether a request ran, or why its response cannot be used. */
 export type ServingLossReason =
--- a/packages/decisions/tests/serving/createTrafficSplitter.test.ts
+++ b/packages/decisions/tests/serving/createTrafficSplitter.test.ts
@@ -12,6 +12,7 @@
   targetLatencyMs: 200,
   maxAttempts: 2,
   priority: 1,
+  isPublic: false,
   parts
 })
 
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -1,5 +1,5 @@
 import { addMilliseconds, type NodeSettings, toMilliseconds } from '@snipenotch/contracts'
-import { createInstanceLoadTracker, createInstanceState, createLoadBalancer, createReplica, createVersionEvidence, type ReplicaRow } from '@snipenotch/decisions'
+import { createInstanceLoadTracker, createInstanceState, createLoadBalancer, createReplica, createVersionEvidence, isRevocationKnown, type ReplicaRow } from '@snipenotch/decisions'
 import { createStoreClient, OPERATOR_TABLE } from '@snipenotch/platform'
 import { createServer, type Server } from 'node:http'
 import { createCandidateFinder } from './entry/createCandidateFinder.js'
@@ -204,7 +204,13 @@
     loadBalancer: createLoadBalancer(random)
   })
   const entryServer = createEntryServer({
-    context, view, startExchange, retryBudgets, getCopyAgeMs: () => copyAges.get(OPERATOR_TABLE)
+    context,
+    view,
+    startExchange,
+    retryBudgets,
+    getCopyAgeMs: () => copyAges.get(OPERATOR_TABLE),
+    isRevocationKnown: () =>
+      !settings.failClosed || isRevocationKnown(copyAges.getProven(OPERATOR_TABLE), settings.revocationMs)
   })
   const reportServer = createReportServer({
     context,
--- a/packages/node/src/entry/createCallerResponder.ts
+++ b/packages/node/src/entry/createCallerResponder.ts
@@ -1,6 +1,6 @@
 import type { MeshRoute } from '@snipenotch/contracts'
 import { computeRetryAfter } from '@snipenotch/decisions'
-import { PLATFORM_HEADERS } from '@snipenotch/platform'
+import { KEY_SCHEME, PLATFORM_HEADERS } from '@snipenotch/platform'
 import type { JobOutcome } from '../home/BackendJob.js'
 import type { NodeContext } from '../NodeContext.js'
 import type { MeshView } from '../rows/createMeshView.js'
@@ -72,7 +72,8 @@
       ? []
       : ['Retry-After', computeRetryAfter(retryAfterMs, random, MAX_RETRY_AFTER_MS[reason])]
     const echo = [PLATFORM_HEADERS.attemptId, callerRequest.attemptId]
-    const headers = [...echo, 'Content-Type', 'text/plain', ...retryAfter]
+    const challenge = status === 401 ? ['WWW-Authenticate', KEY_SCHEME] : []
+    const headers = [...echo, 'Content-Type', 'text/plain', ...retryAfter, ...challenge]
     if (!send(callerRequest, status, headers, Buffer.from(`${reason}\n`))) callerRequest.response.destroy()
   }
 
--- a/packages/node/src/entry/createEntryServer.ts
+++ b/packages/node/src/entry/createEntryServer.ts
@@ -1,8 +1,8 @@
-import { addMilliseconds, type MeshRoute, type Milliseconds, toMilliseconds } from '@snipenotch/contracts'
+import { addMilliseconds, type MeshRoute, type MeshTeam, type Milliseconds, toMilliseconds } from '@snipenotch/contracts'
 import {
   createAttemptAgeEstimator, createTrafficSplitter, isPastDeadline, isTooLateForShutdown, type ShutdownDeadlines
 } from '@snipenotch/decisions'
-import { findRequestHeadFault, selectHeaders } from '@snipenotch/daemon'
+import { findRequestHeadFault } from '@snipenotch/daemon'
 import { PLATFORM_HEADERS } from '@snipenotch/platform'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
@@ -13,11 +13,13 @@
 import { isEventLoopDelayed, runUnlessAbandoned } from '../operations/runUnlessAbandoned.js'
 import type { MeshView } from '../rows/createMeshView.js'
 import { type CallerRequest, isClosedByCaller, listenClosed } from './CallerRequest.js'
+import { composeForwardedHeaders } from './composeForwardedHeaders.js'
 import { createCallerConnections } from './createCallerConnections.js'
 import { createCallerResponder } from './createCallerResponder.js'
 import type { StartExchange } from './createExchange.js'
 import { createParserErrorHandler } from './createParserErrorHandler.js'
 import type { RetryBudgets } from './createRetryBudgets.js'
+import { createTeamAuthenticator, type KeyFault } from './createTeamAuthenticator.js'
 
 /** HTTP server for callers on the host, the backend server among them. */
 export interface EntryServer {
@@ -63,6 +65,8 @@
   readonly retryBudgets: RetryBudgets
   /** Milliseconds since the operator's rows were last known to be complete. */
   readonly getCopyAgeMs: () => number
+  /** False if keys may have been removed without this node knowing. */
+  readonly isRevocationKnown: () => boolean
 }
 
 /** Remaining time stated by the caller, in milliseconds; `fallback` if it is missing or invalid. */
@@ -72,15 +76,14 @@
   return Number.isFinite(value) && value >= 0 ? value : fallback
 }
 
-const REPLACED_HEADERS: ReadonlySet<string> = new Set([PLATFORM_HEADERS.callerService, PLATFORM_HEADERS.remainingMs, PLATFORM_HEADERS.targetInstance, 'content-length'])
-
 /** Creates the server; it does not listen yet. */
 export function createEntryServer (
-  { context, view, startExchange, retryBudgets, getCopyAgeMs }: EntryServerOptions
+  { context, view, startExchange, retryBudgets, getCopyAgeMs, isRevocationKnown }: EntryServerOptions
 ): EntryServer {
   const { settings, clock, log, counters, ticker, buffers, random } = context
   const trafficSplitter = createTrafficSplitter(random)
   const attemptAgeEstimator = createAttemptAgeEstimator()
+  const { authenticate } = createTeamAuthenticator({ getTeamDirectory: view.getTeamDirectory, isRevocationKnown })
   let shutdownDeadlines: ShutdownDeadlines | undefined
   /** Set when the process is exiting: no request is started any more. */
   let isTerminating = false
@@ -119,13 +122,6 @@
     })
   }
 
-  function composeHeaders (incoming: IncomingMessage): string[] {
-    const kept = selectHeaders(incoming.rawHeaders, incoming.headers.connection,
-      (name) => !REPLACED_HEADERS.has(name))
-    kept.push(PLATFORM_HEADERS.callerService, settings.service)
-    return kept
-  }
-
   /** Answers a request whose handling throws with 502: whether it has been forwarded is unknown. */
   function runOrFail (callerRequest: CallerRequest, action: () => void): void {
     runContained(context, action, () => {
@@ -134,7 +130,9 @@
     }, { request: callerRequest.attemptId })
   }
 
-  function startRequest (callerRequest: CallerRequest, route: MeshRoute, body: Buffer): void {
+  function startRequest (
+    callerRequest: CallerRequest, route: MeshRoute, team: MeshTeam | undefined, body: Buffer
+  ): void {
     const { incoming, arrivedAt } = callerRequest
     const remaining = readRemainingMs(incoming, route.timeoutMs)
     const deadlineAt = (arrivedAt + Math.min(remaining, route.timeoutMs)) as Milliseconds
@@ -169,7 +167,10 @@
       attemptId: callerRequest.attemptId,
       method: incoming.method ?? 'GET',
       target: incoming.url ?? '/',
-      headers: composeHeaders(incoming),
+      headers: composeForwardedHeaders(incoming, {
+        callerService: settings.service, team, hasTeams: view.getTeamDirectory().hasTeams
+      }),
+      team,
       body,
       targetAt: toMilliseconds(arrivedAt - ageMs + route.targetLatencyMs),
       deadlineAt
@@ -212,15 +213,30 @@
       return
     }
     const route = view.findRoute(incoming.headers.host ?? '', incoming.url ?? '/')
-    if (route === undefined) refuseUnknownRoute(callerRequest)
-    else startRequest(callerRequest, route, body)
+    if (route === undefined) {
+      refuseUnknown(callerRequest, 404, 'no-route')
+      return
+    }
+    const authentication = authenticate(incoming.rawHeaders, route)
+    if (authentication.kind === 'refused') refuseUnknown(callerRequest, 401, authentication.reason)
+    else startRequest(callerRequest, route, authentication.team, body)
   }
 
-  /** Answers 404 only while the configuration is known to be current; the caller does not retry after that. */
-  function refuseUnknownRoute (callerRequest: CallerRequest): void {
+  /** Refuses a request without a valid key as soon as its head has arrived, so that its body occupies no buffer. */
+  function refuseBodyWithoutKey (callerRequest: CallerRequest): void {
+    const { headers, rawHeaders, url } = callerRequest.incoming
+    if (headers['content-length'] === undefined && headers['transfer-encoding'] === undefined) return
+    const route = view.findRoute(headers.host ?? '', url ?? '/')
+    if (route === undefined) return
+    const authentication = authenticate(rawHeaders, route)
+    if (authentication.kind === 'refused') refuseUnknown(callerRequest, 401, authentication.reason)
+  }
+
+  /** Answers 404 or 401 only while the configuration is known to be current; the caller does not retry after that. */
+  function refuseUnknown (callerRequest: CallerRequest, status: 404 | 401, fault: 'no-route' | KeyFault): void {
     const copyAgeMs = getCopyAgeMs()
-    const isOutdated = copyAgeMs > settings.applyMs
-    const reason = isOutdated ? 'configuration-outdated' : 'no-route'
+    const isOutdated = fault === 'configuration-outdated' || copyAgeMs > settings.applyMs
+    const reason = isOutdated ? 'configuration-outdated' : fault
     counters.count('serving_refusals', reason)
     log('requestRefused', {
       request: callerRequest.attemptId,
@@ -229,7 +245,7 @@
       copyAgeMs: Math.round(copyAgeMs)
     })
     if (isOutdated) sendNodeResponse(callerRequest, 503, reason, NO_CONFIGURATION_RETRY_MS)
-    else sendNodeResponse(callerRequest, 404, reason)
+    else sendNodeResponse(callerRequest, status, reason)
   }
 
   function handleRequest (incoming: IncomingMessage, response: ServerResponse): void {
@@ -304,7 +320,10 @@
     // The caller disconnected before its request was complete; nothing has been forwarded.
     incoming.on('error', () => { response.destroy() })
     const fault = findRequestHeadFault(incoming.url ?? '', incoming.rawHeaders)
-    if (fault === undefined) return
+    if (fault === undefined) {
+      runOrFail(callerRequest, () => { refuseBodyWithoutKey(callerRequest) })
+      return
+    }
     // The length of the body may be malformed, so what follows on the connection may be part of this request.
     connections.markClosing(incoming.socket)
     counters.count('serving_refusals', 'malformed')
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -1,4 +1,4 @@
-import type { MeshRoute, Milliseconds, ServingRefusalReason } from '@snipenotch/contracts'
+import type { MeshRoute, MeshTeam, Milliseconds, ServingRefusalReason } from '@snipenotch/contracts'
 import type { EvidenceReport, LoadBalancer } from '@snipenotch/decisions'
 import type { NodeContext } from '../NodeContext.js'
 import type { BackendDispatcher } from '../home/createBackendDispatcher.js'
@@ -53,6 +53,8 @@
 export interface ExchangeRequest {
   readonly route: MeshRoute
   readonly service: string
+  /** Team whose key the request carried; undefined if it needs none. */
+  readonly team?: MeshTeam | undefined
   readonly attemptId: string
   readonly method: string
   readonly target: string
@@ -135,7 +137,8 @@
         isInternal: false,
         isBodyFetched: false,
         route: route.name,
-        priority: route.priority,
+        priority: request.team?.priority ?? route.priority,
+        team: request.team?.name,
         idempotent: route.idempotent,
         method: request.method,
         target: request.target,
--- a/packages/node/src/peers/ForwardingMessage.ts
+++ b/packages/node/src/peers/ForwardingMessage.ts
@@ -13,7 +13,7 @@
 export type ForwardedJob = Pick<
   BackendJob,
   'service' | 'route' | 'priority' | 'idempotent' | 'targetAt' | 'deadlineAt' | 'targetLatencyMs' | 'attemptId' |
-  'callerService' | 'method' | 'target' | 'headers' | 'body'
+  'callerService' | 'method' | 'target' | 'headers' | 'body' | 'team'
 >
 
 /** Messages about forwarded requests. `id` identifies a request within one connection. */
--- a/packages/node/src/peers/createPeerServer.ts
+++ b/packages/node/src/peers/createPeerServer.ts
@@ -25,11 +25,16 @@
  * Header with the ages of the sender's copies of the followed tables, in milliseconds and in the order of the tables.
  * The body may come from a cache.
  */
-const COPY_AGES_HEADER = 'x-copy-ages'
+export const COPY_AGES_HEADER = 'x-copy-ages'
+/**
+ * Header with the time since each of these copies certainly contained everything that the store had, likewise. Infinity
+ * for a table that the sender has not read.
+ */
+export const PROVEN_AGES_HEADER = 'x-proven-ages'
 
 /** Parses the ages of a peer's copies, in milliseconds; Infinity where the peer states none. */
-export function parseCopyAges (headers: IncomingHttpHeaders): number[] {
-  const texts = String(headers[COPY_AGES_HEADER] ?? '').split(',')
+export function parseCopyAges (headers: IncomingHttpHeaders, name = COPY_AGES_HEADER): number[] {
+  const texts = String(headers[name] ?? '').split(',')
   return FOLLOWED_TABLES.map((_, index) => {
     const text = texts[index] ?? ''
     const age = text === '' ? NaN : Number(text)
@@ -92,6 +97,11 @@
     return body
   }
 
+  function computeProvenAge (table: string): number {
+    const { monotonicMs, wallMs } = copyAges.getProven(table)
+    return cursors.get(table) === undefined ? Infinity : Math.max(0, Math.ceil(Math.max(monotonicMs, wallMs)))
+  }
+
   function sendRows (response: ServerResponse, after: readonly number[], waitMs: number): void {
     const collect = (): TableUpdate[] =>
       FOLLOWED_TABLES.map((table, index) => collectUpdate(table, after[index] ?? 0))
@@ -100,7 +110,10 @@
       stopListening()
       const body = encodeResponse(collect(), after)
       const ages = FOLLOWED_TABLES.map((table) => Math.round(copyAges.get(table)))
-      response.writeHead(200, { 'content-length': body.length, [COPY_AGES_HEADER]: ages.join(',') }).end(body)
+      const provenAges = FOLLOWED_TABLES.map(computeProvenAge)
+      response.writeHead(200, {
+        'content-length': body.length, [COPY_AGES_HEADER]: ages.join(','), [PROVEN_AGES_HEADER]: provenAges.join(',')
+      }).end(body)
     }
     const timer = setTimeout(send, Math.min(MAX_WAIT_MS, waitMs))
     const stopListening = cursors.listen(() => { if (collect().some(hasChanges)) send() })
--- a/packages/node/src/peers/forwardingCodec.ts
+++ b/packages/node/src/peers/forwardingCodec.ts
@@ -12,12 +12,17 @@
 /** Fields of an encoded message, in order. */
 type EncodedFields = unknown[]
 
+/** Encodes optional values as one map behind all other fields: nodes of builds that do not know one ignore it. */
+function encodeOptions ({ team }: ForwardedJob): EncodedFields {
+  return team === undefined ? [] : [{ team }]
+}
+
 /** Encodes deadlines as remaining times, because the clocks of two hosts are unrelated. */
 function encodeJob (job: ForwardedJob, now: Milliseconds): EncodedFields {
   return [
     job.service, job.route, job.priority, job.idempotent, Math.round(job.targetAt - now),
     Math.round(job.deadlineAt - now), job.targetLatencyMs, job.attemptId, job.callerService, job.method, job.target,
-    job.headers, job.body
+    job.headers, job.body, ...encodeOptions(job)
   ]
 }
 
@@ -69,9 +74,15 @@
 const isHeaderList = (value: unknown): value is string[] =>
   Array.isArray(value) && value.length % 2 === 0 && value.every(isString)
 
+function decodeOptions (options: unknown): Pick<ForwardedJob, 'team'> {
+  if (typeof options !== 'object' || options === null) return {}
+  const { team } = options as Record<string, unknown>
+  return isString(team) ? { team } : {}
+}
+
 function decodeJob (fields: readonly unknown[], now: Milliseconds): ForwardedJob | undefined {
   const [service, route, priority, idempotent, targetRemainingMs, remainingMs, targetLatencyMs, ...rest] = fields
-  const [attemptId, callerService, method, target, headers, body] = rest
+  const [attemptId, callerService, method, target, headers, body, options] = rest
   if (!isString(service) || !isString(route) || !isString(attemptId) || !isString(callerService)) return undefined
   if (!isString(method) || !isString(target) || !isHeaderList(headers) || !Buffer.isBuffer(body)) return undefined
   if (!isNumber(priority) || !isNumber(targetRemainingMs) || !isNumber(remainingMs) ||
@@ -89,7 +100,8 @@
     method,
     target,
     headers,
-    body
+    body,
+    ...decodeOptions(options)
   }
 }
 
--- a/packages/node/src/rows/createMeshView.ts
+++ b/packages/node/src/rows/createMeshView.ts
@@ -2,7 +2,7 @@
   hostRecordSchema, releaseSchema, type HostRecord, type MeshConfiguration, type MeshService, type Release,
   type RolloutOrder
 } from '@snipenotch/contracts'
-import { isVersionAllowed, type ReplicaRow } from '@snipenotch/decisions'
+import { createTeamDirectory, isVersionAllowed, type ReplicaRow, type TeamDirectory } from '@snipenotch/decisions'
 import { decodeConfiguration, decodeRolloutOrder, OPERATOR_TABLE, parseOperatorKey } from '@snipenotch/platform'
 import type * as z from 'zod'
 import type { NodeContext } from '../NodeContext.js'
@@ -19,6 +19,7 @@
   readonly getConfiguration: () => MeshConfiguration | undefined
   readonly getService: (name: string) => MeshService | undefined
   readonly findRoute: RouteFinder['find']
+  readonly getTeamDirectory: () => TeamDirectory
   readonly isEvacuated: (dataCentre: string) => boolean
   readonly getHost: (host: string) => HostRecord | undefined
   readonly listHosts: () => readonly HostRecord[]
@@ -43,6 +44,7 @@
   let configuration: MeshConfiguration | undefined
   let services = new Map<string, MeshService>()
   let routes: RouteFinder = { find: () => undefined }
+  let teams = createTeamDirectory([])
   const evacuated = new Set<string>()
   const orders = new Map<string, VersionedRolloutOrder>()
   const hosts = new Map<string, HostRecord>()
@@ -61,8 +63,9 @@
     if (configuration !== undefined && decoded.value.version <= configuration.version) return
     configuration = decoded.value
     routes = createRouteFinder(configuration)
+    teams = createTeamDirectory(configuration.teams)
     services = new Map(configuration.services.map((service) => [service.name, service]))
-    log('configurationApplied', { version: configuration.version, row: row.version, routes: configuration.routes.length })
+    log('configurationApplied', { version: configuration.version, row: row.version, routes: configuration.routes.length, teams: configuration.teams.length })
   }
 
   function applyOrder (service: string, row: ReplicaRow): void {
@@ -153,6 +156,7 @@
     getConfiguration: () => configuration,
     getService: (name) => services.get(name),
     findRoute: (host, path) => routes.find(host, path),
+    getTeamDirectory: () => teams,
     isEvacuated: (dataCentre) => evacuated.has(dataCentre),
     getHost: (host) => hosts.get(host),
     listHosts: () => [...hosts.values()],
--- a/packages/node/src/rows/createReaderFollower.ts
+++ b/packages/node/src/rows/createReaderFollower.ts
@@ -2,10 +2,10 @@
 import { Agent } from 'node:http'
 import type { NodeContext } from '../NodeContext.js'
 import { startLoop } from '../operations/startLoop.js'
-import { formatRowsPath, parseCopyAges } from '../peers/createPeerServer.js'
+import { formatRowsPath, parseCopyAges, PROVEN_AGES_HEADER } from '../peers/createPeerServer.js'
 import type { HostHealth } from '../peers/createHostHealth.js'
 import { requestPeer } from '../peers/requestPeer.js'
-import type { CopyAges } from './createCopyAges.js'
+import type { ClockReadings, CopyAges } from './createCopyAges.js'
 import type { MeshView } from './createMeshView.js'
 import { mergeUpdates } from './mergeUpdates.js'
 import type { TableCursors } from './createTableCursors.js'
@@ -54,6 +54,8 @@
   let reader = settings.host
   /** Ages of the reader's copies when it sent its last response, in milliseconds, by table. */
   let readerAges: readonly number[] = []
+  /** The same, counted from when its copies certainly contained everything that the store had. */
+  let provenAges: readonly number[] = []
 
   const isUsable = (host: string): boolean =>
     !health.isDown(host) && (avoidedUntil.get(host) ?? 0) <= clock.now()
@@ -74,15 +76,25 @@
     if (response === undefined) return undefined
     const decoded = decodeRows(response.body)
     if (decoded === undefined) log('peerRowsMalformed', { peer: address, bytes: response.body.length })
-    else readerAges = parseCopyAges(response.headers)
+    else {
+      readerAges = parseCopyAges(response.headers)
+      provenAges = parseCopyAges(response.headers, PROVEN_AGES_HEADER)
+    }
     return decoded
   }
 
-  function recordAges (ages: readonly number[]): void {
-    for (const [index, table] of FOLLOWED_TABLES.entries()) copyAges.record(table, ages[index] ?? Infinity)
+  function recordAges (askedAt: ClockReadings, { updates }: RowsResponse): void {
+    // The reader holds a poll without changes for the time requested.
+    const hasChanges = updates.some(({ isFullTable, rows }) => isFullTable || rows.length > 0)
+    const heldMs = hasChanges || clock.now() - askedAt.monotonic < LONG_POLL_MS ? 0 : LONG_POLL_MS
+    for (const [index, table] of FOLLOWED_TABLES.entries()) {
+      copyAges.record(table, readerAges[index] ?? Infinity)
+      copyAges.recordProven(table, askedAt, heldMs - (provenAges[index] ?? Infinity))
+    }
   }
 
   async function applyChanges (address: string): Promise<void> {
+    const askedAt = copyAges.readClocks()
     const response = await readChanges(address)
     if (response?.isConnected !== true) {
       avoidedUntil.set(reader, clock.now() + AVOID_MS)
@@ -91,7 +103,7 @@
     }
     if (response.storeTime > 0) onStoreTime(response.storeTime)
     mergeUpdates(response.updates, replica, cursors, onRows)
-    recordAges(readerAges)
+    recordAges(askedAt, response)
   }
 
   async function readNext (): Promise<void> {
--- a/packages/node/src/rows/createTableFollower.ts
+++ b/packages/node/src/rows/createTableFollower.ts
@@ -11,6 +11,11 @@
  * detected after it, and these changes must be in force in time.
  */
 const OPERATOR_LONG_POLL_MS = 1200
+/**
+ * The same while requests with keys are refused unless the copy is recent, in milliseconds. A node that loses the store
+ * has a copy that is at most this much older, and must serve for 3 s of the usual 5 s of revocation.
+ */
+const FAIL_CLOSED_POLL_MS = 600
 /** Duration of a long poll for changes of other rows, in milliseconds. */
 const LONG_POLL_MS = 4000
 /** Duration of the poll that follows a long poll without a response, in milliseconds. */
@@ -58,7 +63,8 @@
 /** Creates a follower that has not read the table. */
 export function createTableFollower (options: TableFollowerOptions): TableFollower {
   const { context, store, replica, table, cursors, copyAges, onRows, isSuppliedByPeer } = options
-  const { clock, log, counters, ticker, random } = context
+  const { settings, clock, log, counters, ticker, random } = context
+  const operatorPollMs = settings.failClosed ? FAIL_CLOSED_POLL_MS : OPERATOR_LONG_POLL_MS
   const stopping = new AbortController()
   let isConnected = false
   let storeClockOffset: number | undefined
@@ -84,6 +90,7 @@
   }
 
   async function readTable (): Promise<Result<StoreRows, StoreError>> {
+    const askedAt = copyAges.readClocks()
     const answer = await store.readTable(table)
     if (answer.isErr()) return answer
     recordSuccess(answer.value)
@@ -91,12 +98,14 @@
     onRows(replica.mergeTable(table, answer.value.rows, answer.value.version))
     cursors.set(table, { version: answer.value.version, fullReadVersion: answer.value.version })
     copyAges.record(table, 0)
+    copyAges.recordProven(table, askedAt, 0)
     return answer
   }
 
   async function readChanges ({ version, fullReadVersion }: TableCursor): Promise<Result<StoreRows, StoreError>> {
-    const pollMs = table === OPERATOR_TABLE ? OPERATOR_LONG_POLL_MS : LONG_POLL_MS
-    const answer = await store.awaitChanges(table, version, isConnectionSuspect ? RETRIED_POLL_MS : pollMs)
+    const pollMs = isConnectionSuspect ? RETRIED_POLL_MS : table === OPERATOR_TABLE ? operatorPollMs : LONG_POLL_MS
+    const askedAt = copyAges.readClocks()
+    const answer = await store.awaitChanges(table, version, pollMs)
     if (answer.isErr()) {
       if (answer.error.kind === 'history-lost') cursors.set(table, undefined)
       return answer
@@ -105,6 +114,9 @@
     onRows(replica.merge(answer.value.rows))
     cursors.set(table, { version: Math.max(version, answer.value.version), fullReadVersion })
     copyAges.record(table, 0)
+    // The store holds a poll without changes for the time requested.
+    const wasHeld = answer.value.rows.length === 0 && clock.now() - askedAt.monotonic >= pollMs
+    copyAges.recordProven(table, askedAt, wasHeld ? pollMs : 0)
     if (answer.value.rows.length > 0) await awaitPause(computePause(answer.value.rows))
     return answer
   }
--- a/packages/node/tests/createTestContext.ts
+++ b/packages/node/tests/createTestContext.ts
@@ -24,6 +24,7 @@
     store: address(1),
     reportIntervalMs: 1500,
     applyMs: 2000,
+    failClosed: false,
     drainMs: 2000,
     gracePeriodMs: 6000,
     coldOvershoot: 1.5,
--- a/packages/node/tests/entry/createEntryServer.test.ts
+++ b/packages/node/tests/entry/createEntryServer.test.ts
@@ -47,7 +47,8 @@
       view,
       startExchange: (request, onResult) => startExchange(request, onResult),
       retryBudgets: createRetryBudgets(context, () => 1),
-      getCopyAgeMs: () => 0
+      getCopyAgeMs: () => 0,
+      isRevocationKnown: () => true
     })
     await new Promise<void>((resolve) => { entry.server.listen(0, '127.0.0.1', resolve) })
     port = (entry.server.address() as AddressInfo).port
--- a/packages/node/tests/entry/createExchange.test.ts
+++ b/packages/node/tests/entry/createExchange.test.ts
@@ -15,6 +15,7 @@
   targetLatencyMs: 200,
   maxAttempts: 2,
   priority: 1,
+  isPublic: false,
   parts: [{ service: 'parts', weight: 1 }]
 }
 
--- a/packages/node/tests/peers/forwardingCodec.test.ts
+++ b/packages/node/tests/peers/forwardingCodec.test.ts
@@ -53,6 +53,17 @@
     fc.assert(fc.property(fc.string(), fc.string(), fc.string(), fc.uint8Array(), check))
   })
 
+  it('decodes the team of a job, and a job of a build that knows none or more (guards against builds that refuse each other)', () => {
+    const decode = (frame: Buffer): unknown => decodeBatch(frame, toMilliseconds(0))
+    const fields = [0, 3, 'parts', 'r-parts', 1, true, 1200, 2000, 200, 'id-1', 'clocks', 'POST', '/parts/1?a=b', ['X-Own', 'kept'], JOB.body]
+    const run = (job: ForwardedJob): unknown => [{ kind: 'run', id: 3, job }]
+    expect(decode(encodeBatch([{ kind: 'run', id: 3, job: { ...JOB, team: 'kube' } }], toMilliseconds(0))))
+      .to.deep.equal(run({ ...JOB, team: 'kube' }))
+    expect(decode(pack([fields]))).to.deep.equal(run(JOB))
+    expect(decode(pack([[...fields, { other: 1, team: 'kube' }, 7]]))).to.deep.equal(run({ ...JOB, team: 'kube' }))
+    for (const wrong of [null, 'kube', { team: 4 }]) expect(decode(pack([[...fields, wrong]]))).to.deep.equal(run(JOB))
+  })
+
   it('decodes several messages from one frame, in order', () => {
     expect(decodeBatch(encodeBatch(MESSAGES, toMilliseconds(0)), toMilliseconds(0))).to.deep.equal(MESSAGES)
   })
