--- a/packages/node/src/peers/forwardingCodec.ts
+++ b/packages/node/src/peers/forwardingCodec.ts
@@ -12,14 +12,10 @@
 /** Fields of an encoded message, in order. */
 type EncodedFields = unknown[]
 
-/** Encodes the optional fields of a job as a map behind the others, which nodes of earlier builds pass over. */
-function encodeJobOptions ({ acceptsParts }: ForwardedJob): EncodedFields {
-  return acceptsParts === true ? [{ parts: true }] : []
-}
-
-function decodeJobOptions (encoded: unknown): Pick<ForwardedJob, 'acceptsParts'> {
-  if (typeof encoded !== 'object' || encoded === null) return {}
-  return 'parts' in encoded && encoded.parts === true ? { acceptsParts: true } : {}
+/** Encodes optional fields as one map behind all others: nodes of builds that do not know one pass over it. */
+function encodeOptions ({ team, acceptsParts }: ForwardedJob): EncodedFields {
+  const options = { ...(team === undefined ? {} : { team }), ...(acceptsParts === true ? { parts: true } : {}) }
+  return Object.keys(options).length === 0 ? [] : [options]
 }
 
 /** Encodes deadlines as remaining times, because the clocks of two hosts are unrelated. */
@@ -27,7 +23,7 @@
   return [
     job.service, job.route, job.priority, job.idempotent, Math.round(job.targetAt - now),
     Math.round(job.deadlineAt - now), job.targetLatencyMs, job.attemptId, job.callerService, job.method, job.target,
-    job.headers, job.body, ...encodeJobOptions(job)
+    job.headers, job.body, ...encodeOptions(job)
   ]
 }
 
@@ -79,6 +75,12 @@
 const isHeaderList = (value: unknown): value is string[] =>
   Array.isArray(value) && value.length % 2 === 0 && value.every(isString)
 
+function decodeOptions (options: unknown): Pick<ForwardedJob, 'team' | 'acceptsParts'> {
+  if (typeof options !== 'object' || options === null) return {}
+  const { team, parts } = options as Record<string, unknown>
+  return { ...(isString(team) ? { team } : {}), ...(parts === true ? { acceptsParts: true } : {}) }
+}
+
 function decodeJob (fields: readonly unknown[], now: Milliseconds): ForwardedJob | undefined {
   const [service, route, priority, idempotent, targetRemainingMs, remainingMs, targetLatencyMs, ...rest] = fields
   const [attemptId, callerService, method, target, headers, body, options] = rest
@@ -100,7 +102,7 @@
     target,
     headers,
     body,
-    ...decodeJobOptions(options)
+    ...decodeOptions(options)
   }
 }
 
