feat(store): survive a store that comes back from a copy

A restored store loses writes and issues versions again, so nodes refused its rows as old, kept cursors that it does not know, and lost their host records. Inside a node, a version is now era x 2^40 + number: the store client composes it from the header, discards responses of an earlier era and fails conditions of one as a conflict. Peers send the numbers where earlier builds read them, and the eras in trailing fields that those ignore.

Rollouts across a restore are not covered yet.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -104,6 +104,8 @@
   connectionsAbandoned: { number: 843, level: 'warn', text: 'connections of callers end with this process' },
   requestDiscarded: { number: 844, level: 'info', text: 'request behind the last response of its connection discarded; it has not run' },
   linksAbandoned: { number: 845, level: 'warn', text: 'connections of other nodes end with this process' },
+  storeRestored: { number: 890, level: 'warn', text: 'store was restored from a copy; its tables are read in full' },
+  lostRowsRemoved: { number: 891, level: 'warn', text: 'rows that a restored store does not hold were not written again; they are removed' },
   linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
 
--- a/packages/decisions/src/serving/createReplica.ts
+++ b/packages/decisions/src/serving/createReplica.ts
@@ -1,3 +1,5 @@
+import { getRowEra } from '@snipenotch/contracts'
+
 /** One row of a replicated table. */
 export interface ReplicaRow {
   readonly table: string
@@ -12,7 +14,10 @@
 export interface Replica {
   /** Merges rows and returns those that are new or changed a value. */
   readonly merge: (rows: readonly ReplicaRow[]) => ReplicaRow[]
-  /** Merges a complete table as read at `version`. Rows missing from it are removed unless newer than the read. */
+  /**
+   * Merges a complete table as read at `version`. Rows missing from it are removed unless newer than the read, or of an
+   * earlier era of the store: those were lost by a restore, and their owners may write them again.
+   */
   readonly mergeTable: (table: string, rows: readonly ReplicaRow[], version: number) => ReplicaRow[]
   readonly get: (table: string, key: string) => ReplicaRow | undefined
   /** Lists the rows of a table with a version above `after`, including removed ones, oldest first. */
@@ -21,6 +26,9 @@
   readonly getVersion: (table: string) => number
 }
 
+const isOlderInEra = (version: number, limit: number): boolean =>
+  version <= limit && getRowEra(version) === getRowEra(limit)
+
 /** Creates an empty replica. The row with the higher version wins, so that a late delivery cannot revert a row. */
 export function createReplica (): Replica {
   const tables = new Map<string, Map<string, ReplicaRow>>()
@@ -41,7 +49,7 @@
     mergeTable: (name, rows, version) => {
       const present = new Set(rows.map(({ key }) => key))
       const removed = [...tables.get(name)?.values() ?? []]
-        .filter((row) => row.value !== undefined && row.version <= version && !present.has(row.key))
+        .filter((row) => row.value !== undefined && isOlderInEra(row.version, version) && !present.has(row.key))
         .map((row): ReplicaRow => ({ ...row, value: undefined, version }))
       return [...rows, ...removed].filter(mergeRow)
     },
--- a/packages/decisions/tests/serving/createReplica.test.ts
+++ b/packages/decisions/tests/serving/createReplica.test.ts
@@ -1,3 +1,4 @@
+import { composeRowVersion } from '@snipenotch/contracts'
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { createReplica, type ReplicaRow } from '../../src/serving/createReplica.js'
@@ -26,6 +27,14 @@
     expect(replica.merge([row('a', 3, undefined)])).to.have.length(1)
   })
 
+  it('keeps rows that a restored store lost, and takes its rows however low their numbers (guards against hosts that vanish before they are written again)', () => {
+    const replica = createReplica()
+    replica.merge([row('a', 40), row('b', 41)])
+    const restored = row('b', composeRowVersion(1, 7), 'restored')
+    expect(replica.mergeTable('t', [restored], restored.version)).to.deep.equal([restored])
+    expect(replica.get('t', 'a')?.value).to.equal('a40')
+  })
+
   it('removes rows that are missing from a full read unless newer than the read (guards against losing all rows after lost history)', () => {
     const replica = createReplica()
     replica.merge([row('old', 3), row('new', 9)])
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -26,10 +26,12 @@
 import { formatAddress } from './peers/parseAddress.js'
 import { createCopyAges } from './rows/createCopyAges.js'
 import { createHostRecordWriter } from './rows/createHostRecordWriter.js'
+import { createLostRowPruner } from './rows/createLostRowPruner.js'
 import { createMeshView } from './rows/createMeshView.js'
 import { createHostRecordPublisher } from './rows/createHostRecordPublisher.js'
 import { createPeerRowFetcher } from './rows/createPeerRowFetcher.js'
 import { createReaderFollower } from './rows/createReaderFollower.js'
+import { createStoreEra } from './rows/createStoreEra.js'
 import { createTableFollower } from './rows/createTableFollower.js'
 import { createTableCursors } from './rows/createTableCursors.js'
 import { FOLLOWED_TABLES, MESH_TABLE } from './rows/TABLES.js'
@@ -79,7 +81,8 @@
 /** Creates a node; no port is opened before `start`. */
 export function createNode (context: NodeContext): MeshNode {
   const { settings, clock, log, counters, random } = context
-  const store = createStoreClient(settings.store)
+  const storeEra = createStoreEra(context)
+  const store = createStoreClient(settings.store, storeEra)
   const replica = createReplica()
   const instance = createInstanceState({
     statusLifetimeMs: settings.reportIntervalMs * MAX_MISSED_REPORTS, requiresConfirmation: true
@@ -118,8 +121,9 @@
   }
 
   const applyRows = (rows: readonly ReplicaRow[]): void => { view.apply(rows) }
-  const recordWriter = createHostRecordWriter({ context, store, replica, onRows: applyRows })
   const cursors = createTableCursors()
+  const recordWriter = createHostRecordWriter({ context, store, replica, cursors, onRows: applyRows })
+  createLostRowPruner({ context, storeEra, replica, cursors, onRows: applyRows })
   const copyAges = createCopyAges(clock)
   const getStoreTime = (): number | undefined => followers[0]?.getStoreTime()
   const reader = createReaderFollower({
@@ -129,11 +133,12 @@
     replica,
     cursors,
     copyAges,
+    storeEra,
     onRows: applyRows,
     onStoreTime: (storeTime) => { followers[0]?.setStoreTime(storeTime) }
   })
   const followers = FOLLOWED_TABLES.map((table) => createTableFollower({
-    context, store, replica, table, cursors, copyAges, onRows: applyRows, isSuppliedByPeer: reader.isFollowing
+    context, store, replica, table, cursors, copyAges, storeEra, onRows: applyRows, isSuppliedByPeer: reader.isFollowing
   }))
   const isStoreConnected = (): boolean =>
     reader.isFollowing() || followers.every((follower) => follower.isConnected())
@@ -143,6 +148,7 @@
     context,
     view,
     replica,
+    storeEra,
     onRows: applyRows,
     isStoreConnected
   })
--- a/packages/node/src/operations/describeCopies.ts
+++ b/packages/node/src/operations/describeCopies.ts
@@ -1,4 +1,4 @@
-import type { MeshConfiguration } from '@snipenotch/contracts'
+import { getRowEra, getRowNumber, type MeshConfiguration } from '@snipenotch/contracts'
 import type { CopyAges } from '../rows/createCopyAges.js'
 import type { TableCursors } from '../rows/createTableCursors.js'
 import { FOLLOWED_TABLES } from '../rows/TABLES.js'
@@ -16,13 +16,19 @@
 export function describeCopies ({ cursors, copyAges, getConfiguration, getReader }: CopyOverview): {
   readonly configuration: number | undefined
   readonly reader: string
-  readonly copies: Array<{ readonly table: string, readonly version: number, readonly ageMs: number }>
+  readonly copies: Array<{
+    readonly table: string, readonly era?: number, readonly version: number, readonly ageMs: number
+  }>
 } {
   return {
     configuration: getConfiguration()?.version,
     reader: getReader(),
-    copies: FOLLOWED_TABLES.map((table) =>
-      ({ table, version: cursors.get(table)?.version ?? 0, ageMs: Math.round(copyAges.get(table)) }))
+    copies: FOLLOWED_TABLES.map((table) => {
+      const version = cursors.get(table)?.version ?? 0
+      const era = getRowEra(version)
+      const ageMs = Math.round(copyAges.get(table))
+      return { table, ...(era === 0 ? {} : { era }), version: getRowNumber(version), ageMs }
+    })
   }
 }
 
@@ -30,7 +36,8 @@
 export function formatCopyMetrics (overview: CopyOverview): string {
   const { configuration, copies } = describeCopies(overview)
   const lines = [`snipenotch_configuration_version ${configuration ?? 0}`]
-  for (const { table, version, ageMs } of copies) {
+  for (const { table, era, version, ageMs } of copies) {
+    if (era !== undefined) lines.push(`snipenotch_copy_era{table="${table}"} ${era}`)
     lines.push(`snipenotch_copy_version{table="${table}"} ${version}`)
     if (Number.isFinite(ageMs)) lines.push(`snipenotch_copy_age_milliseconds{table="${table}"} ${ageMs}`)
   }
--- a/packages/node/src/peers/createPeerServer.ts
+++ b/packages/node/src/peers/createPeerServer.ts
@@ -1,3 +1,4 @@
+import { composeRowVersion, getRowEra, getRowNumber, isStoreEra } from '@snipenotch/contracts'
 import type { Replica } from '@snipenotch/decisions'
 import { createServer, type IncomingHttpHeaders, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { CopyAges } from '../rows/createCopyAges.js'
@@ -18,7 +19,18 @@
  * response is sent as soon as there is a change, or after `waitMs`.
  */
 export function formatRowsPath (versions: readonly number[], waitMs: number): string {
-  return `${PEER_PATHS.rows}?after=${versions.join(',')}&wait=${waitMs}`
+  const path = `${PEER_PATHS.rows}?after=${versions.map(getRowNumber).join(',')}&wait=${waitMs}`
+  const eras = versions.map(getRowEra)
+  return eras.some((era) => era > 0) ? `${path}&era=${eras.join(',')}` : path
+}
+
+/** Parses the versions of a request for rows; 0 where one is missing or malformed. */
+function parseVersions (query: URLSearchParams): number[] {
+  const eras = (query.get('era') ?? '').split(',').map(Number)
+  return (query.get('after') ?? '').split(',').map((text, index) => {
+    const era = eras[index]
+    return composeRowVersion(isStoreEra(era) ? era : 0, Number(text) || 0)
+  })
 }
 
 /**
@@ -92,9 +104,18 @@
     return body
   }
 
+  /**
+   * Returns whether a request states no era although the store was restored. It comes from a node that has not learned
+   * the era, or from an earlier build, which would receive full tables in a loop if its requests were not held.
+   */
+  const isEraMissing = (after: readonly number[]): boolean => after.every((version) => getRowEra(version) === 0) &&
+    FOLLOWED_TABLES.some((table) => cursors.getEra(table) > 0)
+
   function sendRows (response: ServerResponse, after: readonly number[], waitMs: number): void {
+    const isHeld = isEraMissing(after)
     const collect = (): TableUpdate[] =>
       FOLLOWED_TABLES.map((table, index) => collectUpdate(table, after[index] ?? 0))
+    const hasAnyChanges = (): boolean => !isHeld && collect().some(hasChanges)
     function send (): void {
       clearTimeout(timer)
       stopListening()
@@ -103,12 +124,12 @@
       response.writeHead(200, { 'content-length': body.length, [COPY_AGES_HEADER]: ages.join(',') }).end(body)
     }
     const timer = setTimeout(send, Math.min(MAX_WAIT_MS, waitMs))
-    const stopListening = cursors.listen(() => { if (collect().some(hasChanges)) send() })
+    const stopListening = cursors.listen(() => { if (hasAnyChanges()) send() })
     response.on('close', () => {
       clearTimeout(timer)
       stopListening()
     })
-    if (collect().some(hasChanges)) send()
+    if (hasAnyChanges()) send()
   }
 
   function handleSuspects (incoming: IncomingMessage, response: ServerResponse): void {
@@ -139,7 +160,6 @@
       response.writeHead(404, { 'content-length': 0 }).end()
       return
     }
-    const after = (url.searchParams.get('after') ?? '').split(',').map((text) => Number(text) || 0)
-    sendRows(response, after, Number(url.searchParams.get('wait')) || 0)
+    sendRows(response, parseVersions(url.searchParams), Number(url.searchParams.get('wait')) || 0)
   })
 }
--- a/packages/node/src/peers/forwardingCodec.ts
+++ b/packages/node/src/peers/forwardingCodec.ts
@@ -4,6 +4,7 @@
 import type { JobOutcome } from '../home/BackendJob.js'
 import { decodeEvidence, encodeEvidence } from './evidenceCodec.js'
 import type { ForwardedJob, ForwardingMessage } from './ForwardingMessage.js'
+import { decodeTableVersions, encodeTableVersions } from './tableVersionsCodec.js'
 
 const packr = new Packr({ useRecords: false })
 
@@ -33,7 +34,7 @@
         load.load, computeRounded(load.slots, 10), Math.round(load.serviceMs), computeRounded(load.failureShare, 100),
         Math.round(load.fetchMs)
       ]
-  const common = [id, encodedLoad, versions, Math.round(processingMs)]
+  const common = [id, encodedLoad, encodeTableVersions(versions), Math.round(processingMs)]
   // The last field, so that nodes of earlier builds pass over it.
   const evidence = outcome.evidence === undefined ? [] : [encodeEvidence(outcome.evidence)]
   switch (outcome.kind) {
@@ -133,7 +134,7 @@
   const outcome = decodeOutcome(code, fields)
   const [, versions, processingMs] = fields
   if (outcome === undefined || !isNumber(processingMs)) return undefined
-  return { kind: 'outcome', id, outcome, versions: Array.isArray(versions) ? versions.filter(isNumber) : [], processingMs }
+  return { kind: 'outcome', id, outcome, versions: decodeTableVersions(versions), processingMs }
 }
 
 const DECODERS: ReadonlyMap<number, Decoder> = new Map<number, Decoder>([
--- a/packages/node/src/rows/createHostRecordWriter.ts
+++ b/packages/node/src/rows/createHostRecordWriter.ts
@@ -1,8 +1,9 @@
-import type { HostRecord } from '@snipenotch/contracts'
+import { getRowEra, type HostRecord } from '@snipenotch/contracts'
 import type { Replica, ReplicaRow } from '@snipenotch/decisions'
 import type { StoreClient } from '@snipenotch/platform'
 import type { NodeContext } from '../NodeContext.js'
 import { startLoop } from '../operations/startLoop.js'
+import type { TableCursors } from './createTableCursors.js'
 import { formatHostKey, MESH_TABLE } from './TABLES.js'
 
 /** First and longest delay between attempts to write the record, in milliseconds. */
@@ -24,6 +25,7 @@
   readonly context: NodeContext
   readonly store: StoreClient
   readonly replica: Replica
+  readonly cursors: Pick<TableCursors, 'getEra' | 'listen'>
   readonly onRows: (rows: readonly ReplicaRow[]) => void
 }
 
@@ -32,7 +34,7 @@
  * newer record.
  */
 export function createHostRecordWriter (
-  { context, store, replica, onRows }: HostRecordWriterOptions
+  { context, store, replica, cursors, onRows }: HostRecordWriterOptions
 ): HostRecordWriter {
   const { settings, clock, log, counters, random } = context
   const key = formatHostKey(settings.host)
@@ -44,7 +46,14 @@
   let backoff = FIRST_BACKOFF_MS
 
   const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
-  const isUpToDate = (): boolean => !hasTarget || replica.get(MESH_TABLE, key)?.value === targetValue
+
+  /** Returns whether the store holds the target. A row of an earlier era than the copy of the table was lost. */
+  function isUpToDate (): boolean {
+    if (!hasTarget) return true
+    const known = replica.get(MESH_TABLE, key)
+    if (known?.value !== targetValue) return false
+    return known?.value === undefined || getRowEra(known.version) >= cursors.getEra(MESH_TABLE)
+  }
 
   /** Writes the value that was the target at the time of the call; true if the store accepted it. */
   async function writeOnce (): Promise<boolean> {
@@ -88,6 +97,10 @@
     startLoop({ log, isActive: () => !isUpToDate(), step: writeOrPause, onEnd: () => { isWriting = false } })
   }
 
+  // A restored store may not hold the record, which shows when the table was read, or hold one of a delayed write.
+  cursors.listen(() => {
+    if (cursors.getEra(MESH_TABLE) > 0 && !isWriting && !isUpToDate()) startWriting()
+  })
   return {
     set: (record) => {
       targetValue = record === undefined ? undefined : JSON.stringify(record)
--- a/packages/node/src/rows/createPeerRowFetcher.ts
+++ b/packages/node/src/rows/createPeerRowFetcher.ts
@@ -6,6 +6,7 @@
 import type { TableVersions } from '../peers/ForwardingMessage.js'
 import { requestPeer } from '../peers/requestPeer.js'
 import type { MeshView } from './createMeshView.js'
+import type { StoreEra } from './createStoreEra.js'
 import { decodeRows } from './rowsCodec.js'
 import { FOLLOWED_TABLES } from './TABLES.js'
 
@@ -38,13 +39,14 @@
   readonly context: NodeContext
   readonly view: MeshView
   readonly replica: Replica
+  readonly storeEra: Pick<StoreEra, 'observeUpdates'>
   readonly isStoreConnected: () => boolean
   readonly onRows: (rows: readonly ReplicaRow[]) => void
 }
 
 /** Creates a fetcher that has not started. */
 export function createPeerRowFetcher (
-  { context, view, replica, isStoreConnected, onRows }: PeerRowFetcherOptions
+  { context, view, replica, storeEra, isStoreConnected, onRows }: PeerRowFetcherOptions
 ): PeerRowFetcher {
   const { settings, clock, log, ticker, random } = context
   const agent = new Agent({ keepAlive: true, maxSockets: 2 })
@@ -59,6 +61,7 @@
     const response = await requestPeer(agent, address, formatRowsPath(getVersions(), 0), PEER_TIMEOUT_MS)
     const decoded = response === undefined ? undefined : decodeRows(response.body)
     if (decoded === undefined) log('peerRowsMissing', { peer: address, reason, bytes: response?.body.length })
+    storeEra.observeUpdates(decoded?.updates ?? [])
     const changed = replica.merge(decoded?.updates.flatMap(({ rows }) => rows) ?? [])
     if (changed.length > 0) log('rowsFromPeer', { peer: address, rows: changed.length, reason, versions: getVersions() })
     onRows(changed)
--- a/packages/node/src/rows/createReaderFollower.ts
+++ b/packages/node/src/rows/createReaderFollower.ts
@@ -1,3 +1,4 @@
+import { getRowEra, type Milliseconds } from '@snipenotch/contracts'
 import { chooseReader, type Replica, type ReplicaRow } from '@snipenotch/decisions'
 import { Agent } from 'node:http'
 import type { NodeContext } from '../NodeContext.js'
@@ -8,6 +9,7 @@
 import type { CopyAges } from './createCopyAges.js'
 import type { MeshView } from './createMeshView.js'
 import { mergeUpdates } from './mergeUpdates.js'
+import type { StoreEra } from './createStoreEra.js'
 import type { TableCursors } from './createTableCursors.js'
 import { decodeRows, type RowsResponse } from './rowsCodec.js'
 import { FOLLOWED_TABLES } from './TABLES.js'
@@ -30,6 +32,7 @@
   readonly replica: Replica
   readonly cursors: TableCursors
   readonly copyAges: CopyAges
+  readonly storeEra: Pick<StoreEra, 'get' | 'observeUpdates'>
   readonly onRows: (rows: readonly ReplicaRow[]) => void
   /** Called with the time of the store's monotonic clock, in milliseconds. */
   readonly onStoreTime: (storeTime: number) => void
@@ -41,12 +44,17 @@
 const RESPONSE_MARGIN_MS = 500
 /** Time for which a failed reader is avoided, in milliseconds: several report intervals; a restart takes less. */
 const AVOID_MS = 4000
+/**
+ * Time for which a reader may be behind the restore of the store that this node knows of, in milliseconds: longer than
+ * its longest long poll takes to end.
+ */
+const BEHIND_LIMIT_MS = 5000
 /** Interval at which the choice of a reader is checked while this node reads the store itself, in milliseconds. */
 const CHOICE_INTERVAL_MS = 300
 
 /** Creates a follower that has not chosen a reader; until it does, the node reads the store itself. */
 export function createReaderFollower (options: ReaderFollowerOptions): ReaderFollower {
-  const { context, view, health, replica, cursors, copyAges, onRows, onStoreTime } = options
+  const { context, view, health, replica, cursors, copyAges, storeEra, onRows, onStoreTime } = options
   const { settings, clock, log } = context
   const agent = new Agent({ keepAlive: true, maxSockets: 1 })
   const avoidedUntil = new Map<string, number>()
@@ -54,6 +62,8 @@
   let reader = settings.host
   /** Ages of the reader's copies when it sent its last response, in milliseconds, by table. */
   let readerAges: readonly number[] = []
+  /** Time since which the reader sends rows of an earlier era, as one of an earlier build does. */
+  let behindSince: Milliseconds | undefined
 
   const isUsable = (host: string): boolean =>
     !health.isDown(host) && (avoidedUntil.get(host) ?? 0) <= clock.now()
@@ -82,16 +92,33 @@
     for (const [index, table] of FOLLOWED_TABLES.entries()) copyAges.record(table, ages[index] ?? Infinity)
   }
 
+  function refuseReader (detail: string): void {
+    avoidedUntil.set(reader, clock.now() + AVOID_MS)
+    log('readerLost', { reader, detail })
+  }
+
+  /** Returns whether some updates are from before a restore; the reader is avoided if they are for too long. */
+  function checkBehind (updates: RowsResponse['updates']): boolean {
+    const era = storeEra.get()
+    const isBehind = updates.some(({ version }) => version !== 0 && getRowEra(version) < era)
+    if (!isBehind) behindSince = undefined
+    else behindSince ??= clock.now()
+    if (behindSince === undefined || clock.now() - behindSince < BEHIND_LIMIT_MS) return isBehind
+    behindSince = undefined
+    refuseReader(`its rows are of an earlier era than ${era}`)
+    return true
+  }
+
   async function applyChanges (address: string): Promise<void> {
     const response = await readChanges(address)
     if (response?.isConnected !== true) {
-      avoidedUntil.set(reader, clock.now() + AVOID_MS)
-      log('readerLost', { reader, detail: response === undefined ? 'no response' : 'the store does not respond to it' })
+      refuseReader(response === undefined ? 'no response' : 'the store does not respond to it')
       return
     }
     if (response.storeTime > 0) onStoreTime(response.storeTime)
+    storeEra.observeUpdates(response.updates)
     mergeUpdates(response.updates, replica, cursors, onRows)
-    recordAges(readerAges)
+    if (!checkBehind(response.updates)) recordAges(readerAges)
   }
 
   async function readNext (): Promise<void> {
--- a/packages/node/src/rows/createTableCursors.ts
+++ b/packages/node/src/rows/createTableCursors.ts
@@ -1,3 +1,5 @@
+import { getRowEra } from '@snipenotch/contracts'
+
 /** Version up to which the copy of a table is complete. */
 export interface TableCursor {
   /** The copy contains all changes up to this version. */
@@ -9,6 +11,8 @@
 /** Cursors of all tables. A row may be newer than its table's cursor; no row up to the cursor is missing. */
 export interface TableCursors {
   readonly get: (table: string) => TableCursor | undefined
+  /** Returns the era in which the copy of a table was last complete; 0 before it was. */
+  readonly getEra: (table: string) => number
   /** Sets a cursor; undefined means that the whole table must be read again. */
   readonly set: (table: string, cursor: TableCursor | undefined) => void
   /** Calls `listener` after each change, until the returned function is called. */
@@ -21,6 +25,7 @@
   const listeners = new Set<() => void>()
   return {
     get: (table) => cursors.get(table),
+    getEra: (table) => getRowEra(cursors.get(table)?.version ?? 0),
     set: (table, cursor) => {
       if (cursor === undefined) cursors.delete(table)
       else cursors.set(table, cursor)
--- a/packages/node/src/rows/createTableFollower.ts
+++ b/packages/node/src/rows/createTableFollower.ts
@@ -1,9 +1,11 @@
+import { getRowEra } from '@snipenotch/contracts'
 import type { Replica, ReplicaRow } from '@snipenotch/decisions'
 import { OPERATOR_TABLE, type StoreClient, type StoreError, type StoreRows } from '@snipenotch/platform'
 import type { Result } from 'ts-results-es'
 import type { NodeContext } from '../NodeContext.js'
 import { startLoop } from '../operations/startLoop.js'
 import type { CopyAges } from './createCopyAges.js'
+import type { StoreEra } from './createStoreEra.js'
 import type { TableCursor, TableCursors } from './createTableCursors.js'
 
 /**
@@ -50,6 +52,7 @@
   readonly table: string
   readonly cursors: TableCursors
   readonly copyAges: CopyAges
+  readonly storeEra: Pick<StoreEra, 'get'>
   readonly onRows: (rows: readonly ReplicaRow[]) => void
   /** True while another host supplies the rows, so that the store need not be read. */
   readonly isSuppliedByPeer: () => boolean
@@ -57,7 +60,7 @@
 
 /** Creates a follower that has not read the table. */
 export function createTableFollower (options: TableFollowerOptions): TableFollower {
-  const { context, store, replica, table, cursors, copyAges, onRows, isSuppliedByPeer } = options
+  const { context, store, replica, table, cursors, copyAges, storeEra, onRows, isSuppliedByPeer } = options
   const { clock, log, counters, ticker, random } = context
   const stopping = new AbortController()
   let isConnected = false
@@ -121,7 +124,8 @@
       return
     }
     const cursor = cursors.get(table)
-    const answer = cursor === undefined ? await readTable() : await readChanges(cursor)
+    const isOutdated = cursor === undefined || getRowEra(cursor.version) < storeEra.get()
+    const answer = isOutdated ? await readTable() : await readChanges(cursor)
     if (answer.isOk() || answer.error.kind === 'history-lost') return
     // Only the connection may be lost; the next call, on a new one, shows whether the store responds.
     if (answer.error.kind === 'unknown' && !isConnectionSuspect) {
--- a/packages/node/src/rows/rowsCodec.ts
+++ b/packages/node/src/rows/rowsCodec.ts
@@ -1,3 +1,4 @@
+import { composeRowVersion, getRowEra, getRowNumber, isStoreEra } from '@snipenotch/contracts'
 import type { ReplicaRow } from '@snipenotch/decisions'
 import { Packr } from 'msgpackr'
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
@@ -35,10 +36,27 @@
 const PLAIN = 0
 const COMPRESSED = 1
 
+/**
+ * Returns the era of a version as the trailing field of its row or update. Nodes of earlier builds ignore it and read
+ * the number alone; it is omitted for a store that was never restored.
+ */
+function encodeEra (version: number): number[] {
+  const era = getRowEra(version)
+  return era === 0 ? [] : [era]
+}
+
+function decodeVersion (number: unknown, era: unknown = 0): number | undefined {
+  return typeof number === 'number' && isStoreEra(era) ? composeRowVersion(era, number) : undefined
+}
+
 /** Encodes a response with one leading byte that tells whether the rest is compressed. */
 export function encodeRows ({ isConnected, storeTime, updates }: RowsResponse): Buffer {
   const body = packr.pack([isConnected, Math.round(storeTime), updates.map(({ table, isFullTable, version, rows }) =>
-    [table, isFullTable, version, rows.map((row) => [row.key, row.value ?? null, row.version])])])
+    [
+      table, isFullTable, getRowNumber(version),
+      rows.map((row) => [row.key, row.value ?? null, getRowNumber(row.version), ...encodeEra(row.version)]),
+      ...encodeEra(version)
+    ])])
   return body.length < MIN_COMPRESSED_BYTES
     ? Buffer.concat([Buffer.of(PLAIN), body])
     : Buffer.concat([Buffer.of(COMPRESSED), deflateRawSync(body, { level: COMPRESSION_LEVEL })])
@@ -46,17 +64,19 @@
 
 function decodeRow (table: string, fields: unknown): ReplicaRow | undefined {
   if (!Array.isArray(fields)) return undefined
-  const [key, value, version] = fields as unknown[]
-  if (typeof key !== 'string' || typeof version !== 'number') return undefined
+  const [key, value, number, era] = fields as unknown[]
+  const version = decodeVersion(number, era)
+  if (typeof key !== 'string' || version === undefined) return undefined
   if (value !== null && typeof value !== 'string') return undefined
   return { table, key, value: value ?? undefined, version }
 }
 
 function decodeUpdate (fields: unknown): TableUpdate | undefined {
   if (!Array.isArray(fields)) return undefined
-  const [table, isFullTable, version, rows] = fields as unknown[]
+  const [table, isFullTable, number, rows, era] = fields as unknown[]
+  const version = decodeVersion(number, era)
   if (typeof table !== 'string' || typeof isFullTable !== 'boolean') return undefined
-  if (typeof version !== 'number' || !Array.isArray(rows)) return undefined
+  if (version === undefined || !Array.isArray(rows)) return undefined
   const decoded = rows.map((row) => decodeRow(table, row))
   return decoded.every((row) => row !== undefined) ? { table, isFullTable, version, rows: decoded } : undefined
 }
--- a/packages/node/tests/backgroundLoops.test.ts
+++ b/packages/node/tests/backgroundLoops.test.ts
@@ -12,6 +12,7 @@
 import { createMeshView, type MeshView } from '../src/rows/createMeshView.js'
 import { createPeerRowFetcher } from '../src/rows/createPeerRowFetcher.js'
 import { createReaderFollower } from '../src/rows/createReaderFollower.js'
+import { createStoreEra } from '../src/rows/createStoreEra.js'
 import { createTableCursors } from '../src/rows/createTableCursors.js'
 import { createTableFollower } from '../src/rows/createTableFollower.js'
 import { MESH_TABLE } from '../src/rows/TABLES.js'
@@ -112,6 +113,7 @@
       table: MESH_TABLE,
       cursors: createTableCursors(),
       copyAges: createCopyAges(context.clock),
+      storeEra: createStoreEra(context),
       onRows: failOnce((changed) => { applied.push(...changed.map(({ key }) => key)) }),
       isSuppliedByPeer: () => false
     })
@@ -130,6 +132,7 @@
       replica: createReplica(),
       cursors: createTableCursors(),
       copyAges: createCopyAges(context.clock),
+      storeEra: createStoreEra(context),
       onRows: (changed) => { applied.push(...changed.map(({ key }) => key)) },
       onStoreTime: () => undefined
     })
@@ -145,6 +148,7 @@
       context,
       view: { ...createMeshView(context, () => undefined), ...view },
       replica: createReplica(),
+      storeEra: createStoreEra(context),
       isStoreConnected: () => false,
       onRows: (changed) => { applied.push(...changed.map(({ key }) => key)) }
     })
@@ -167,7 +171,11 @@
       return Promise.resolve(Ok({ kind: 'done', version: 5 }))
     }
     const writer = createHostRecordWriter({
-      context, store: createStore(failOnce(done)), replica: createReplica(), onRows: () => undefined
+      context,
+      store: createStore(failOnce(done)),
+      replica: createReplica(),
+      cursors: createTableCursors(),
+      onRows: () => undefined
     })
     writer.set(RECORD)
     await awaitCondition('the record is written', () => written.length > 0)
--- a/packages/node/tests/peers/createPeerServer.test.ts
+++ b/packages/node/tests/peers/createPeerServer.test.ts
@@ -1,4 +1,4 @@
-import { createSystemClock } from '@snipenotch/contracts'
+import { composeRowVersion, createSystemClock } from '@snipenotch/contracts'
 import { createReplica, type Replica, type ReplicaRow } from '@snipenotch/decisions'
 import { expect } from 'chai'
 import { Agent, request, type Server } from 'node:http'
@@ -99,6 +99,20 @@
     expect(update?.rows.map(({ key }) => key)).to.deep.equal(['a', 'b'])
   })
 
+  it('sends the whole table to a node of an earlier era, and holds it where none is stated (guards against a loop of full tables to earlier builds)', async () => {
+    const restoredAt = composeRowVersion(1, 3)
+    replica.merge([row('b', composeRowVersion(1, 2))])
+    cursors.set(MESH_TABLE, { version: restoredAt, fullReadVersion: restoredAt })
+    const held = ask(60, 300)
+    expect(listKeys(await ask(composeRowVersion(1, 1), 9000))).to.deep.equal(['a', 'b'])
+    expect(listKeys(await ask(restoredAt, 20))).to.be.empty
+    replica.merge([row('c', composeRowVersion(1, 4))])
+    cursors.set(MESH_TABLE, { version: composeRowVersion(1, 4), fullReadVersion: restoredAt })
+    const [update] = (await held).updates.filter(({ table }) => table === MESH_TABLE)
+    expect(update).to.include({ isFullTable: true, version: composeRowVersion(1, 4) })
+    expect(update?.rows.map(({ key }) => key)).to.deep.equal(['a', 'b', 'c'])
+  })
+
   it('does not respond early for a row beyond its cursor (guards against sending the same row repeatedly)', async () => {
     put(8, row('own-write', 20))
     const answer = await ask(8, 20)
--- a/packages/node/tests/rows/mergeUpdates.test.ts
+++ b/packages/node/tests/rows/mergeUpdates.test.ts
@@ -1,3 +1,4 @@
+import { composeRowVersion } from '@snipenotch/contracts'
 import { createReplica, type ReplicaRow } from '@snipenotch/decisions'
 import { expect } from 'chai'
 import { createTableCursors } from '../../src/rows/createTableCursors.js'
@@ -34,4 +35,13 @@
     expect(cursors.get('t')).to.deep.equal({ version: 12, fullReadVersion: 9 })
     expect(replica.get('t', 'c')?.value).to.equal('v')
   })
+  it('lets a peer of an earlier era neither remove nor overwrite rows (guards against a reader that has not seen a restore)', () => {
+    const restored = composeRowVersion(1, 7)
+    merge(true, restored, row('b', restored, 'restored'))
+    merge(true, 40, row('b', 40, 'lost'), row('d', 39))
+    expect([replica.get('t', 'b')?.value, replica.get('t', 'd')?.value]).to.deep.equal(['restored', 'v'])
+    expect(cursors.get('t')).to.deep.equal({ version: restored, fullReadVersion: restored })
+    merge(false, composeRowVersion(2, 3))
+    expect(cursors.get('t')?.version, 'changes alone').to.equal(restored)
+  })
 })
