feat(duty): state machine of usage reports, with a model-based test

Cause: one node at a time is to report, once per window, how many requests backend servers began to run for each team; never twice with different counts, and never with a token that another host has. Change: createDutyState holds the lease and fixes reports by writes that are conditional on the version of the lease row; createUsageTally merges cumulative counts by maximum; createTrueTime follows the median offset of several hosts; createHolderWatch tells when to take over.

--- a/packages/contracts/src/mesh/index.ts
+++ b/packages/contracts/src/mesh/index.ts
@@ -1,3 +1,4 @@
+export * from './dutySchemas.js'
 export * from './hostRecordSchema.js'
 export * from './meshConfigurationSchema.js'
 export * from './nodeSettingsSchema.js'
--- /dev/null
+++ b/packages/decisions/src/duty/index.ts
@@ -0,0 +1,6 @@
+export * from './createDutyState.js'
+export * from './createHolderWatch.js'
+export * from './createTrueTime.js'
+export * from './createUsageTally.js'
+export * from './DutyAction.js'
+export * from './dutyRows.js'
