feat(node): report usage of teams as a duty of one node at a time

Cause: the platform expects usage reports if its settings list the duty. The dispatcher passes on each job that its backend server began to run; jobs get an optional team.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -104,6 +104,15 @@
   connectionsAbandoned: { number: 843, level: 'warn', text: 'connections of callers end with this process' },
   requestDiscarded: { number: 844, level: 'info', text: 'request behind the last response of its connection discarded; it has not run' },
   linksAbandoned: { number: 845, level: 'warn', text: 'connections of other nodes end with this process' },
+  dutyAcquired: { number: 880, level: 'info', text: 'duty acquired by this node' },
+  dutyLost: { number: 881, level: 'info', text: 'duty no longer held by this node' },
+  usageReported: { number: 882, level: 'info', text: 'usage report of a window accepted' },
+  usageReportRefused: { number: 883, level: 'warn', text: 'usage report refused, as a higher token was seen; this node gives up the duty' },
+  usageReportFailed: { number: 884, level: 'warn', text: 'usage report without a success response; sent again' },
+  dutyStoreFailed: { number: 885, level: 'warn', text: 'store did not respond to the holder of a duty, or to a node that is to acquire it' },
+  usageCountsMalformed: { number: 886, level: 'warn', text: 'counts for usage reports from a peer are malformed' },
+  dutyHolderChanged: { number: 887, level: 'info', text: 'holder of a duty changed' },
+  dutyLeaseUnreadable: { number: 888, level: 'error', text: 'lease of a duty is malformed; nobody can acquire it' },
   linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
 
--- a/packages/contracts/src/mesh/nodeSettingsSchema.ts
+++ b/packages/contracts/src/mesh/nodeSettingsSchema.ts
@@ -45,7 +45,18 @@
   /** Bandwidth of the host's network link, in Mbit/s. */
   linkMbps: z.number().nonnegative(),
   /** Memory of the host, in megabytes. */
-  memoryMb: z.number().positive()
+  memoryMb: z.number().positive(),
+  /** Usage reports; absent if the node takes no part in them. */
+  usage: z.object({
+    /** Address to which the reports are sent. */
+    address: socketAddressSchema,
+    /** Time for which the duty is valid after its last renewal, in milliseconds. */
+    leaseMs: z.number().positive(),
+    /** Length of the time that one report covers, in milliseconds. */
+    windowMs: z.number().positive(),
+    /** Time after a window's end in which its report is due, in milliseconds. */
+    lateMs: z.number().positive()
+  }).optional()
 })
 
 /** Host name or IP address, and port, of a listener. */
--- a/packages/daemon/src/observability/createCounters.ts
+++ b/packages/daemon/src/observability/createCounters.ts
@@ -28,6 +28,10 @@
   caller_closes: 'idle' | 'timeout' | 'abandoned'
   /** Loads that the backend server stated in its responses. */
   instance_loads: 'used' | InstanceLoadFault
+  /** Usage reports by result of the call; `late` counts accepted ones that were due before. */
+  usage_reports: 'accepted' | 'late' | 'refused' | 'failed'
+  /** Changes of this node's part in the usage reports. */
+  duties: 'acquired' | 'lost'
   /** Errors thrown while a node handled something: contained there, or outside any handling. */
   internal_errors: 'contained' | 'uncaught'
   /** Log lines omitted to limit the log volume. */
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -2,6 +2,7 @@
 import { createInstanceLoadTracker, createInstanceState, createLoadBalancer, createReplica, createVersionEvidence, type ReplicaRow } from '@snipenotch/decisions'
 import { createStoreClient, OPERATOR_TABLE } from '@snipenotch/platform'
 import { createServer, type Server } from 'node:http'
+import { createUsagePart } from './duty/createUsagePart.js'
 import { createCandidateFinder } from './entry/createCandidateFinder.js'
 import { createEntryServer } from './entry/createEntryServer.js'
 import { createExchange } from './entry/createExchange.js'
@@ -168,7 +169,8 @@
     crashGuard,
     evidence,
     onChange: () => { recordPublisher.update() },
-    onColdUnknown: () => { instanceProber.update() }
+    onColdUnknown: () => { instanceProber.update() },
+    onRun: ({ team }, sentAt) => usageDuty?.count(team, sentAt)
   })
   const recordPublisher = createHostRecordPublisher({
     context, view, instance, recordWriter, evidence
@@ -223,15 +225,17 @@
   const rolloutController = createRolloutController({
     context, view, replica, store, health, evidence, onRows: applyRows, getStoreTime
   })
+  const usageDuty = createUsagePart({ context, view, health, store, replica, onRows: applyRows, getStoreEra: () => 0 })
+  const receivers = { receiveSuspects: suspectExchange.receive, receiveCounts: usageDuty?.receive }
   const peerServer = createPeerServer({
-    replica, cursors, copyAges, isStoreConnected: isReader, getStoreTime, receiveSuspects: suspectExchange.receive
+    replica, cursors, copyAges, isStoreConnected: isReader, getStoreTime, ...receivers
   })
   const readiness = createServer((_, response) => {
     const isReady = !isStopping && view.getConfiguration() !== undefined
     response.writeHead(isReady ? 200 : 503, { 'content-length': 0 }).end()
   })
   const metrics = createServer((_, response) => {
-    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(counters.format() + formatCopyMetrics(copies))
+    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(counters.format() + formatCopyMetrics(copies) + (usageDuty?.formatMetrics() ?? ''))
   })
   let isStopping = false
   let isProbed = false
@@ -316,6 +320,7 @@
       suspectExchange.start()
       rolloutController.start()
       loadLogger.start()
+      usageDuty?.start()
       await Promise.all([
         listen(entryServer.server, settings.callers),
         listen(forwardingServer.server, settings.requests),
@@ -334,6 +339,7 @@
       const answerBy = toMilliseconds(limitAt - LAST_RESPONSES_MS)
       entryServer.stop({ lateFrom: addMilliseconds(stoppedAt, CALLER_LINGER_MS), answerBy })
       rolloutController.stop()
+      usageDuty?.resign()
       loadLogger.stop()
       removeRecordOfEnded().catch((error: unknown) => { log('internalError', { error: String(error) }) })
       await awaitEnd(() => false, Math.min(limitAt, stoppedAt + BACKEND_LINGER_MS))
@@ -357,7 +363,7 @@
       rolloutTraffic.stop()
       stopEvidenceLog()
       const parts = [peerRowFetcher, suspectExchange, forwardingClient, health, instanceProber, forwardingServer]
-      for (const part of parts) part.close()
+      for (const part of [...parts, usageDuty]) part?.close()
       await recordWriter.flush(Math.min(RECORD_FLUSH_MS, Math.max(0, limitAt - clock.now())))
       entryServer.logAbandoned()
       log('daemonStopped', {
--- a/packages/node/src/home/BackendJob.ts
+++ b/packages/node/src/home/BackendJob.ts
@@ -8,6 +8,8 @@
   /** Identifier that the caller gave to this attempt; the response must repeat it. */
   readonly attemptId: string
   readonly service: string
+  /** Team whose key the request carried; undefined for requests without a team. */
+  readonly team?: string | undefined
   /** Service of the host on which the request entered the mesh. */
   readonly callerService: string
   readonly idempotent: boolean
--- a/packages/node/src/home/createBackendDispatcher.ts
+++ b/packages/node/src/home/createBackendDispatcher.ts
@@ -64,6 +64,8 @@
   readonly onChange: () => void
   /** Called when the backend server may have become cold without a report. */
   readonly onColdUnknown: () => void
+  /** Called once for each job that the backend server began to run, or may have begun, with the time of its sending. */
+  readonly onRun?: (job: BackendJob, sentAt: Milliseconds) => void
 }
 
 function toOutcome (result: BackendResult): JobOutcome {
@@ -79,7 +81,8 @@
 export function createBackendDispatcher (
   options: BackendDispatcherOptions
 ): BackendDispatcher {
-  const { context, view, instance, backend, instanceLoads, crashGuard, evidence, onChange, onColdUnknown } = options
+  const { context, view, instance, backend, instanceLoads, crashGuard, evidence } = options
+  const { onChange, onColdUnknown, onRun } = options
   const { settings, clock, log, counters } = context
   const requestQueue = createRequestQueue<BackendJob>(addMilliseconds(clock.now(), COLD_START_DELAY_MS))
   const routeClassifier = createRouteClassifier(view.getHostShare)
@@ -245,6 +248,7 @@
     job: BackendJob, run: InstanceRun | undefined, result: BackendResult, durationMs: number
   ): void {
     const hasRun = result.kind === 'answered' && !result.notRun
+    if (hasRun || result.kind === 'lost') onRun?.(job, addMilliseconds(clock.now(), -durationMs))
     requestQueue.finish(job, hasRun ? durationMs : undefined)
     if (hasRun) {
       counters.record('backend', durationMs)
@@ -275,6 +279,7 @@
       if (!job.idempotent) return false
       runContained(context, () => {
         call.abort()
+        onRun?.(job, startedAt)
         crashGuard.recordLoss(job, run)
       }, undefined, { request: job.attemptId })
       requestQueue.finish(job, undefined)
--- a/packages/node/src/peers/createPeerServer.ts
+++ b/packages/node/src/peers/createPeerServer.ts
@@ -10,7 +10,9 @@
   ping: '/ping',
   rows: '/rows',
   /** Exchange of reports about requests that crash backend servers. */
-  suspects: '/suspects'
+  suspects: '/suspects',
+  /** Counts for usage reports, sent to the holder of the duty. */
+  usage: '/usage-counts'
 } as const
 
 /**
@@ -44,6 +46,8 @@
 
 /** Largest suspect report that is read, in bytes. */
 const MAX_REPORT_BYTES = 262_144
+/** Largest message with counts that is read, in bytes: three windows with 10,000 teams of 60 bytes each. */
+const MAX_COUNTS_BYTES = 2_097_152
 
 /** Options of `createPeerServer`. */
 export interface PeerServerOptions {
@@ -55,11 +59,13 @@
   readonly getStoreTime: () => number | undefined
   /** Applies an encoded suspect report and returns the report to answer with; undefined if it is malformed. */
   readonly receiveSuspects: (body: Buffer, peer: string) => Buffer | undefined
+  /** Records encoded counts and returns the response; undefined if they are malformed. */
+  readonly receiveCounts?: ((body: Buffer, peer: string) => Buffer | undefined) | undefined
 }
 
 /** Creates the server that answers pings and serves rows from the local copies of the tables. */
 export function createPeerServer (
-  { replica, cursors, copyAges, isStoreConnected, getStoreTime, receiveSuspects }: PeerServerOptions
+  { replica, cursors, copyAges, isStoreConnected, getStoreTime, receiveSuspects, receiveCounts }: PeerServerOptions
 ): Server {
   const cachedResponses = new Map<string, Buffer>()
 
@@ -111,16 +117,18 @@
     if (collect().some(hasChanges)) send()
   }
 
-  function handleSuspects (incoming: IncomingMessage, response: ServerResponse): void {
+  function handleReport (
+    incoming: IncomingMessage, response: ServerResponse, maxBytes: number, receive: PeerServerOptions['receiveSuspects']
+  ): void {
     const chunks: Buffer[] = []
     let size = 0
     incoming.on('data', (chunk: Buffer) => {
       size += chunk.length
-      if (size <= MAX_REPORT_BYTES) chunks.push(chunk)
+      if (size <= maxBytes) chunks.push(chunk)
     })
     incoming.on('end', () => {
       const peer = incoming.socket.remoteAddress ?? ''
-      const answer = size > MAX_REPORT_BYTES ? undefined : receiveSuspects(Buffer.concat(chunks), peer)
+      const answer = size > maxBytes ? undefined : receive(Buffer.concat(chunks), peer)
       response.writeHead(answer === undefined ? 400 : 200, { 'content-length': answer?.length ?? 0 }).end(answer)
     })
   }
@@ -132,7 +140,11 @@
       return
     }
     if (url?.pathname === PEER_PATHS.suspects) {
-      handleSuspects(incoming, response)
+      handleReport(incoming, response, MAX_REPORT_BYTES, receiveSuspects)
+      return
+    }
+    if (url?.pathname === PEER_PATHS.usage && receiveCounts !== undefined) {
+      handleReport(incoming, response, MAX_COUNTS_BYTES, receiveCounts)
       return
     }
     if (url?.pathname !== PEER_PATHS.rows) {
--- a/packages/node/src/rows/TABLES.ts
+++ b/packages/node/src/rows/TABLES.ts
@@ -3,6 +3,11 @@
 /** Table of the rows that nodes write: one per host, and one for the release of each service. */
 export const MESH_TABLE = 'mesh'
 
+/** Table of the duty's lease, counts and reports; read by its holder only. */
+export const DUTY_TABLE = 'duty'
+/** Key of the row in the mesh table that names the holder of the usage reports to all nodes. */
+export const USAGE_HOLDER_KEY = 'duty/usage'
+
 /** Tables that every node keeps a copy of. */
 export const FOLLOWED_TABLES: readonly string[] = [OPERATOR_TABLE, MESH_TABLE]
 
