--- a/packages/contracts/src/mesh/index.ts
+++ b/packages/contracts/src/mesh/index.ts
@@ -1,4 +1,5 @@
 export * from './digestTeamKey.js'
+export * from './dutySchemas.js'
 export * from './hostRecordSchema.js'
 export * from './meshConfigurationSchema.js'
 export * from './nodeSettingsSchema.js'
