feat(serving): share a backend server between teams by recent use

A team with a high request rate, or one whose callers retry at once, took most slots of a backend server; small teams got a seventh to two thirds of their requests served.

Change: createTeamShares keeps the recent backend time of each team, with a decay of 4 s. createRequestQueue starts the request of the team that has used least, among those equal in priority, internal or not, and reachable target. takeExcess refuses waiting requests of teams above the average that have become late in a standing queue; the dispatcher refuses them as busy. Without teams the order and the refusals are unchanged.

Tests of decisions/serving and of node's home, createExchange, teams and createNode pass (264).

--- a/packages/decisions/src/serving/createRequestQueue.ts
+++ b/packages/decisions/src/serving/createRequestQueue.ts
@@ -1,6 +1,7 @@
 import { type Milliseconds, type ServingRefusalReason, toMilliseconds } from '@snipenotch/contracts'
 import { computeColdInterval, createColdPacer, type ColdLimit } from './createColdPacer.js'
 import { createServiceTimes } from './createServiceTimes.js'
+import { createTeamShares } from './createTeamShares.js'
 
 /** A request for a slot of the backend server. */
 export interface QueueJob {
@@ -11,6 +12,8 @@
   readonly isInternal: boolean
   /** True if the large body was fetched from another host; a refusal would mean transferring it again to a third. */
   readonly isBodyFetched: boolean
+  /** Team whose key the request carried; undefined if it needs none. */
+  readonly team?: string | undefined
   /** Time at which the target latency ends. */
   readonly targetAt: Milliseconds
   /** Deadline of the request; a later response is useless. */
@@ -62,6 +65,11 @@
   readonly takeReady: (limits: QueueLimits, now: Milliseconds) => Job[]
   /** Removes and returns the waiting requests that can no longer be answered before their deadline. */
   readonly takeExpired: (now: Milliseconds) => Job[]
+  /**
+   * Removes and returns the waiting requests, with their expected waits in milliseconds, that have become late because
+   * of requests of teams that have used less. Returns none unless the queue is standing.
+   */
+  readonly takeExcess: (limits: QueueLimits, now: Milliseconds) => Array<{ readonly job: Job, readonly waitMs: number }>
   /** Removes and returns the waiting requests for which `isMatch` is true. */
   readonly takeMatching: (isMatch: (job: Job) => boolean) => Job[]
   /** Removes and returns all waiting requests. */
@@ -142,6 +150,7 @@
 export function createRequestQueue<Job extends QueueJob> (noSendsBefore?: Milliseconds): RequestQueue<Job> {
   const times = createServiceTimes()
   const pacer = createColdPacer(noSendsBefore)
+  const teamShares = createTeamShares<Job>()
   let waiting: Job[] = []
   /** Running requests with their start times. */
   const running = new Map<Job, Milliseconds>()
@@ -155,15 +164,16 @@
 
   /**
    * Orders waiting requests: by higher priority, then internal calls first, then those that can still meet their
-   * target, then by earlier target. The operator's priorities come first, because an overload by internal calls of a
-   * less urgent class would otherwise refuse all requests of the most urgent one.
+   * target, then by less use of their team, then by earlier target. The operator's priorities come first, because an
+   * overload by internal calls of a less urgent class would otherwise refuse all requests of the most urgent one.
    */
   function isBefore (left: Job, right: Job, now: Milliseconds): boolean {
     if (left.priority !== right.priority) return left.priority < right.priority
     if (left.isInternal !== right.isInternal) return left.isInternal
     const isLeftReachable = isTargetReachable(left, now)
     if (isLeftReachable !== isTargetReachable(right, now)) return isLeftReachable
-    return left.targetAt < right.targetAt
+    const teamOrder = teamShares.compare(left, right)
+    return teamOrder === 0 ? left.targetAt < right.targetAt : teamOrder < 0
   }
 
   /**
@@ -194,6 +204,15 @@
     return first
   }
 
+  /** Returns the request that starts last among those of teams that have used more than the average. */
+  function findLastOverShare (now: Milliseconds): Job | undefined {
+    let last: Job | undefined
+    for (const job of waiting) {
+      if (!job.isInternal && teamShares.isOverShare(job) && (last === undefined || isBefore(last, job, now))) last = job
+    }
+    return last
+  }
+
   /** Returns the waiting request to start next. */
   function chooseNext (now: Milliseconds): Job | undefined {
     const first = findFirst(waiting, now)
@@ -215,7 +234,7 @@
     let urgent = 0
     let others = 0
     for (const other of waiting) {
-      if (isBefore(job, other, now)) continue
+      if (other === job || isBefore(job, other, now)) continue
       if (other.priority < job.priority) urgent += 1
       else others += 1
     }
@@ -256,6 +275,7 @@
 
   function startJob (job: Job, limits: QueueLimits, now: Milliseconds): void {
     running.set(job, now)
+    teamShares.recordStart(job, getServiceMs(job), now)
     pacer.record(limits.cold, now)
   }
 
@@ -302,6 +322,18 @@
     },
     takeExpired: (now) =>
       takeMatching((job) => now + getServiceMs(job) * MIN_REMAINING_SERVICE_SHARE > job.deadlineAt),
+    takeExcess: (limits, now) => {
+      const excess: Array<{ readonly job: Job, readonly waitMs: number }> = []
+      // As many as there are slots stay, so that no slot becomes idle.
+      while (waiting.length > limits.slots && isQueueStanding(now)) {
+        const last = findLastOverShare(now)
+        const waitMs = last === undefined ? 0 : computeWait(last, limits, now)
+        if (last === undefined || waitMs <= computeMaxWait(last, now)) break
+        waiting.splice(waiting.indexOf(last), 1)
+        excess.push({ job: last, waitMs })
+      }
+      return excess
+    },
     takeMatching,
     takeAll: () => {
       const all = waiting
@@ -315,6 +347,7 @@
     },
     finish: (job, durationMs) => {
       running.delete(job)
+      teamShares.recordEnd(job, durationMs)
       if (durationMs !== undefined) times.record(job.route, durationMs)
     },
     computeDelay: (limits, now) => {
--- a/packages/node/src/home/createBackendDispatcher.ts
+++ b/packages/node/src/home/createBackendDispatcher.ts
@@ -296,6 +296,7 @@
     for (const job of requestQueue.takeMatching((waiting) => crashGuard.findWait(waiting) !== undefined)) {
       end(job, { kind: 'refused', reason: 'crash-suspect', waitMs: crashGuard.findWait(job) ?? 0 })
     }
+    for (const { job, waitMs } of requestQueue.takeExcess(limits, now)) end(job, { kind: 'refused', reason: 'busy', waitMs })
     if (!limits.isStartAllowed) {
       for (const job of requestQueue.takeAll()) end(job, { kind: 'refused', reason: limits.closedReason ?? 'busy', waitMs: 0 })
     }
