test(node): keys on a node that follows a reader fail closed too

The test of a silent store covered the reader only. A third host with a slow link follows the readers; it refuses keys and serves them again like them.

--- a/packages/node/tests/teams.test.ts
+++ b/packages/node/tests/teams.test.ts
@@ -41,7 +41,7 @@
     mesh = await startTestMesh()
     await configure(1, TEAMS)
     entry = await mesh.startHost('krakow-1', 'clocks', { failClosed: true, revocationMs: REVOCATION_MS })
-    home = await mesh.startHost('krakow-2', 'parts')
+    home = await mesh.startHost('krakow-2', 'parts', { failClosed: true, revocationMs: REVOCATION_MS })
     for (const host of [entry, home]) {
       await awaitCondition('reports are accepted', async () => await host.report() === 200)
     }
@@ -106,12 +106,22 @@
   })
 
   it('refuses keys while the store is silent, and serves again with it (guards against removed keys on a cut-off node)', async () => {
+    // Two hosts read the store; one with a slow link follows them, and its copy ages by theirs.
+    const follower = await mesh.startHost('krakow-3', 'clocks', { failClosed: true, revocationMs: REVOCATION_MS, linkMbps: 10 })
+    await awaitCondition('reports are accepted', async () => await follower.report() === 200)
+    await awaitCondition('it follows a reader', () => follower.context.events.some(({ name }) => name === 'readerChosen'))
+    const askBoth = async (status: number): Promise<boolean> => {
+      const answers = await Promise.all([entry, follower].map(({ settings }) =>
+        send(settings.callers.port, '/parts/1', withKey(KEYS.kube))))
+      return answers.every((answer) => answer.status === status)
+    }
+    await awaitCondition('keys are served', () => askBoth(200))
     mesh.store.fault = 'silent'
     mesh.store.silenceConnections()
-    await awaitCondition('keys are refused', async () => (await ask('/parts/1', withKey(KEYS.kube))).status === 503)
+    await awaitCondition('keys are refused', () => askBoth(503))
     expect((await ask('/clocks/1')).status).to.equal(200)
     expect((await ask('/parts/1', withKey('nobody'))).status).to.equal(503)
     mesh.store.fault = 'none'
-    await awaitCondition('keys are served', async () => (await ask('/parts/1', withKey(KEYS.kube))).status === 200)
+    await awaitCondition('keys are served again', () => askBoth(200))
   })
 })
