--- a/packages/contracts/src/mesh/dutySchemas.ts
+++ b/packages/contracts/src/mesh/dutySchemas.ts
@@ -2,6 +2,8 @@
 
 /** Requests that backend servers began to run, by team. */
 const teamCountsSchema = z.record(z.string(), z.number().int().nonnegative())
+/** Counts of one window by source (a process of a host) and team. */
+export const sourceCountsSchema = z.record(z.string(), teamCountsSchema)
 const windowSchema = z.number().int().nonnegative()
 
 /** Lease of a duty. Each write of the holder changes the row, so an unchanged row shows that the holder is gone. */
--- a/packages/decisions/src/duty/dutyRows.ts
+++ b/packages/decisions/src/duty/dutyRows.ts
@@ -1,4 +1,4 @@
-import { type DutyLease, dutyLeaseSchema } from '@snipenotch/contracts'
+import { type DutyLease, dutyLeaseSchema, sourceCountsSchema } from '@snipenotch/contracts'
 import type { SourceCounts, TeamCounts } from './createUsageTally.js'
 
 /** A row of the duty's table. */
@@ -62,6 +62,7 @@
   for (const { key, value } of rows) {
     if (!key.startsWith(prefix)) continue
     const [window = NaN, index = NaN] = key.slice(prefix.length).split('/').map(Number)
+    if (!Number.isSafeInteger(window) || !Number.isSafeInteger(index)) continue
     const list = pieces.get(window) ?? []
     list[index] = value
     pieces.set(window, list)
@@ -71,9 +72,9 @@
 
 function parseSources (text: string): SourceCounts {
   try {
-    return JSON.parse(text) as SourceCounts
-  } catch {
     // Without the row, the nodes' next messages still bring all counts but those of nodes that have ended.
+    return sourceCountsSchema.safeParse(JSON.parse(text)).data ?? {}
+  } catch {
     return {}
   }
 }
--- a/packages/node/tests/home/createBackendDispatcher.test.ts
+++ b/packages/node/tests/home/createBackendDispatcher.test.ts
@@ -18,6 +18,8 @@
   let dispatcher: BackendDispatcher
   /** Requests sent to the backend server, with the callbacks that end them. */
   let sent: Array<{ readonly job: BackendJob, readonly end: (result: BackendResult) => void }>
+  /** Teams of the requests that the backend server began to run. */
+  let runs: Array<string | undefined>
   let isVersionAllowed: boolean
   let call: BackendClient['call']
 
@@ -62,6 +64,7 @@
 
   beforeEach(() => {
     sent = []
+    runs = []
     isVersionAllowed = true
     call = (job, _instance, _remainingMs, end) => {
       sent.push({ job, end })
@@ -96,7 +99,8 @@
         close: () => undefined
       },
       onChange: () => undefined,
-      onColdUnknown: () => undefined
+      onColdUnknown: () => undefined,
+      onRun: ({ team }) => { runs.push(team) }
     })
     report(1, 1)
   })
@@ -106,6 +110,29 @@
     expect(sent).to.deep.equal([])
   })
 
+  it('reports each request that the backend server began to run once (guards against usage that no run stands behind)', () => {
+    const answer = { kind: 'answered' as const, status: 200, headers: [], body: Buffer.alloc(0) }
+    const results: Array<[string, BackendResult]> = [
+      ['answered', { ...answer, notRun: false }],
+      ['not run', { ...answer, status: 503, notRun: true }],
+      ['malformed', { kind: 'malformed', detail: '' }],
+      ['lost', { kind: 'lost', reason: 'answer-truncated', detail: '' }],
+      ['unreachable', { kind: 'unreachable', detail: '' }]
+    ]
+    for (const [team, result] of results) {
+      run({ team })
+      sent.at(-1)!.end(result)
+    }
+    expect(runs).to.deep.equal(['answered', 'lost'])
+  })
+
+  it('counts a request that its caller abandons after it was sent (guards against runs without usage)', () => {
+    const job = createJob({ team: 'north', deadlineAt: addMilliseconds(context.clock.now(), 5000) })
+    dispatcher.run(job, () => undefined)
+    job.cancel?.()
+    expect(runs).to.deep.equal(['north'])
+  })
+
   it('refuses requests while the version of its server is not allowed', () => {
     isVersionAllowed = false
     expect(describeOutcome(run())).to.equal('refused version-not-allowed')
