feat(rollouts): keep ended rollouts ended when the store loses them

After a restore every order's row counts as newer, and release rows go back, so rollouts that had been completed or rolled back started again. A release that a restored row would undo is kept and written again; an order's row is compared with the release by version and duration, and recorded in it.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -106,6 +106,7 @@
   linksAbandoned: { number: 845, level: 'warn', text: 'connections of other nodes end with this process' },
   storeRestored: { number: 890, level: 'warn', text: 'store was restored from a copy; its tables are read in full' },
   lostRowsRemoved: { number: 891, level: 'warn', text: 'rows that a restored store does not hold were not written again; they are removed' },
+  releaseKept: { number: 892, level: 'warn', text: 'a restored store holds an earlier state of a release; the known one is kept and written again' },
   linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
 
--- a/packages/contracts/src/mesh/releaseSchema.ts
+++ b/packages/contracts/src/mesh/releaseSchema.ts
@@ -7,9 +7,13 @@
   stable: z.string(),
   /** Versions that were rolled back; they receive no requests. */
   denied: z.array(z.string()),
+  /** Version up to which rows of orders from before a restore of the store are known; they start no rollout. */
+  seenOrder: z.number().optional(),
   rollout: z.object({
     /** Row version of the operator's order; distinguishes repeated orders with the same content. */
     order: z.number(),
+    /** Version of the same order's row in a store that was restored since. */
+    orderRow: z.number().optional(),
     to: z.string(),
     state: z.enum(['running', 'completed', 'rolled-back']),
     /** Share of requests sent to the new version, in 0..1. */
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -227,7 +227,7 @@
   }
   const loadLogger = createLoadLogger(context, entryServer, dispatcher, copies)
   const rolloutController = createRolloutController({
-    context, view, replica, store, health, evidence, onRows: applyRows, getStoreTime
+    context, view, replica, cursors, store, health, evidence, onRows: applyRows, getStoreTime
   })
   const peerServer = createPeerServer({
     replica, cursors, copyAges, isStoreConnected: isReader, getStoreTime, receiveSuspects: suspectExchange.receive
--- a/packages/node/src/operations/createRolloutController.ts
+++ b/packages/node/src/operations/createRolloutController.ts
@@ -1,9 +1,10 @@
-import type { MeshRollout, Release } from '@snipenotch/contracts'
-import { decideRolloutStep, type Replica, type VersionEvidence } from '@snipenotch/decisions'
+import { getRowEra, type MeshRollout, type Release } from '@snipenotch/contracts'
+import { decideRolloutStep, type RememberedOrder, type Replica, resolveRestoredOrder, type VersionEvidence } from '@snipenotch/decisions'
 import { encodeRolloutStatus, type StoreClient } from '@snipenotch/platform'
 import type { NodeContext } from '../NodeContext.js'
 import type { HostHealth } from '../peers/createHostHealth.js'
-import type { MeshView, VersionedRolloutOrder } from '../rows/createMeshView.js'
+import type { MeshView } from '../rows/createMeshView.js'
+import type { TableCursors } from '../rows/createTableCursors.js'
 import { formatReleaseKey, MESH_TABLE } from '../rows/TABLES.js'
 
 /** Advances rollouts by conditional writes of the release rows; any node may take any step. */
@@ -26,6 +27,7 @@
   readonly context: NodeContext
   readonly view: MeshView
   readonly replica: Replica
+  readonly cursors: Pick<TableCursors, 'getEra'>
   readonly store: StoreClient
   readonly health: HostHealth
   readonly evidence: Pick<VersionEvidence, 'findCut' | 'countProven' | 'isSuspected' | 'measureTraffic'>
@@ -38,7 +40,7 @@
 
 /** Creates the rollout controller of a node. */
 export function createRolloutController (options: RolloutControllerOptions): RolloutController {
-  const { context, view, replica, store, health, evidence, getStoreTime, onRows } = options
+  const { context, view, replica, cursors, store, health, evidence, getStoreTime, onRows } = options
   const { settings, clock, log, counters, ticker } = context
   /** The step that is due for each service, and the time since which it has been due. */
   const dueSince = new Map<string, { readonly step: string, readonly at: number }>()
@@ -61,9 +63,11 @@
   }
 
   function planRolloutStart (
-    release: Release, { order, version }: VersionedRolloutOrder, storeNow: number
+    release: Release, remembered: RememberedOrder, storeNow: number
   ): PlannedRelease | undefined {
-    if (release.rollout !== null && release.rollout.order >= version) return undefined
+    const { order, version } = remembered
+    const meaning = resolveRestoredOrder(release, remembered)
+    if (meaning !== 'new') return planRestoredOrder(release, version, meaning)
     if (waitingOrders.get(order.service)?.version !== version) {
       waitingOrders.set(order.service, { version, seenAt: clock.now() })
     }
@@ -75,6 +79,29 @@
     return { release: { ...release, denied: release.denied.filter((name) => name !== order.to), rollout }, reason: 'ordered' }
   }
 
+  /** Plans to record the row of an order that a restored store holds again, so that it starts no rollout. */
+  function planRestoredOrder (
+    release: Release, version: number, meaning: 'handled' | 'same' | 'former' | 'unknown'
+  ): PlannedRelease | undefined {
+    const reason = 'order of before a restore of the store'
+    if (meaning === 'former') return { release: { ...release, seenOrder: version }, reason }
+    if (meaning !== 'same' || release.rollout === null) return undefined
+    return { release: { ...release, rollout: { ...release.rollout, orderRow: version } }, reason }
+  }
+
+  /** Returns whether the restored store holds no row of a release, as its copy of the table shows. */
+  function isMissing (service: string): boolean {
+    const row = replica.get(MESH_TABLE, formatReleaseKey(service))
+    return row?.value === undefined || getRowEra(row.version) < cursors.getEra(MESH_TABLE)
+  }
+
+  /** Plans to write a release again that a restore of the store has lost or undone. */
+  function planLostRelease (release: Release): PlannedRelease | undefined {
+    if (cursors.getEra(MESH_TABLE) === 0) return undefined
+    if (!isMissing(release.service) && !view.isReleaseLost(release.service)) return undefined
+    return { release, reason: 'lost by a restore of the store' }
+  }
+
   function createRollout (
     service: string, to: string, order: number, durationMs: number, storeNow: number, state: MeshRollout['state'], share: number, reason: string
   ): MeshRollout {
@@ -123,6 +150,8 @@
   function plan (service: string, storeNow: number): PlannedRelease | undefined {
     const release = view.getRelease(service)
     if (release === undefined) return planInitialRelease(service)
+    const lost = planLostRelease(release)
+    if (lost !== undefined) return lost
     const ordered = view.listRolloutOrders().find(({ order }) => order.service === service)
     const rolloutStart = ordered === undefined ? undefined : planRolloutStart(release, ordered, storeNow)
     if (rolloutStart !== undefined) return rolloutStart
@@ -136,7 +165,7 @@
     const { rollout } = release
     const status = rollout === null ? [] : [encodeRolloutStatus(service, rollout.to, rollout.state)]
     const answer = await store.write(
-      [{ table: MESH_TABLE, key, version: known?.value === undefined ? 0 : known.version }],
+      [{ table: MESH_TABLE, key, version: isMissing(service) ? 0 : known?.version ?? 0 }],
       [{ table: MESH_TABLE, key, value }, ...status]
     )
     if (answer.isErr()) {
--- a/packages/node/src/rows/createMeshView.ts
+++ b/packages/node/src/rows/createMeshView.ts
@@ -1,17 +1,14 @@
 import {
-  hostRecordSchema, releaseSchema, type HostRecord, type MeshConfiguration, type MeshService, type Release,
-  type RolloutOrder
+  getRowEra, hostRecordSchema, releaseSchema, type HostRecord, type MeshConfiguration, type MeshService, type Release
 } from '@snipenotch/contracts'
-import { isVersionAllowed, type ReplicaRow } from '@snipenotch/decisions'
+import { isReleaseUndone, isVersionAllowed, type RememberedOrder, type ReplicaRow } from '@snipenotch/decisions'
 import { decodeConfiguration, decodeRolloutOrder, OPERATOR_TABLE, parseOperatorKey } from '@snipenotch/platform'
 import type * as z from 'zod'
 import type { NodeContext } from '../NodeContext.js'
+import { createOrderHistory } from './createOrderHistory.js'
 import { createRouteFinder, type RouteFinder } from './createRouteFinder.js'
 import { parseMeshKey } from './TABLES.js'
 
-/** A rollout order with the version of its row, which distinguishes repeated orders. */
-export interface VersionedRolloutOrder { readonly order: RolloutOrder, readonly version: number }
-
 /** State of the mesh as known to a node, derived from the replicated rows. */
 export interface MeshView {
   /** Applies changed rows. */
@@ -27,7 +24,9 @@
   /** Share of all hosts that belong to one of the services, 0 to 1. */
   readonly getHostShare: (services: ReadonlySet<string>) => number
   readonly getRelease: (service: string) => Release | undefined
-  readonly listRolloutOrders: () => readonly VersionedRolloutOrder[]
+  /** Returns whether a restored store holds a release that would undo the known one. */
+  readonly isReleaseLost: (service: string) => boolean
+  readonly listRolloutOrders: () => readonly RememberedOrder[]
   readonly isVersionAllowed: (service: string, version: string) => boolean
 }
 
@@ -44,9 +43,13 @@
   let services = new Map<string, MeshService>()
   let routes: RouteFinder = { find: () => undefined }
   const evacuated = new Set<string>()
-  const orders = new Map<string, VersionedRolloutOrder>()
+  const orders = new Map<string, RememberedOrder>()
+  const orderHistory = createOrderHistory()
   const hosts = new Map<string, HostRecord>()
   const releases = new Map<string, Release>()
+  /** Versions of the rows that the releases are from. */
+  const releaseVersions = new Map<string, number>()
+  const lostReleases = new Set<string>()
   let serving = new Map<string, HostRecord[]>()
   let servedVersions = new Map<string, Set<string>>()
   let hostCounts = new Map<string, number>()
@@ -72,7 +75,7 @@
     }
     const decoded = decodeRolloutOrder(row.value)
     if (decoded.isErr()) log('rowUnreadable', { table: row.table, key: row.key, detail: decoded.error })
-    else orders.set(decoded.value.service, { order: decoded.value, version: row.version })
+    else orders.set(decoded.value.service, { order: decoded.value, version: row.version, ...orderHistory.record(row) })
   }
 
   function applyEvacuation (dataCentre: string, row: ReplicaRow): void {
@@ -112,9 +115,23 @@
     const { kind, name } = parseMeshKey(row.key)
     if (kind === 'host') setOrDelete(hosts, name, parseHostRecord(name, row))
     if (kind !== 'release') return
+    applyRelease(name, row)
+  }
+
+  function applyRelease (service: string, row: ReplicaRow): void {
     const release = parseRow(releaseSchema, row)
-    setOrDelete(releases, name, release)
-    log('releaseChanged', { service: name, release, row: row.version })
+    const known = releases.get(service)
+    const era = getRowEra(row.version)
+    const isLaterEra = era > getRowEra(releaseVersions.get(service) ?? 0)
+    if (known !== undefined && era > 0 && isReleaseUndone(known, release, isLaterEra)) {
+      lostReleases.add(service)
+      log('releaseKept', { service, row: row.version, found: release })
+      return
+    }
+    lostReleases.delete(service)
+    releaseVersions.set(service, row.version)
+    setOrDelete(releases, service, release)
+    log('releaseChanged', { service, release, row: row.version })
   }
 
   /** Applies one row. An error must not keep the rows behind it from being applied: they are not delivered again. */
@@ -163,6 +180,7 @@
       return hosts.size === 0 ? 1 : count / hosts.size
     },
     getRelease: (service) => releases.get(service),
+    isReleaseLost: (service) => lostReleases.has(service),
     listRolloutOrders: () => [...orders.values()],
     isVersionAllowed: (service, version) =>
       isVersionAllowed(releases.get(service), version, servedVersions.get(service) ?? new Set())
--- a/packages/node/tests/backgroundLoops.test.ts
+++ b/packages/node/tests/backgroundLoops.test.ts
@@ -192,6 +192,7 @@
       context,
       view: { ...createMeshView(context, () => undefined), getHost: () => own, listHosts: () => [own] },
       replica: createReplica(),
+      cursors: createTableCursors(),
       store: createStore(failOnce(done)),
       health: { isDown: () => false, markDown: () => undefined, close: () => undefined },
       evidence: {
--- a/packages/node/tests/rollouts.test.ts
+++ b/packages/node/tests/rollouts.test.ts
@@ -89,4 +89,70 @@
     await sendUntil('completed', 'rolled_back')
     expect(await readState()).to.equal('completed')
   })
+
+  /** Restores the store and waits until both nodes know of it and its status row is the one given. */
+  async function restoreUntil (state: string): Promise<void> {
+    mesh.store.restore()
+    await awaitCondition('the status is written again', async () => await readState() === state)
+    await awaitCondition('both nodes know of the restore', () => [stable, fresh].every(({ context }) =>
+      context.events.some(({ name }) => name === 'storeRestored')))
+  }
+  /** Writes an order without a condition, as the store has lost its row or the version of it. */
+  async function orderAgain (to: string, seconds: number): Promise<void> {
+    const value = JSON.stringify(composeRolloutOrder('parts', to, seconds))
+    const written = await mesh.client.write([], [{ table: 'op', key: 'rollout/parts', value }])
+    expect(written.unwrap().kind).to.equal('done')
+  }
+  /** States of the rollout that nodes wrote since the restore. */
+  const listStatesSinceRestore = (): unknown[] => [stable, fresh].flatMap(({ context: { events } }) =>
+    events.slice(events.findIndex(({ name }) => name === 'storeRestored'))
+      .filter(({ name }) => name === 'rolloutStepped')
+      .map(({ fields }) => (fields.rollout as { state: string }).state))
+  const isOrderKnownTo = (hosts: readonly TestHost[]) => (): boolean => hosts.some(({ context: { events } }) =>
+    events.some(({ name, fields }) =>
+      name === 'rolloutStepped' && fields.reason === 'order of before a restore of the store'))
+
+  it('leaves a completed rollout completed when the store loses it with its order (guards against requests to a stopped version)', async () => {
+    mesh.store.copy()
+    await mesh.putOperatorRow('rollout/parts', composeRolloutOrder('parts', 'v2', 3))
+    await sendUntil('completed')
+    await restoreUntil('completed')
+    await awaitCondition('the lost order is removed', () => [stable, fresh].every(({ context }) =>
+      context.events.some(({ name }) => name === 'lostRowsRemoved')))
+    stable.backend.seen.length = 0
+    await orderAgain('v2', 3)
+    await awaitCondition('the order is known again', isOrderKnownTo([stable, fresh]))
+    for (let index = 0; index < 20; index++) await sendOne()
+    expect(stable.backend.seen).to.be.empty
+    expect(new Set(listStatesSinceRestore())).to.deep.equal(new Set(['completed']))
+  })
+
+  it('leaves a rollout rolled back when the copy is from its course (guards against a bad version that is rolled out again)', async () => {
+    fresh.backend.handle = (incoming, response) => { answerSigned(incoming, response, 'no', 500) }
+    await mesh.putOperatorRow('rollout/parts', composeRolloutOrder('parts', 'v2', 6))
+    await sendUntil('running')
+    mesh.store.copy()
+    await sendUntil('rolled_back')
+    const exposed = fresh.backend.seen.length
+    await restoreUntil('rolled_back')
+    // A node that starts now does not know the order from before the restore, and is the first to take it up.
+    const started = await mesh.startHost('krakow-0', 'parts')
+    await started.report()
+    await awaitCondition('the order is known again', isOrderKnownTo([started]))
+    for (let index = 0; index < 40; index++) await sendOne()
+    expect(fresh.backend.seen.length).to.equal(exposed)
+    expect(new Set(listStatesSinceRestore())).to.deep.equal(new Set(['rolled-back']))
+  })
+
+  it('goes on with a rollout that is running, and takes a new order afterwards (guards against rollouts that stand still)', async () => {
+    await mesh.putOperatorRow('rollout/parts', composeRolloutOrder('parts', 'v2', 4))
+    mesh.store.copy()
+    await sendUntil('running')
+    mesh.store.restore()
+    await sendUntil('completed')
+    await orderAgain('v1', 4)
+    await sendUntil('running')
+    await sendUntil('completed')
+    expect(await readState()).to.equal('completed')
+  })
 })
