--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -235,7 +235,7 @@
   }
   const loadLogger = createLoadLogger(context, entryServer, dispatcher, copies)
   const rolloutController = createRolloutController({
-    context, view, replica, store, health, evidence, onRows: applyRows, getStoreTime
+    context, view, replica, cursors, store, health, evidence, onRows: applyRows, getStoreTime
   })
   const usageDuty = createUsagePart({ context, view, health, store, replica, onRows: applyRows, getStoreEra: storeEra.get })
   const receivers = { receiveSuspects: suspectExchange.receive, receiveCounts: usageDuty?.receive }
