--- a/packages/decisions/src/serving/createLoadBalancer.ts
+++ b/packages/decisions/src/serving/createLoadBalancer.ts
@@ -11,6 +11,8 @@
   readonly failureShare: number
   /** Time until a large body offered now would begin to arrive, in milliseconds. */
   readonly fetchMs: number
+  /** Share of the requests of the reported outcome's route to accept, 0 to 1; absent with nodes of earlier builds. */
+  readonly admittedShare?: number | undefined
 }
 
 /** A host that can run a request. */
