feat(node): backpressure between services

Cause: refused internal calls waste whole runs. Change: the node beside the calling backend server learns from requests of internal routes that enter there how its calls fare and reports admittedShare, the sixth number of the load, with each outcome; entry nodes refuse the rest at once as busy. Outcomes of internal routes say so in a trailing map.

--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -2,6 +2,7 @@
 import { createInstanceLoadTracker, createInstanceState, createLoadBalancer, createReplica, createVersionEvidence, type ReplicaRow } from '@snipenotch/decisions'
 import { createStoreClient, OPERATOR_TABLE } from '@snipenotch/platform'
 import { createServer, type Server } from 'node:http'
+import { createBackpressure } from './entry/createBackpressure.js'
 import { createCandidateFinder } from './entry/createCandidateFinder.js'
 import { createEntryServer } from './entry/createEntryServer.js'
 import { createExchange } from './entry/createExchange.js'
@@ -159,6 +160,7 @@
     applyReport: crashGuard.applyReport,
     hasSuspects: crashGuard.hasSuspects
   })
+  const backpressure = createBackpressure(context)
   const dispatcher = createBackendDispatcher({
     context,
     view,
@@ -166,6 +168,7 @@
     backend,
     instanceLoads,
     crashGuard,
+    calls: backpressure.calls,
     evidence,
     onChange: () => { recordPublisher.update() },
     onColdUnknown: () => { instanceProber.update() }
@@ -190,7 +193,7 @@
     cursors.get(MESH_TABLE) === undefined ? undefined : view.listHosts().length)
   const stopEvidenceLog = createEvidenceLogger(context, view, evidence)
   const rolloutTraffic = createRolloutTraffic(context, view)
-  const startExchange = createExchange({
+  const startExchange = backpressure.attach(createExchange({
     context,
     dispatcher,
     client: forwardingClient,
@@ -200,9 +203,10 @@
       const release = view.getRelease(service)
       if (release !== undefined) evidence.merge(release, host, report)
     },
+    onOutcome: backpressure.recordOutcome,
     finder: createCandidateFinder(context, view, health, evidence),
     loadBalancer: createLoadBalancer(random)
-  })
+  }))
   const entryServer = createEntryServer({
     context, view, startExchange, retryBudgets, getCopyAgeMs: () => copyAges.get(OPERATOR_TABLE)
   })
@@ -231,7 +235,7 @@
     response.writeHead(isReady ? 200 : 503, { 'content-length': 0 }).end()
   })
   const metrics = createServer((_, response) => {
-    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(counters.format() + formatCopyMetrics(copies))
+    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(counters.format() + formatCopyMetrics(copies) + backpressure.formatMetrics())
   })
   let isStopping = false
   let isProbed = false
@@ -356,6 +360,7 @@
       reader.stop()
       rolloutTraffic.stop()
       stopEvidenceLog()
+      backpressure.stop()
       const parts = [peerRowFetcher, suspectExchange, forwardingClient, health, instanceProber, forwardingServer]
       for (const part of parts) part.close()
       await recordWriter.flush(Math.min(RECORD_FLUSH_MS, Math.max(0, limitAt - clock.now())))
--- a/packages/node/src/entry/createExchange.ts
+++ b/packages/node/src/entry/createExchange.ts
@@ -86,6 +86,8 @@
   readonly rolloutTraffic: Pick<RolloutTraffic, 'record'>
   /** Called with what another node reports on a version under rollout. */
   readonly onEvidence: (service: string, host: string, report: EvidenceReport) => void
+  /** Called with each outcome of an attempt. */
+  readonly onOutcome?: (route: string, host: string, outcome: JobOutcome) => void
 }
 
 /** Sends a request to a host, and to further hosts where a retry is allowed, until there is a final result. */
@@ -93,7 +95,9 @@
 
 /** Creates the function that starts exchanges on a node. */
 export function createExchange (
-  { context, dispatcher, client, finder, loadBalancer, retryBudgets, rolloutTraffic, onEvidence }: ExchangeOptions
+  {
+    context, dispatcher, client, finder, loadBalancer, retryBudgets, rolloutTraffic, onEvidence, onOutcome
+  }: ExchangeOptions
 ): StartExchange {
   const { settings, clock, log, counters } = context
 
@@ -215,6 +219,7 @@
       if (outcome.evidence !== undefined && candidate.host !== settings.host) {
         onEvidence(service, candidate.host, outcome.evidence)
       }
+      onOutcome?.(route.name, candidate.host, outcome)
       if (isCancelled) return
       if (outcome.kind === 'refused') {
         handleRefusal(candidate, outcome.reason, outcome.waitMs)
--- a/packages/node/src/home/BackendJob.ts
+++ b/packages/node/src/home/BackendJob.ts
@@ -35,6 +35,8 @@
   readonly transitMs?: number | undefined
   /** Results of the backend server since the order of a running rollout of its service. */
   readonly evidence?: EvidenceReport | undefined
+  /** True if the node of the backend server holds that only backend servers call the route. */
+  readonly isInternal?: boolean | undefined
 }
 
 type JobResult =
--- a/packages/node/src/home/acceptForwardingConnection.ts
+++ b/packages/node/src/home/acceptForwardingConnection.ts
@@ -82,7 +82,7 @@
     openJobs.delete(id)
     pendingBodies.delete(id)
     releaseBuffer(id)
-    const known = outcome.load ?? dispatcher.getLoad()
+    const known = outcome.load ?? dispatcher.getLoad(job.route)
     // Requests whose bodies are still being fetched will need slots soon.
     const load = { ...known, load: known.load + receiver.count(), fetchMs: receiver.getBacklogMs() }
     const processingMs = clock.now() - job.arrivedAt
--- a/packages/node/src/home/createBackendDispatcher.ts
+++ b/packages/node/src/home/createBackendDispatcher.ts
@@ -8,6 +8,7 @@
 import { runContained } from '../operations/runContained.js'
 import type { BackendClient, BackendResult } from './createBackendClient.js'
 import { FIRST_FAILURE_STATUS, type BackendJob, type JobOutcome } from './BackendJob.js'
+import type { CallMonitor } from './createCallMonitor.js'
 import type { CrashGuard } from './createCrashGuard.js'
 
 /** Admits, queues and sends all requests for the backend server on this host. */
@@ -22,7 +23,8 @@
   readonly update: () => void
   /** Handles that the backend server refuses connections, as found without a request. */
   readonly handleRefusedConnection: (detail: string) => void
-  readonly getLoad: () => ReportedLoad
+  /** Returns the load to report, with the share of requests of `route` to accept if it is given. */
+  readonly getLoad: (route?: string) => ReportedLoad
   /** Requests that are queued or running. */
   readonly countOpen: () => number
   /** Requests sent to the backend server in the last second. */
@@ -59,6 +61,7 @@
   /** Load that the backend server stated. */
   readonly instanceLoads: InstanceLoadTracker
   readonly crashGuard: CrashGuard
+  readonly calls: Pick<CallMonitor, 'startRun' | 'getAdmittedShare'>
   readonly evidence: Pick<VersionEvidence, 'record' | 'findCut' | 'composeReport'>
   /** Called when the backend server refuses connections. */
   readonly onChange: () => void
@@ -79,7 +82,9 @@
 export function createBackendDispatcher (
   options: BackendDispatcherOptions
 ): BackendDispatcher {
-  const { context, view, instance, backend, instanceLoads, crashGuard, evidence, onChange, onColdUnknown } = options
+  const {
+    context, view, instance, backend, instanceLoads, crashGuard, calls, evidence, onChange, onColdUnknown
+  } = options
   const { settings, clock, log, counters } = context
   const requestQueue = createRequestQueue<BackendJob>(addMilliseconds(clock.now(), COLD_START_DELAY_MS))
   const routeClassifier = createRouteClassifier(view.getHostShare)
@@ -164,8 +169,9 @@
     }
   }
 
-  function getLoad (): ReportedLoad {
-    return { ...requestQueue.getLoad(computeLimits(), clock.now()), failureShare, fetchMs: 0 }
+  function getLoad (route?: string): ReportedLoad {
+    const admittedShare = route === undefined ? 1 : calls.getAdmittedShare(route)
+    return { ...requestQueue.getLoad(computeLimits(), clock.now()), failureShare, fetchMs: 0, admittedShare }
   }
 
   function releaseJob (job: BackendJob): void {
@@ -197,7 +203,10 @@
     }
     runContained(context, () => {
       onOutcome?.({
-        ...outcome, load: getLoad(), evidence: evidence.composeReport(view.getRelease(settings.service))
+        ...outcome,
+        load: getLoad(job.route),
+        evidence: evidence.composeReport(view.getRelease(settings.service)),
+        ...(job.isInternal && { isInternal: true })
       })
     }, undefined, { request: job.attemptId })
   }
@@ -262,10 +271,13 @@
     const startedAt = clock.now()
     const run = instance.getRun()
     counters.record('queue', startedAt - job.arrivedAt)
+    const endRun = calls.startRun(job.route)
     const call = backend.call(job, run?.instance ?? '', job.deadlineAt - startedAt, (result) => {
+      endRun()
       runOrFail(job, () => { handleResult(job, run, result, clock.now() - startedAt) })
       update()
     }, () => {
+      endRun()
       requestQueue.finish(job, undefined)
       update()
     })
@@ -273,6 +285,7 @@
       // A non-idempotent request is left running, because its effect would be unknown if it were aborted.
       releaseJob(job)
       if (!job.idempotent) return false
+      endRun()
       runContained(context, () => {
         call.abort()
         crashGuard.recordLoss(job, run)
--- a/packages/node/src/peers/forwardingCodec.ts
+++ b/packages/node/src/peers/forwardingCodec.ts
@@ -31,11 +31,13 @@
     ? null
     : [
         load.load, computeRounded(load.slots, 10), Math.round(load.serviceMs), computeRounded(load.failureShare, 100),
-        Math.round(load.fetchMs)
+        Math.round(load.fetchMs), computeRounded(load.admittedShare ?? 1, 100)
       ]
   const common = [id, encodedLoad, versions, Math.round(processingMs)]
-  // The last field, so that nodes of earlier builds pass over it.
-  const evidence = outcome.evidence === undefined ? [] : [encodeEvidence(outcome.evidence)]
+  // The last fields, so that nodes of earlier builds pass over them: evidence, and a map of further optional values.
+  const options = outcome.isInternal === true ? [{ internal: true }] : []
+  const encodedEvidence = outcome.evidence === undefined ? null : encodeEvidence(outcome.evidence)
+  const evidence = encodedEvidence === null && options.length === 0 ? [] : [encodedEvidence, ...options]
   switch (outcome.kind) {
     case 'answered': {
       const { status, headers, body, notRun } = outcome
@@ -95,24 +97,34 @@
 
 function decodeLoad (encodedLoad: unknown): ReportedLoad | undefined {
   if (!Array.isArray(encodedLoad) || !encodedLoad.every(isNumber)) return undefined
-  const [load, slots, serviceMs, failureShare, fetchMs] = encodedLoad
+  const [load, slots, serviceMs, failureShare, fetchMs, admittedShare = 1] = encodedLoad
   if (load === undefined || slots === undefined) return undefined
   if (serviceMs === undefined || failureShare === undefined || fetchMs === undefined) return undefined
-  return { load, slots, serviceMs, failureShare, fetchMs }
+  return { load, slots, serviceMs, failureShare, fetchMs, admittedShare: Math.min(1, Math.max(0, admittedShare)) }
+}
+
+/** Decodes the optional values of an outcome. */
+function decodeOptions (encoded: unknown): { isInternal?: true } {
+  return typeof encoded === 'object' && encoded !== null && 'internal' in encoded && encoded.internal === true
+    ? { isInternal: true }
+    : {}
 }
 
 function decodeOutcome (code: number, fields: readonly unknown[]): JobOutcome | undefined {
-  const [encodedLoad, , , first, second, body, notRun, answeredEvidence] = fields
+  const [encodedLoad, , , first, second, body, notRun, answeredEvidence, answeredOptions] = fields
   const load = decodeLoad(encodedLoad)
   if (code === KIND_CODES.answered) {
     if (!isNumber(first) || !isHeaderList(second) || !Buffer.isBuffer(body)) return undefined
-    const evidence = decodeEvidence(answeredEvidence)
-    return { kind: 'answered', status: first, headers: second, body, notRun: notRun === true, load, ...evidence }
+    const options = { ...decodeEvidence(answeredEvidence), ...decodeOptions(answeredOptions) }
+    return { kind: 'answered', status: first, headers: second, body, notRun: notRun === true, load, ...options }
   }
   if (!isString(first)) return undefined
-  if (code === KIND_CODES.lost) return { kind: 'lost', reason: first as ServingLossReason, load, ...decodeEvidence(second) }
+  if (code === KIND_CODES.lost) {
+    return { kind: 'lost', reason: first as ServingLossReason, load, ...decodeEvidence(second), ...decodeOptions(body) }
+  }
   if (!isNumber(second)) return undefined
-  return { kind: 'refused', reason: first as ServingRefusalReason, waitMs: second, load, ...decodeEvidence(body) }
+  const options = { ...decodeEvidence(body), ...decodeOptions(notRun) }
+  return { kind: 'refused', reason: first as ServingRefusalReason, waitMs: second, load, ...options }
 }
 
 type Decoder = (id: number, fields: readonly unknown[], now: Milliseconds) => ForwardingMessage | undefined
--- a/packages/node/tests/home/createBackendDispatcher.test.ts
+++ b/packages/node/tests/home/createBackendDispatcher.test.ts
@@ -4,6 +4,7 @@
 import type { BackendJob, JobOutcome } from '../../src/home/BackendJob.js'
 import { type BackendDispatcher, createBackendDispatcher } from '../../src/home/createBackendDispatcher.js'
 import type { BackendClient, BackendResult } from '../../src/home/createBackendClient.js'
+import { createCallMonitor } from '../../src/home/createCallMonitor.js'
 import { createCrashGuard, type CrashGuard } from '../../src/home/createCrashGuard.js'
 import type { MeshView } from '../../src/rows/createMeshView.js'
 import { createJob } from '../createJob.js'
@@ -90,6 +91,7 @@
       view,
       instance,
       crashGuard,
+      calls: createCallMonitor(context),
       instanceLoads: createInstanceLoadTracker(),
       backend: {
         call: (...given) => call(...given),
--- a/packages/node/tests/peers/forwardingCodec.test.ts
+++ b/packages/node/tests/peers/forwardingCodec.test.ts
@@ -21,7 +21,7 @@
   headers: ['X-Own', 'kept'],
   body: Buffer.from('payload')
 }
-const LOAD = { load: 7, slots: 8, serviceMs: 61, failureShare: 0.25, fetchMs: 140 }
+const LOAD = { load: 7, slots: 8, serviceMs: 61, failureShare: 0.25, fetchMs: 140, admittedShare: 0.62 }
 const VERSIONS = [12, 340]
 const MESSAGES: ForwardingMessage[] = [
   { kind: 'cancel', id: 4 },
@@ -36,7 +36,7 @@
     processingMs: 31,
     outcome: { kind: 'answered', status: 201, headers: ['A', 'b'], body: Buffer.from('x'), notRun: false, load: LOAD }
   },
-  { kind: 'outcome', id: 6, versions: VERSIONS, processingMs: 0, outcome: { kind: 'refused', reason: 'busy', waitMs: 42, load: LOAD } },
+  { kind: 'outcome', id: 6, versions: VERSIONS, processingMs: 0, outcome: { kind: 'refused', reason: 'busy', waitMs: 42, load: LOAD, isInternal: true } },
   { kind: 'outcome', id: 7, versions: VERSIONS, processingMs: 0, outcome: { kind: 'lost', reason: 'answer-truncated', load: LOAD } },
   { kind: 'outcome', id: 8, versions: [], processingMs: 0, outcome: { kind: 'lost', reason: 'answer-truncated', load: undefined } }
 ]
