--- a/packages/decisions/src/serving/createLoadBalancer.ts
+++ b/packages/decisions/src/serving/createLoadBalancer.ts
@@ -11,6 +11,8 @@
   readonly failureShare: number
   /** Time until a large body offered now would begin to arrive, in milliseconds. */
   readonly fetchMs: number
+  /** Share of the requests of the reported outcome's route to accept, 0 to 1; absent with nodes of earlier builds. */
+  readonly admittedShare?: number | undefined
   /** Time until the link of the host has room for another large response, in milliseconds; 0 if unknown. */
   readonly linkMs?: number
 }
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -3,6 +3,7 @@
 import { createStoreClient, OPERATOR_TABLE } from '@snipenotch/platform'
 import { createServer, type Server } from 'node:http'
 import { createUsagePart } from './duty/createUsagePart.js'
+import { createBackpressure } from './entry/createBackpressure.js'
 import { createCandidateFinder } from './entry/createCandidateFinder.js'
 import { createEntryServer } from './entry/createEntryServer.js'
 import { createExchange } from './entry/createExchange.js'
@@ -166,6 +167,7 @@
     applyReport: crashGuard.applyReport,
     hasSuspects: crashGuard.hasSuspects
   })
+  const backpressure = createBackpressure(context)
   const dispatcher = createBackendDispatcher({
     context,
     view,
@@ -173,6 +175,7 @@
     backend,
     instanceLoads,
     crashGuard,
+    calls: backpressure.calls,
     evidence,
     onChange: () => { recordPublisher.update() },
     onColdUnknown: () => { instanceProber.update() },
@@ -198,7 +201,7 @@
     cursors.get(MESH_TABLE) === undefined ? undefined : view.listHosts().length)
   const stopEvidenceLog = createEvidenceLogger(context, view, evidence)
   const rolloutTraffic = createRolloutTraffic(context, view)
-  const startExchange = createExchange({
+  const startExchange = backpressure.attach(createExchange({
     context,
     dispatcher,
     client: forwardingClient,
@@ -208,9 +211,10 @@
       const release = view.getRelease(service)
       if (release !== undefined) evidence.merge(release, host, report)
     },
+    onOutcome: backpressure.recordOutcome,
     finder: createCandidateFinder(context, view, health, evidence),
     loadBalancer: createLoadBalancer(random)
-  })
+  }))
   const entryServer = createEntryServer({
     context,
     view,
@@ -247,7 +251,8 @@
     response.writeHead(isReady ? 200 : 503, { 'content-length': 0 }).end()
   })
   const metrics = createServer((_, response) => {
-    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(counters.format() + formatCopyMetrics(copies) + (usageDuty?.formatMetrics() ?? ''))
+    const text = [counters.format(), formatCopyMetrics(copies), backpressure.formatMetrics(), usageDuty?.formatMetrics() ?? '']
+    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text.join(''))
   })
   let isStopping = false
   let isProbed = false
@@ -374,6 +379,7 @@
       reader.stop()
       rolloutTraffic.stop()
       stopEvidenceLog()
+      backpressure.stop()
       const parts = [peerRowFetcher, suspectExchange, forwardingClient, health, instanceProber, forwardingServer]
       for (const part of [...parts, usageDuty]) part?.close()
       await recordWriter.flush(Math.min(RECORD_FLUSH_MS, Math.max(0, limitAt - clock.now())))
--- a/packages/node/src/home/acceptForwardingConnection.ts
+++ b/packages/node/src/home/acceptForwardingConnection.ts
@@ -94,7 +94,7 @@
   function sendOutcome (id: number, job: BackendJob, outcome: JobOutcome): void {
     openJobs.delete(id)
     releaseBuffer(id)
-    const known = outcome.load ?? dispatcher.getLoad()
+    const known = outcome.load ?? dispatcher.getLoad(job.route)
     // Requests whose bodies are still being fetched will need slots soon.
     const load = {
       ...known,
