--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -16,7 +16,7 @@
 import { createEvidenceLogger } from './home/createEvidenceLogger.js'
 import { createInstanceProber } from './home/createInstanceProber.js'
 import { createForwardingServer } from './home/createForwardingServer.js'
-import { probeInstance } from './home/probeInstance.js'
+import { createRecordProbe } from './home/createRecordProbe.js'
 import type { NodeContext } from './NodeContext.js'
 import { createLoadLogger } from './operations/createLoadLogger.js'
 import { type CopyOverview, formatCopyMetrics } from './operations/describeCopies.js'
@@ -99,7 +99,7 @@
     applyRecordedCuts()
     recordPublisher.applyRecordedDrain()
     dispatcher.update()
-    probeRecordedInstance().catch((error: unknown) => { log('internalError', { error: String(error) }) })
+    recordProbe.probe().catch((error: unknown) => { log('internalError', { error: String(error) }) })
   })
   const evidence = createVersionEvidence({
     run: Math.floor(random() * MAX_RUN_NUMBER),
@@ -224,6 +224,7 @@
     isRevocationKnown: () =>
       !settings.failClosed || isRevocationKnown(copyAges.getProven(OPERATOR_TABLE), settings.revocationMs)
   })
+  const recordProbe = createRecordProbe({ context, view, instance, recordWriter, onResumed: dispatcher.update })
   const reportServer = createReportServer({
     context,
     instance,
@@ -255,41 +256,6 @@
     response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text.join(''))
   })
   let isStopping = false
-  let isProbed = false
-
-  /**
-   * Probes the backend server named in this host's record, once. If it answers, a restarted node can use it without
-   * waiting for a status report.
-   */
-  async function probeRecordedInstance (): Promise<void> {
-    const known = view.getHost(settings.host)
-    const path = view.getService(settings.service)?.healthPath
-    if (isProbed || known === undefined || path === undefined || instance.getRun() !== undefined) return
-    isProbed = true
-    if (!known.serving || known.service !== settings.service) return
-    const report = await probeInstance(settings.backend, path)
-    if (typeof report === 'string') {
-      log('instanceResumed', { detail: report, expected: known.instance })
-      return
-    }
-    log('instanceResumed', { ...report, expected: known.instance })
-    if (report.instance !== known.instance || !report.isHealthy) return
-    const { startedAt, sequence, version, slots } = known
-    const run = { instance: known.instance, startedAt, sequence, version, slots, state: 'serving' } as const
-    if (instance.resume(run, report.coldMs, clock.now())) dispatcher.update()
-  }
-
-  /**
-   * Removes the record if the backend server has ended. One that has left may go on serving for longer than this
-   * process, and the next process must know that it leaves.
-   */
-  async function removeRecordOfEnded (): Promise<void> {
-    const hasLeft = (): boolean => instance.getRun()?.state === 'gone'
-    const path = view.getService(settings.service)?.healthPath
-    const isRefused = hasLeft() && path !== undefined && await probeInstance(settings.backend, path) === 'refused'
-    // A later run may have reported meanwhile.
-    if (instance.isDown() || (isRefused && hasLeft())) recordWriter.set(undefined)
-  }
 
   async function awaitEnd (isOver: () => boolean, limitAt: number): Promise<void> {
     while (!isOver() && clock.now() < limitAt) await new Promise((resolve) => { setTimeout(resolve, STOP_POLL_MS) })
@@ -358,7 +324,7 @@
       rolloutController.stop()
       usageDuty?.resign()
       loadLogger.stop()
-      removeRecordOfEnded().catch((error: unknown) => { log('internalError', { error: String(error) }) })
+      recordProbe.removeIfEnded().catch((error: unknown) => { log('internalError', { error: String(error) }) })
       await awaitEnd(() => false, Math.min(limitAt, stoppedAt + BACKEND_LINGER_MS))
       dispatcher.stop()
       dispatcher.update()
--- a/packages/node/src/home/createBackendDispatcher.ts
+++ b/packages/node/src/home/createBackendDispatcher.ts
@@ -10,6 +10,7 @@
 import { FIRST_FAILURE_STATUS, type BackendJob, type JobOutcome } from './BackendJob.js'
 import type { CallMonitor } from './createCallMonitor.js'
 import type { CrashGuard } from './createCrashGuard.js'
+import { toOutcome } from './toOutcome.js'
 
 /** Admits, queues and sends all requests for the backend server on this host. */
 export interface BackendDispatcher {
@@ -71,15 +72,6 @@
   readonly onRun?: (job: BackendJob, sentAt: Milliseconds) => void
 }
 
-function toOutcome (result: BackendResult): JobOutcome {
-  switch (result.kind) {
-    case 'answered': return result
-    case 'lost': return { kind: 'lost', reason: result.reason }
-    case 'unreachable': return { kind: 'refused', reason: 'instance-down', waitMs: 0 }
-    case 'malformed': return { kind: 'refused', reason: 'malformed', waitMs: 0 }
-  }
-}
-
 /** Creates the dispatcher of a node. */
 export function createBackendDispatcher (
   options: BackendDispatcherOptions
