test(soak): add the store restored from a copy as a kind of fault

The store is copied, refuses calls, returns with the copy, and the operator writes the configuration and evacuations again.

--- a/packages/node/tests/soak/runSoak.ts
+++ b/packages/node/tests/soak/runSoak.ts
@@ -58,6 +58,8 @@
 const HERD_PIPELINED = 20
 /** Time after the signal in which these callers come, in milliseconds: until the node closes idle connections. */
 const HERD_CALLERS_MS = 2400
+/** Longest age of a copy that the store is restored from, in milliseconds, beside the half second of every copy. */
+const MAX_COPY_AGE_MS = 2500
 const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
 
 /** Components that faults act on. */
@@ -67,9 +69,11 @@
   readonly random: () => number
   readonly recorder: RequestRecorder
   readonly callers: Callers
-  readonly publish: () => Promise<void>
+  readonly publish: () => Promise<boolean>
   /** Orders or ends the evacuation of a data centre. */
   readonly evacuate: (dataCentre: string, isOut: boolean) => Promise<void>
+  /** Writes again what the operator ordered, after the store may have lost it. */
+  readonly writeAgain: () => Promise<void>
 }
 
 type Fault = (environment: SoakEnvironment, host: SoakHost) => Promise<void> | void
@@ -123,7 +127,7 @@
     for (const host of cold) host.turnCold(1000 + random() * 1500)
     await evacuate(dataCentre, false)
   },
-  'configuration changes': ({ publish }) => publish(),
+  'configuration changes': async ({ publish }) => { await publish() },
   // New kinds follow here: the draws of older seeds depend on the number of kinds.
   'store connections silent': (_, { storeProxy }) => { storeProxy.silenceAll() },
   'backend connections silent': (_, { backendProxy }) => { backendProxy.silenceAll() },
@@ -134,7 +138,16 @@
   },
   'malformed requests': (environment, host) => sendMalformedRequests(environment, host),
   'nodes stopped together': (environment) => stopNodesTogether(environment),
-  uploads: ({ callers }, host) => callers.sendUploads(host, UPLOADS)
+  uploads: ({ callers }, host) => callers.sendUploads(host, UPLOADS),
+  'store restored': async ({ store, random, writeAgain }) => {
+    store.copy()
+    await awaitPause(500 + random() * MAX_COPY_AGE_MS)
+    store.fault = 'refuse'
+    await awaitPause(200 + random() * 800)
+    store.restore()
+    store.fault = 'none'
+    await writeAgain()
+  }
 }
 
 /** Stops a third of the nodes or more while each has requests of callers over slow links. */
@@ -183,7 +196,9 @@
   const client = createStoreClient(store.address)
   let version = 0
   let row = 0
-  async function publish (): Promise<void> {
+  const evacuated = new Set<string>()
+  /** Publishes the next version; returns whether the store holds it. */
+  async function publish (): Promise<boolean> {
     version += 1
     const parts = SERVICES.map(({ service, isIdempotent }) =>
       composePlatformConfiguration(version, [service], {
@@ -194,10 +209,14 @@
     const condition = { table: 'op', key: 'config', version: row }
     const written = await client.write([condition], [{ table: 'op', key: 'config', value }])
     // A store fault may affect this write too; the next one uses the row version that is stored then.
-    if (written.isErr()) return
-    row = written.value.kind === 'done' ? written.value.version : written.value.rows[0]?.version ?? row
+    if (written.isErr()) return false
+    // Without a row, the store has none or was restored since the row's version.
+    row = written.value.kind === 'done' ? written.value.version : written.value.rows[0]?.version ?? 0
+    return written.value.kind === 'done'
   }
   async function evacuate (dataCentre: string, isOut: boolean): Promise<void> {
+    if (isOut) evacuated.add(dataCentre)
+    else evacuated.delete(dataCentre)
     const row = { table: 'op', key: `evacuate/${dataCentre}` }
     const endsAt = performance.now() + ORDER_LIMIT_MS
     while (performance.now() < endsAt) {
@@ -206,6 +225,11 @@
       await awaitPause(100)
     }
   }
+  async function writeAgain (): Promise<void> {
+    const endsAt = performance.now() + ORDER_LIMIT_MS
+    while (performance.now() < endsAt && !(await publish())) await awaitPause(100)
+    await Promise.all(DATA_CENTRES.map((dataCentre) => evacuate(dataCentre, evacuated.has(dataCentre))))
+  }
   await publish()
   const storeAddress = `${store.address.host}:${store.address.port}`
   const { bundle, otherBundle = bundle } = options
@@ -229,6 +253,7 @@
     callers,
     publish,
     evacuate,
+    writeAgain,
     close: async () => {
       callers.close()
       for (const { host, countNodes } of hosts) {
