test(store): late conditional writes in the era after a restore

A write whose condition names a version issued again may store a host's earlier record or an earlier step of a rollout.

--- a/packages/node/tests/rollouts.test.ts
+++ b/packages/node/tests/rollouts.test.ts
@@ -144,6 +144,20 @@
     expect(new Set(listStatesSinceRestore())).to.deep.equal(new Set(['rolled-back']))
   })
 
+  it('keeps a rollout completed when a delayed step is stored in the new era (guards against a write whose condition names a version issued again)', async () => {
+    await mesh.putOperatorRow('rollout/parts', composeRolloutOrder('parts', 'v2', 3))
+    await sendUntil('running')
+    const readRelease = async () => (await mesh.client.readTable('mesh')).unwrap().rows.find(({ key }) => key === 'release/parts')
+    const step = await readRelease()
+    await sendUntil('completed')
+    const end = await readRelease()
+    mesh.store.copy()
+    await restoreUntil('completed')
+    await mesh.client.write([], [{ table: 'mesh', key: 'release/parts', value: step?.value ?? '' }])
+    await awaitCondition('the end is stored again', async () => (await readRelease())?.value === end?.value)
+    expect(new Set(listStatesSinceRestore())).to.deep.equal(new Set(['completed']))
+  })
+
   it('goes on with a rollout that is running, and takes a new order afterwards (guards against rollouts that stand still)', async () => {
     await mesh.putOperatorRow('rollout/parts', composeRolloutOrder('parts', 'v2', 4))
     mesh.store.copy()
--- a/packages/node/tests/rows/storeRestore.test.ts
+++ b/packages/node/tests/rows/storeRestore.test.ts
@@ -76,6 +76,17 @@
     await awaitCondition('the leave is stored again', async () => (await readRecords()).get('host/krakow-0')?.includes('"leaving":true') === true)
   })
 
+  it('writes its record again over one that a delayed write stored (guards against a write whose condition names a version issued again)', async () => {
+    const key = 'host/krakow-0'
+    const present = (await readRecords()).get(key) ?? ''
+    mesh.store.restore()
+    await awaitCondition('the records are stored again', async () => (await readRecords()).size === 4)
+    const value = present.replace('"serving":true', '"serving":false')
+    expect(value).not.to.equal(present)
+    await mesh.client.write([], [{ table: MESH_TABLE, key, value }])
+    await awaitCondition('the record is the present one', async () => (await readRecords()).get(key) === present)
+  })
+
   it('keeps the configuration in force until the operator writes a newer one (guards against a return to an older one)', async () => {
     await putConfiguration(2)
     await awaitCondition('the version is in force', () => hosts.every(isInForce(2)))
