--- a/packages/node/tests/startServingNode.ts
+++ b/packages/node/tests/startServingNode.ts
@@ -5,7 +5,7 @@
 import { tmpdir } from 'node:os'
 import { composePlatformConfiguration, composeReport, HEALTH_PATH } from '../../../platform/tests/composeWire.js'
 import { startStoreStandIn } from '../../../platform/tests/startStoreStandIn.js'
-import { type NodeProcess, startNodeProcess } from './startNodeProcess.js'
+import { type NodeProcess, type NodeProcessOptions, startNodeProcess } from './startNodeProcess.js'
 import { answerSigned, awaitCondition, send } from './startTestMesh.js'
 
 /** A node as a process, with a backend server that answers when the test says so. */
@@ -24,7 +24,9 @@
 const ROUTE_TIMEOUT_MS = 60_000
 
 /** Starts a store, a backend server for the service `clocks` and a node beside it, and waits until it serves. */
-export async function startServingNode (): Promise<ServingNode> {
+export async function startServingNode (
+  options: Partial<Pick<NodeProcessOptions, 'nodeOptions' | 'memoryMb'>> = {}
+): Promise<ServingNode> {
   const store = await startStoreStandIn()
   const client = createStoreClient(store.address)
   const configuration = composePlatformConfiguration(1, ['clocks'], { coldPerSecond: 10_000, timeoutMs: ROUTE_TIMEOUT_MS })
@@ -41,7 +43,7 @@
   const address = `127.0.0.1:${(backend.address() as AddressInfo).port}`
   const directory = mkdtempSync(`${tmpdir()}/snipenotch-serving-`)
   const node = await startNodeProcess({
-    directory, host: 'krakow-1', backend: address, store: `${store.address.host}:${store.address.port}`
+    ...options, directory, host: 'krakow-1', backend: address, store: `${store.address.host}:${store.address.port}`
   })
   let sequence = 0
   const reporter = setInterval(() => {
