fix(node): bound what clients that read no response make a node hold

Node.js parses all requests of a read, up to 64 KB, and pauses a connection only for response bytes that wait. Clients that pipeline requests and read nothing exhausted the heap on any listener.

A reader before the parser of each connection (createPacedReader) passes bytes in slices and stops at 64 open requests or 1 MiB unread, so that TCP pushes back; it passes 32 requests of a connection in a turn of the event loop. Over all connections of the six listeners createConnectionBudget allows one request each from half of the node's limits on, and closes those that hold most beyond them. A client that reads none of a waiting response for 30 s loses its connection, and each listener has a share of the connections that the file descriptors allow. All limits are settings.

Cost per request (bench:node) not measured.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -104,6 +104,9 @@
   connectionsAbandoned: { number: 843, level: 'warn', text: 'connections of callers end with this process' },
   requestDiscarded: { number: 844, level: 'info', text: 'request behind the last response of its connection discarded; it has not run' },
   linksAbandoned: { number: 845, level: 'warn', text: 'connections of other nodes end with this process' },
+  connectionOverBudget: { number: 895, level: 'warn', text: 'connection closed, as its client made this node hold the most' },
+  connectionStalled: { number: 896, level: 'warn', text: 'connection closed, as its client does not read the responses' },
+  connectionEvicted: { number: 897, level: 'warn', text: 'connection closed to make room for a new one' },
   linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
 
--- a/packages/contracts/src/mesh/nodeSettingsSchema.ts
+++ b/packages/contracts/src/mesh/nodeSettingsSchema.ts
@@ -2,6 +2,22 @@
 
 const socketAddressSchema = z.object({ host: z.string().min(1), port: z.number().int().min(1).max(65_535) })
 
+/** Limits of what clients and the backend server can make a node hold in memory. */
+const connectionLimitsSchema = z.object({
+  /** Open requests on one connection from which on no more are read from it. */
+  connectionRequests: z.number().int().min(2),
+  /** Bytes buffered for one connection from which on no more requests are read from it. */
+  connectionBytes: z.number().int().positive(),
+  /** Open requests on all connections; beyond that, those with the most are closed. */
+  nodeRequests: z.number().int().positive(),
+  /** Bytes buffered for all connections; beyond that, those with the most are closed. */
+  nodeBytes: z.number().int().positive(),
+  /** Time after which a connection is closed if its client reads nothing of a waiting response, in milliseconds. */
+  stallMs: z.number().int().positive(),
+  /** Connections on all listeners together, as allowed by the file descriptors. */
+  connections: z.number().int().positive()
+})
+
 /** Settings of a node beside a backend server, in the project's terms. */
 export const nodeSettingsSchema = z.object({
   host: z.string().min(1),
@@ -45,9 +61,13 @@
   /** Bandwidth of the host's network link, in Mbit/s. */
   linkMbps: z.number().nonnegative(),
   /** Memory of the host, in megabytes. */
-  memoryMb: z.number().positive()
+  memoryMb: z.number().positive(),
+  connectionLimits: connectionLimitsSchema
 })
 
+/** Limits of what clients and the backend server can make a node hold in memory. */
+export type NodeConnectionLimits = z.infer<typeof connectionLimitsSchema>
+
 /** Host name or IP address, and port, of a listener. */
 export type SocketAddress = z.infer<typeof socketAddressSchema>
 /** Validated settings of a node beside a backend server. */
--- a/packages/daemon/src/observability/createCounters.ts
+++ b/packages/daemon/src/observability/createCounters.ts
@@ -26,6 +26,8 @@
    * timeout, and those that ended with its process although their callers may not have had their response.
    */
   caller_closes: 'idle' | 'timeout' | 'abandoned'
+  /** Connections of any listener that a node closed because of what their clients made it hold. */
+  connection_closes: 'over-budget' | 'stalled' | 'evicted'
   /** Loads that the backend server stated in its responses. */
   instance_loads: 'used' | InstanceLoadFault
   /** Errors thrown while a node handled something: contained there, or outside any handling. */
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -1,7 +1,7 @@
 import { addMilliseconds, type NodeSettings, toMilliseconds } from '@snipenotch/contracts'
 import { createInstanceLoadTracker, createInstanceState, createLoadBalancer, createReplica, createVersionEvidence, type ReplicaRow } from '@snipenotch/decisions'
 import { createStoreClient, OPERATOR_TABLE } from '@snipenotch/platform'
-import { createServer, type Server } from 'node:http'
+import type { Server } from 'node:http'
 import { createCandidateFinder } from './entry/createCandidateFinder.js'
 import { createEntryServer } from './entry/createEntryServer.js'
 import { createExchange } from './entry/createExchange.js'
@@ -16,9 +16,11 @@
 import { createForwardingServer } from './home/createForwardingServer.js'
 import { probeInstance } from './home/probeInstance.js'
 import type { NodeContext } from './NodeContext.js'
+import { createConnectionLimiter } from './operations/createConnectionLimiter.js'
 import { createLoadLogger } from './operations/createLoadLogger.js'
 import { type CopyOverview, formatCopyMetrics } from './operations/describeCopies.js'
 import { createReportServer } from './operations/createReportServer.js'
+import { createStateServers } from './operations/createStateServers.js'
 import { createRolloutController } from './operations/createRolloutController.js'
 import { createHostHealth } from './peers/createHostHealth.js'
 import { createPeerServer } from './peers/createPeerServer.js'
@@ -226,12 +228,15 @@
   const peerServer = createPeerServer({
     replica, cursors, copyAges, isStoreConnected: isReader, getStoreTime, receiveSuspects: suspectExchange.receive
   })
-  const readiness = createServer((_, response) => {
-    const isReady = !isStopping && view.getConfiguration() !== undefined
-    response.writeHead(isReady ? 200 : 503, { 'content-length': 0 }).end()
-  })
-  const metrics = createServer((_, response) => {
-    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(counters.format() + formatCopyMetrics(copies))
+  const isReady = (): boolean => !isStopping && view.getConfiguration() !== undefined
+  const { readiness, metrics } = createStateServers(isReady, () => counters.format() + formatCopyMetrics(copies))
+  createConnectionLimiter(context).attach({
+    callers: entryServer.server,
+    requests: forwardingServer.server,
+    peers: peerServer,
+    reports: reportServer,
+    readiness,
+    metrics
   })
   let isStopping = false
   let isProbed = false
--- a/packages/node/tests/createTestContext.ts
+++ b/packages/node/tests/createTestContext.ts
@@ -32,6 +32,14 @@
     retryWindowMs: 10_000,
     linkMbps: 1000,
     memoryMb: 350,
+    connectionLimits: {
+      connectionRequests: 64,
+      connectionBytes: 1_048_576,
+      nodeRequests: 2500,
+      nodeBytes: 45_000_000,
+      stallMs: 30_000,
+      connections: 3900
+    },
     ...given
   }
 }
