--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -118,6 +118,9 @@
   storeRestored: { number: 890, level: 'warn', text: 'store was restored from a copy; its tables are read in full' },
   lostRowsRemoved: { number: 891, level: 'warn', text: 'rows that a restored store does not hold were not written again; they are removed' },
   releaseKept: { number: 892, level: 'warn', text: 'a restored store holds an earlier state of a release; the known one is kept and written again' },
+  connectionOverBudget: { number: 895, level: 'warn', text: 'connection closed, as its client made this node hold the most' },
+  connectionStalled: { number: 896, level: 'warn', text: 'connection closed, as its client does not read the responses' },
+  connectionEvicted: { number: 897, level: 'warn', text: 'connection closed to make room for a new one' },
   linesOmitted: { number: 821, level: 'info', text: 'log lines omitted to bound the volume' }
 } as const satisfies Record<string, EventDefinition>
 
--- a/packages/daemon/src/observability/createCounters.ts
+++ b/packages/daemon/src/observability/createCounters.ts
@@ -28,6 +28,8 @@
   caller_closes: 'idle' | 'timeout' | 'abandoned'
   /** Requests refused on arrival because a service that their runs call is short of capacity. */
   backpressure: 'refused'
+  /** Connections of any listener that a node closed because of what their clients made it hold. */
+  connection_closes: 'over-budget' | 'stalled' | 'evicted'
   /** Loads that the backend server stated in its responses. */
   instance_loads: 'used' | InstanceLoadFault
   /** Usage reports by result of the call; `late` counts accepted ones that were due before. */
