fix(node): take a part of a response during an upload as lost

A backend server that answers a long upload at once with a 200 without length, sends a part, ends its side and resets the connection: the end was seen while the upload was still being written, and the part was taken for the whole response. Now a response without length is complete only if the request had been sent whole by then.

Status 000 does not reach the caller from the backend server (rejected before, test in place). The forwarding codec took an outcome with such a status, or an interim one, of a node of an earlier build; it is decoded as lost now.

--- a/packages/node/src/home/createBackendClient.ts
+++ b/packages/node/src/home/createBackendClient.ts
@@ -276,7 +276,12 @@
       const body = createByteCollector()
       const { socket } = incoming
       let isComplete = isFramed(incoming)
-      if (!isComplete) socket.prependOnceListener('end', () => { isComplete = isStillConnected(socket) })
+      if (!isComplete) {
+        // A server that has not read the whole request resets the connection when it closes it, possibly after its end.
+        socket.prependOnceListener('end', () => {
+          isComplete = outgoing.writableFinished && socket.writableLength === 0 && isStillConnected(socket)
+        })
+      }
       incoming.on('data', (chunk: Buffer) => {
         if (isDone) return
         const growth = body.add(chunk)
--- a/packages/node/src/peers/forwardingCodec.ts
+++ b/packages/node/src/peers/forwardingCodec.ts
@@ -66,6 +66,7 @@
 const isString = (value: unknown): value is string => typeof value === 'string'
 const isByteCount = (value: unknown): value is number => Number.isSafeInteger(value) && Number(value) >= 0
 const isNumber = (value: unknown): value is number => typeof value === 'number' && Number.isFinite(value)
+const isFinalStatus = (status: number): boolean => Number.isInteger(status) && status >= 200 && status <= 999
 const isHeaderList = (value: unknown): value is string[] =>
   Array.isArray(value) && value.length % 2 === 0 && value.every(isString)
 
@@ -107,6 +108,8 @@
   if (code === KIND_CODES.answered) {
     if (!isNumber(first) || !isHeaderList(second) || !Buffer.isBuffer(body)) return undefined
     const evidence = decodeEvidence(answeredEvidence)
+    // Nodes of earlier builds may pass on what no caller can get as a response.
+    if (!isFinalStatus(first)) return { kind: 'lost', reason: 'answer-malformed', load, ...evidence }
     return { kind: 'answered', status: first, headers: second, body, notRun: notRun === true, load, ...evidence }
   }
   if (!isString(first)) return undefined
--- a/packages/node/tests/home/createBackendClient.test.ts
+++ b/packages/node/tests/home/createBackendClient.test.ts
@@ -140,6 +140,27 @@
     })
   }
 
+  const cutUploads: Array<[string, (socket: Socket) => void]> = [
+    ['resets the connection', (socket) => { socket.write(head('a', '') + 'part', () => { socket.resetAndDestroy() }) }],
+    ['closes the connection with unread bytes', (socket) => { socket.write(head('a', '') + 'part', () => { socket.destroy() }) }],
+    ['ends its side and resets the connection', (socket) => {
+      socket.end(head('a', '') + 'part', () => { setTimeout(() => { socket.resetAndDestroy() }, 5) })
+    }]
+  ]
+  for (const [title, respond] of cutUploads) {
+    it(`reports a part of a response without a length as lost if the server ${title} during the upload (guards against a part taken for a whole response)`, async () => {
+      const body = Buffer.alloc(8_000_000, 'x')
+      for (let round = 0; round < 20; round += 1) {
+        handle = (socket) => {
+          handle = () => undefined
+          socket.pause()
+          respond(socket)
+        }
+        expect(await call(job('a', { method: 'POST', body })), `round ${round}`).to.include({ kind: 'lost' })
+      }
+    }).timeout(20_000)
+  }
+
   const faulty: Array<[string, string, string]> = [
     ['the response to another request', head('b', 'Content-Length: 2\r\n') + 'ok', 'answer-mismatched'],
     ['a response with a content encoding', head('a', 'Content-Encoding: gzip\r\nContent-Length: 2\r\n') + 'ok', 'answer-mismatched'],
--- a/packages/node/tests/peers/forwardingCodec.test.ts
+++ b/packages/node/tests/peers/forwardingCodec.test.ts
@@ -57,6 +57,16 @@
     expect(decodeBatch(encodeBatch(MESSAGES, toMilliseconds(0)), toMilliseconds(0))).to.deep.equal(MESSAGES)
   })
 
+  it('decodes an answer with a status that no response can have as lost (guards against status 000 sent to a caller)', () => {
+    const answer = { kind: 'answered', headers: [], body: Buffer.from('x'), notRun: false, load: LOAD } as const
+    for (const status of [0, 101, 199, 1000, 200.5]) {
+      const message: ForwardingMessage = { kind: 'outcome', id: 5, versions: VERSIONS, processingMs: 0, outcome: { ...answer, status } }
+      const [decoded] = decodeBatch(encodeBatch([message], toMilliseconds(0)), toMilliseconds(0)) ?? []
+      expect(decoded?.kind === 'outcome' && decoded.outcome, `status ${status}`)
+        .to.deep.equal({ kind: 'lost', reason: 'answer-malformed', load: LOAD })
+    }
+  })
+
   const EVIDENCE: EvidenceReport = {
     order: 21,
     version: 'v2',
