feat(serving): start by target and work, and nothing that cannot end in time

Cause: requests of equal priority started by target alone, and one that had waited 520 ms started on a slow server that ran it past its deadline. Change: among requests that can still meet their target, the order is target time plus twice the work; what cannot be served before its deadline at the present speed of the server is refused at once, also for a free slot, and while it waits.

--- a/packages/decisions/src/serving/createRequestQueue.ts
+++ b/packages/decisions/src/serving/createRequestQueue.ts
@@ -1,6 +1,7 @@
 import { type Milliseconds, type ServingRefusalReason, toMilliseconds } from '@snipenotch/contracts'
 import { computeColdInterval, createColdPacer, type ColdLimit } from './createColdPacer.js'
 import { createServiceTimes } from './createServiceTimes.js'
+import { computeLatestStart, computeRank, computeSlowdown, isWorthStarting } from './triage.js'
 
 /** A request for a slot of the backend server. */
 export interface QueueJob {
@@ -81,11 +82,6 @@
   readonly resetTimes: () => void
 }
 
-/**
- * Share of the expected service time that must remain before the deadline for a request to start. Less than 1, because
- * about half of all requests take less time than the average and can still be answered before the deadline.
- */
-const MIN_REMAINING_SERVICE_SHARE = 0.7
 /**
  * Time that must remain before the target after a wait, as a multiple of the expected service time. The margin covers
  * the variation of service times.
@@ -155,15 +151,16 @@
 
   /**
    * Orders waiting requests: by higher priority, then internal calls first, then those that can still meet their
-   * target, then by earlier target. The operator's priorities come first, because an overload by internal calls of a
-   * less urgent class would otherwise refuse all requests of the most urgent one.
+   * target, then by earlier target and less work. The operator's priorities come first, because an overload by internal
+   * calls of a less urgent class would otherwise refuse all requests of the most urgent one.
    */
   function isBefore (left: Job, right: Job, now: Milliseconds): boolean {
     if (left.priority !== right.priority) return left.priority < right.priority
     if (left.isInternal !== right.isInternal) return left.isInternal
     const isLeftReachable = isTargetReachable(left, now)
     if (isLeftReachable !== isTargetReachable(right, now)) return isLeftReachable
-    return left.targetAt < right.targetAt
+    if (!isLeftReachable) return left.targetAt < right.targetAt
+    return computeRank(left, getServiceMs(left)) < computeRank(right, getServiceMs(right))
   }
 
   /**
@@ -180,11 +177,17 @@
       if (!waiting.some((other) => other.priority > job.priority)) return maxWaitMs
       return Math.max(maxWaitMs, (job.targetAt - now - serviceMs) * OVERTAKING_SLACK_SHARE)
     }
-    const untilDeadlineMs = (job.deadlineAt - now - serviceMs * MIN_REMAINING_SERVICE_SHARE) * MAX_WAIT_SHARE
+    const untilDeadlineMs = (computeLatestStart(job, serviceMs, 1) - now) * MAX_WAIT_SHARE
     if (!job.isInternal || !isQueueStanding(now)) return untilDeadlineMs
     return Math.min(untilDeadlineMs, job.targetLatencyMs * MAX_STANDING_WAIT_SHARE)
   }
 
+  /** How much slower the backend server is at present than its service times say. */
+  const getSlowdown = (now: Milliseconds): number =>
+    computeSlowdown([...running]
+      .filter(([job]) => times.has(job.route))
+      .map(([job, startedAt]) => ({ ageMs: now - startedAt, expectedMs: getServiceMs(job) })))
+
   const isQueueStanding = (now: Milliseconds): boolean =>
     waiting.length > 0 && now - queuedSince > STANDING_QUEUE_MS
 
@@ -265,9 +268,16 @@
   function findRefusal (job: Job, limits: QueueLimits, now: Milliseconds): QueueRefusal | undefined {
     if (limits.closedReason !== undefined) return { kind: 'refuse', reason: limits.closedReason, waitMs: 0 }
     if (isPastDeadline(job, now)) return { kind: 'refuse', reason: 'expired', waitMs: 0 }
-    if (hasImmediateCapacity(limits, now)) return undefined
+    const slowdown = getSlowdown(now)
+    // Another host may be faster, so the reason is not `expired`.
+    const isStarting = hasImmediateCapacity(limits, now)
+    if (isStarting && isWorthStarting(job, getServiceMs(job), slowdown, now)) return undefined
     const waitMs = computeWait(job, limits, now)
-    return waitMs > computeMaxWait(job, now) ? { kind: 'refuse', reason: 'busy', waitMs } : undefined
+    // The wait at a server that seems stalled already contains its slowness.
+    const slowWaitMs = computeServiceMs(now) === times.getAverage() ? waitMs * slowdown : waitMs
+    const isTooLate = now + slowWaitMs > computeLatestStart(job, getServiceMs(job), slowdown)
+    const isRefused = isStarting || isTooLate || waitMs > computeMaxWait(job, now)
+    return isRefused ? { kind: 'refuse', reason: 'busy', waitMs } : undefined
   }
 
   function takeMatching (isMatch: (job: Job) => boolean): Job[] {
@@ -300,8 +310,10 @@
       }
       return ready
     },
-    takeExpired: (now) =>
-      takeMatching((job) => now + getServiceMs(job) * MIN_REMAINING_SERVICE_SHARE > job.deadlineAt),
+    takeExpired: (now) => {
+      const slowdown = getSlowdown(now)
+      return takeMatching((job) => now > computeLatestStart(job, getServiceMs(job), slowdown))
+    },
     takeMatching,
     takeAll: () => {
       const all = waiting
@@ -320,7 +332,7 @@
     computeDelay: (limits, now) => {
       if (waiting.length === 0) return undefined
       const expiry = Math.min(...waiting.map((job) =>
-        job.deadlineAt - getServiceMs(job) * MIN_REMAINING_SERVICE_SHARE - now))
+        computeLatestStart(job, getServiceMs(job), 1) - now))
       const pace = limits.cold === undefined ? 0 : pacer.computeDelay(limits.cold, now)
       return Math.max(MIN_DELAY_MS, Math.min(expiry, pace === 0 ? Infinity : pace))
     },
--- a/packages/decisions/src/serving/createServiceTimes.ts
+++ b/packages/decisions/src/serving/createServiceTimes.ts
@@ -8,6 +8,8 @@
   readonly record: (route: string, durationMs: number) => void
   /** Returns the expected service time of a route in milliseconds. */
   readonly get: (route: string, targetLatencyMs: number) => number
+  /** Returns whether a route has samples. */
+  readonly has: (route: string) => boolean
   /** Returns the average over all routes in milliseconds; undefined without samples. */
   readonly getAverage: () => number | undefined
   /** Discards all samples when a new run of the backend server begins. */
@@ -26,6 +28,7 @@
       average = computeMovingAverage(average, durationMs)
     },
     get: (route, targetLatencyMs) => routes.get(route) ?? targetLatencyMs * DEFAULT_TARGET_SHARE,
+    has: (route) => routes.has(route),
     getAverage: () => average,
     reset: () => {
       routes.clear()
--- a/packages/decisions/tests/serving/createRequestQueue.test.ts
+++ b/packages/decisions/tests/serving/createRequestQueue.test.ts
@@ -227,6 +227,51 @@
     expect(queue.takeExpired((delay + 1) as Milliseconds).map(({ name }) => name)).to.deep.equal(['waiting'])
   })
 
+  /** Creates a queue of a server that was measured at 100 ms for the route and at 20 ms for the route 'short'. */
+  function createMeasuredQueue (): ReturnType<typeof createRequestQueue<NamedJob>> {
+    const queue = createRequestQueue<NamedJob>()
+    for (const [route, durationMs] of [['r', 100], ['short', 20]] as const) {
+      const measured = job('measured', 0, { route })
+      queue.submit(measured, OPEN, toMilliseconds(0))
+      queue.finish(measured, durationMs)
+    }
+    return queue
+  }
+
+  it('starts the request that needs less work first, but not before one that has waited (guards against few callers served with all capacity)', () => {
+    const queue = createMeasuredQueue()
+    fillSlots(queue)
+    const target = (now: number): Partial<QueueJob> =>
+      ({ targetLatencyMs: 1000, targetAt: toMilliseconds(now + 1000), deadlineAt: toMilliseconds(now + 2000) })
+    expect(queue.submit(job('long', 0, target(0)), OPEN, toMilliseconds(0)).kind).to.equal('wait')
+    for (const now of [100, 200]) {
+      const short = job(`short-${now}`, now, { route: 'short', ...target(now) })
+      expect(queue.submit(short, OPEN, toMilliseconds(now)).kind).to.equal('wait')
+    }
+    const started = queue.takeReady({ ...OPEN, slots: 6 }, toMilliseconds(200)).map(({ name }) => name)
+    expect(started).to.deep.equal(['short-100', 'long', 'short-200'])
+  })
+
+  it('starts nothing that cannot end before its deadline at the present speed (guards against runs that end past their deadline)', () => {
+    const queue = createMeasuredQueue()
+    fillSlots(queue)
+    const waiting = job('waiting', 0, { targetLatencyMs: 400, targetAt: toMilliseconds(400), deadlineAt: toMilliseconds(420) })
+    expect(queue.submit(waiting, OPEN, toMilliseconds(0)).kind).to.equal('wait')
+    expect(queue.takeExpired(toMilliseconds(60))).to.deep.equal([])
+    // The running requests take over twice as long as measured; the waiting one would need some 280 ms.
+    expect(queue.takeExpired(toMilliseconds(200)).map(({ name }) => name)).to.deep.equal(['waiting'])
+  })
+
+  it('refuses what a free slot cannot serve in time, but not for good (guards against work for nothing, and against a route that never runs again)', () => {
+    const queue = createMeasuredQueue()
+    const near = (remainingMs: number): NamedJob => job('near', 0, { deadlineAt: toMilliseconds(remainingMs) })
+    expect(queue.submit(near(60), OPEN, toMilliseconds(0))).to.include({ kind: 'refuse', reason: 'busy' })
+    expect(queue.submit(near(80), OPEN, toMilliseconds(0)).kind).to.equal('start')
+    const slow = job('slow', 0)
+    for (let run = 0; run < 60; run++) queue.finish(slow, 2000)
+    expect(queue.submit(job('fresh', 0, { deadlineAt: toMilliseconds(200) }), OPEN, toMilliseconds(0)).kind).to.equal('start')
+  })
+
   it('refuses a request past its deadline even if a slot is free (guards against work for callers that have given up)', () => {
     const queue = createRequestQueue<NamedJob>()
     const late = job('late', 0, { deadlineAt: toMilliseconds(119) })
