--- a/packages/contracts/src/mesh/nodeSettingsSchema.ts
+++ b/packages/contracts/src/mesh/nodeSettingsSchema.ts
@@ -66,6 +66,11 @@
   linkMbps: z.number().nonnegative(),
   /** Memory of the host, in megabytes. */
   memoryMb: z.number().positive(),
+  /**
+   * Whether requests are admitted by the capacity of the services that their runs call, and ordered by the work that
+   * they need.
+   */
+  overloadControl: z.boolean(),
   connectionLimits: connectionLimitsSchema,
   /** Usage reports; absent if the node takes no part in them. */
   usage: z.object({
--- a/packages/node/src/entry/createBackpressure.ts
+++ b/packages/node/src/entry/createBackpressure.ts
@@ -19,7 +19,7 @@
 
 /** Creates the backpressure of a node. */
 export function createBackpressure (context: NodeContext): Backpressure {
-  const { clock } = context
+  const { clock, settings } = context
   const calls = createCallMonitor(context)
   const admission = createRouteAdmission()
   const sources = { calls, admission }
@@ -29,7 +29,10 @@
       calls.recordOutcome(route, outcome)
       if (outcome.load !== undefined) admission.recordReport(route, host, outcome.load.admittedShare ?? 1, clock.now())
     },
-    attach: (startExchange) => createAdmittedExchange({ context, startExchange, admission, calls }),
+    // Without observed calls, no share falls below 1.
+    attach: (startExchange) => settings.overloadControl
+      ? createAdmittedExchange({ context, startExchange, admission, calls })
+      : startExchange,
     formatMetrics: () => formatShareMetrics(context, sources),
     stop: createShareLogger(context, sources)
   }
--- a/packages/node/src/home/createBackendDispatcher.ts
+++ b/packages/node/src/home/createBackendDispatcher.ts
@@ -79,7 +79,9 @@
   const { context, view, instance, backend, instanceLoads, crashGuard, calls, evidence } = options
   const { onChange, onColdUnknown, onRun } = options
   const { settings, clock, log, counters } = context
-  const requestQueue = createRequestQueue<BackendJob>(addMilliseconds(clock.now(), COLD_START_DELAY_MS))
+  const requestQueue = createRequestQueue<BackendJob>(
+    addMilliseconds(clock.now(), COLD_START_DELAY_MS), { hasTriage: settings.overloadControl }
+  )
   const routeClassifier = createRouteClassifier(view.getHostShare)
   const outcomeHandlers = new Map<BackendJob, (outcome: JobOutcome) => void>()
   const startedAttempts = new Set<string>()
--- a/packages/node/tests/createTestContext.ts
+++ b/packages/node/tests/createTestContext.ts
@@ -33,6 +33,7 @@
     retryWindowMs: 10_000,
     linkMbps: 1000,
     memoryMb: 350,
+    overloadControl: true,
     connectionLimits: {
       connectionRequests: 64,
       connectionBytes: 1_048_576,
