--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -254,13 +254,9 @@
     counters.format(), formatCopyMetrics(copies), backpressure.formatMetrics(), usageDuty?.formatMetrics() ?? ''
   ].join('')
   const { readiness, metrics } = createStateServers(isReady, formatMetrics)
+  const nodeServers = { peers: peerServer, reports: reportServer, readiness, metrics }
   createConnectionLimiter(context).attach({
-    callers: entryServer.server,
-    requests: forwardingServer.server,
-    peers: peerServer,
-    reports: reportServer,
-    readiness,
-    metrics
+    callers: entryServer.server, requests: forwardingServer.server, ...nodeServers
   })
   let isStopping = false
 
