fix(node): answer 502 for an outcome with an interim status

An outcome with status 101 of a node of an earlier build was written to the caller as a final response, which broke its connection; statuses that cannot be written (0, 1000) already gave 502.

--- a/packages/node/src/entry/createCallerResponder.ts
+++ b/packages/node/src/entry/createCallerResponder.ts
@@ -41,6 +41,9 @@
  */
 const MAX_RETRY_AFTER_MS: Readonly<Record<string, number>> = { 'crash-suspect': Infinity }
 
+/** Lower statuses belong to interim responses. */
+const MIN_FINAL_STATUS = 200
+
 const formatDuration = (duration: number | undefined): number | undefined =>
   duration === undefined ? undefined : Math.round(duration)
 
@@ -123,7 +126,8 @@
     result: ExchangeResult
   ): void {
     // The node beside the backend server checks the head; one of an earlier build does not.
-    if (!send(callerRequest, outcome.status, outcome.headers, outcome.body)) {
+    const isFinal = outcome.status >= MIN_FINAL_STATUS
+    if (!isFinal || !send(callerRequest, outcome.status, outcome.headers, outcome.body)) {
       counters.count('serving_losses', 'answer-malformed')
       fail(callerRequest, route, 502, 'answer-malformed', result)
       return
--- a/packages/node/tests/entry/createEntryServer.test.ts
+++ b/packages/node/tests/entry/createEntryServer.test.ts
@@ -67,6 +67,17 @@
     expect(entry.countOpen()).to.equal(0)
   })
 
+  it('answers 502 for a result with a status that no response can have (guards against status 000 sent to a caller)', async () => {
+    for (const status of [0, 101, 1000]) {
+      startExchange = (_, onResult) => {
+        const outcome = { kind: 'answered', status, headers: [], body: Buffer.from('x'), notRun: false, load: undefined } as const
+        setImmediate(() => { onResult({ outcome, host: 'krakow-2', tries: 1 }) })
+        return { cancel: () => false, getHost: () => undefined }
+      }
+      expect((await send(port, '/parts/1')).status, `status ${status}`).to.equal(502)
+    }
+  })
+
   const malformed: Array<[string, number, string[]]> = [
     ['status', 0, []], ['header name', 200, ['X Own', '1']], ['header value', 200, ['X-Own', 'a\r\nb']]
   ]
