feat(node): bound the bytes that a backend server holds

A backend server crashes if the requests that it holds exceed its memory, and only their number was bounded.

--- a/packages/contracts/src/mesh/nodeSettingsSchema.ts
+++ b/packages/contracts/src/mesh/nodeSettingsSchema.ts
@@ -15,7 +15,9 @@
   /** Time after which a connection is closed if its client reads nothing of a waiting response, in milliseconds. */
   stallMs: z.number().int().positive(),
   /** Connections on all listeners together, as allowed by the file descriptors. */
-  connections: z.number().int().positive()
+  connections: z.number().int().positive(),
+  /** Bytes of request bodies that the backend server has, or will get, and has not answered. */
+  backendBytes: z.number().int().positive()
 })
 
 /** Settings of a node beside a backend server, in the project's terms. */
--- a/packages/node/src/home/createBackendDispatcher.ts
+++ b/packages/node/src/home/createBackendDispatcher.ts
@@ -1,6 +1,6 @@
 import { addMilliseconds, type Milliseconds, type ServingLossReason, type ServingRefusalReason } from '@snipenotch/contracts'
 import {
-  type ColdLimit, createRequestQueue, createRouteClassifier, type InstanceLoadTracker,
+  type ColdLimit, createHeldBytes, createRequestQueue, createRouteClassifier, type InstanceLoadTracker,
   type InstanceRun, type InstanceState, type QueueLimits, type ReportedLoad, type VersionEvidence
 } from '@snipenotch/decisions'
 import type { NodeContext } from '../NodeContext.js'
@@ -47,6 +47,9 @@
 /** Attempt identifiers remembered so that a non-idempotent request is never sent twice. */
 const MAX_REMEMBERED_ATTEMPTS = 5000
 
+/** Retry delay if the backend server has no room for another body, in milliseconds: a few typical requests. */
+const BODIES_WAIT_MS = 300
+
 /** Losses that indicate that the backend server has exited or restarted. */
 const RESTART_LOSSES: ReadonlySet<ServingLossReason> = new Set(['connection-lost', 'answer-truncated', 'deadline'])
 
@@ -85,6 +88,7 @@
   const routeClassifier = createRouteClassifier(view.getHostShare)
   const outcomeHandlers = new Map<BackendJob, (outcome: JobOutcome) => void>()
   const startedAttempts = new Set<string>()
+  const heldBytes = createHeldBytes<BackendJob>(settings.connectionLimits.backendBytes)
   let isStopping = false
   let failureShare = 0
   let lastLossAt = -Infinity
@@ -176,6 +180,7 @@
   function end (job: BackendJob, outcome: JobOutcome, backendMs?: number): void {
     const onOutcome = outcomeHandlers.get(job)
     releaseJob(job)
+    heldBytes.release(job)
     delete job.cancel
     if (outcome.kind === 'refused') counters.count('serving_refusals', outcome.reason)
     if (outcome.kind !== 'answered' || outcome.status >= FIRST_FAILURE_STATUS) {
@@ -207,6 +212,7 @@
     runContained(context, action, () => {
       requestQueue.finish(job, undefined)
       requestQueue.cancel(job)
+      heldBytes.release(job)
       if (outcomeHandlers.has(job)) end(job, { kind: 'lost', reason: 'internal-error' })
     }, { request: job.attemptId })
   }
@@ -273,6 +279,7 @@
       // A non-idempotent request is left running, because its effect would be unknown if it were aborted.
       releaseJob(job)
       if (!job.idempotent) return false
+      heldBytes.release(job)
       runContained(context, () => {
         call.abort()
         crashGuard.recordLoss(job, run)
@@ -330,6 +337,10 @@
       end(job, { kind: 'refused', reason: 'crash-suspect', waitMs: suspectWaitMs })
       return
     }
+    if (!heldBytes.admit(job, job.body.length)) {
+      end(job, { kind: 'refused', reason: 'busy', waitMs: BODIES_WAIT_MS })
+      return
+    }
     const limits = computeLimits()
     const decision = requestQueue.submit(job, limits, clock.now())
     if (decision.kind === 'refuse') {
@@ -348,6 +359,7 @@
     }
     job.cancel = () => {
       releaseJob(job)
+      heldBytes.release(job)
       return requestQueue.cancel(job)
     }
     schedule(limits)
--- a/packages/node/tests/createTestContext.ts
+++ b/packages/node/tests/createTestContext.ts
@@ -38,7 +38,8 @@
       nodeRequests: 2500,
       nodeBytes: 45_000_000,
       stallMs: 30_000,
-      connections: 3900
+      connections: 3900,
+      backendBytes: 90_000_000
     },
     ...given
   }
--- a/packages/node/tests/home/createBackendDispatcher.test.ts
+++ b/packages/node/tests/home/createBackendDispatcher.test.ts
@@ -101,6 +101,16 @@
     report(1, 1)
   })
 
+  it('refuses bodies beyond the memory of the backend server until it has answered (guards against a server that ends under large uploads)', () => {
+    const body = Buffer.alloc(50_000_000)
+    const [first, second] = [run({ body }), run({ body })]
+    expect([first.length, describeOutcome(second), sent.length]).to.deep.equal([0, 'refused busy', 1])
+    expect(run()).to.deep.equal([])
+    sent[0]?.end({ kind: 'unreachable', detail: '' })
+    report(2, 2)
+    expect(describeOutcome(run({ body }))).not.to.equal('refused busy')
+  })
+
   it('refuses a request for another service (guards against requests sent to a reused address)', () => {
     expect(describeOutcome(run({ service: 'clocks' }))).to.equal('refused wrong-service')
     expect(sent).to.deep.equal([])
