--- a/packages/decisions/tests/serving/createTeamShares.test.ts
+++ b/packages/decisions/tests/serving/createTeamShares.test.ts
@@ -34,7 +34,8 @@
     })
 
     it(`serves as many requests as without sharing, less 3%: ${title} (guards against sharing that costs throughput)`, () => {
-      const countServed = (isFair: boolean): number => sum(replayTeams(teams, DURATION_MS, isFair).map(({ served }) => served))
+      const countServed = (isFair: boolean): number =>
+        sum(replayTeams(teams, DURATION_MS, isFair).map(({ served }) => served))
       expect(countServed(true)).to.be.above(countServed(false) * 0.97)
     })
   }
--- a/packages/node/src/home/createBackendDispatcher.ts
+++ b/packages/node/src/home/createBackendDispatcher.ts
@@ -1,6 +1,6 @@
 import { addMilliseconds, type Milliseconds, type ServingLossReason, type ServingRefusalReason } from '@snipenotch/contracts'
 import {
-  type ColdLimit, createRequestQueue, createRouteClassifier, type InstanceLoadTracker,
+  type ColdLimit, createHeldBytes, createRequestQueue, createRouteClassifier, type InstanceLoadTracker,
   type InstanceRun, type InstanceState, type QueueLimits, type ReportedLoad, type VersionEvidence
 } from '@snipenotch/decisions'
 import type { NodeContext } from '../NodeContext.js'
@@ -10,6 +10,7 @@
 import { FIRST_FAILURE_STATUS, type BackendJob, type JobOutcome } from './BackendJob.js'
 import type { CallMonitor } from './createCallMonitor.js'
 import type { CrashGuard } from './createCrashGuard.js'
+import { createStartedAttempts } from './createStartedAttempts.js'
 import { toOutcome } from './toOutcome.js'
 
 /** Admits, queues and sends all requests for the backend server on this host. */
@@ -47,8 +48,9 @@
 const FAILURE_WEIGHT = 0.08
 /** Interval within which lost requests count as one failure of the version, in milliseconds. */
 const LOSS_INTERVAL_MS = 1000
-/** Attempt identifiers remembered so that a non-idempotent request is never sent twice. */
-const MAX_REMEMBERED_ATTEMPTS = 5000
+
+/** Retry delay if the backend server has no room for another body, in milliseconds: a few typical requests. */
+const BODIES_WAIT_MS = 300
 
 /** Losses that indicate that the backend server has exited or restarted. */
 const RESTART_LOSSES: ReadonlySet<ServingLossReason> = new Set(['connection-lost', 'answer-truncated', 'deadline'])
@@ -79,12 +81,12 @@
   const { context, view, instance, backend, instanceLoads, crashGuard, calls, evidence } = options
   const { onChange, onColdUnknown, onRun } = options
   const { settings, clock, log, counters } = context
-  const requestQueue = createRequestQueue<BackendJob>(
-    addMilliseconds(clock.now(), COLD_START_DELAY_MS), { hasTriage: settings.overloadControl }
-  )
+  const noSendsBefore = addMilliseconds(clock.now(), COLD_START_DELAY_MS)
+  const requestQueue = createRequestQueue<BackendJob>(noSendsBefore, { hasTriage: settings.overloadControl })
   const routeClassifier = createRouteClassifier(view.getHostShare)
   const outcomeHandlers = new Map<BackendJob, (outcome: JobOutcome) => void>()
-  const startedAttempts = new Set<string>()
+  const startedAttempts = createStartedAttempts()
+  const heldBytes = createHeldBytes<BackendJob>(settings.connectionLimits.backendBytes)
   let isStopping = false
   let failureShare = 0
   let lastLossAt = -Infinity
@@ -177,6 +179,7 @@
   function end (job: BackendJob, outcome: JobOutcome, backendMs?: number): void {
     const onOutcome = outcomeHandlers.get(job)
     releaseJob(job)
+    heldBytes.release(job)
     delete job.cancel
     if (outcome.kind === 'refused') counters.count('serving_refusals', outcome.reason)
     if (outcome.kind !== 'answered' || outcome.status >= FIRST_FAILURE_STATUS) {
@@ -211,6 +214,7 @@
     runContained(context, action, () => {
       requestQueue.finish(job, undefined)
       requestQueue.cancel(job)
+      heldBytes.release(job)
       if (outcomeHandlers.has(job)) end(job, { kind: 'lost', reason: 'internal-error' })
     }, { request: job.attemptId })
   }
@@ -282,6 +286,7 @@
       releaseJob(job)
       if (!job.idempotent) return false
       endRun()
+      heldBytes.release(job)
       runContained(context, () => {
         call.abort()
         onRun?.(job, startedAt)
@@ -319,15 +324,6 @@
     schedule(limits)
   }
 
-  /** Returns false for a non-idempotent request that has been submitted before. */
-  function admitOnce (job: BackendJob): boolean {
-    if (job.idempotent) return true
-    if (startedAttempts.has(job.attemptId)) return false
-    startedAttempts.add(job.attemptId)
-    if (startedAttempts.size > MAX_REMEMBERED_ATTEMPTS) startedAttempts.delete(startedAttempts.values().next().value ?? '')
-    return true
-  }
-
   /** Refuses a job, sends it or queues it. */
   function admit (job: BackendJob): void {
     routeClassifier.record(job.route, job.callerService)
@@ -341,13 +337,17 @@
       end(job, { kind: 'refused', reason: 'crash-suspect', waitMs: suspectWaitMs })
       return
     }
+    if (!heldBytes.admit(job, job.body.length)) {
+      end(job, { kind: 'refused', reason: 'busy', waitMs: BODIES_WAIT_MS })
+      return
+    }
     const limits = computeLimits()
     const decision = requestQueue.submit(job, limits, clock.now())
     if (decision.kind === 'refuse') {
       end(job, { kind: 'refused', reason: decision.reason, waitMs: decision.waitMs })
       return
     }
-    if (!admitOnce(job)) {
+    if (!startedAttempts.admit(job)) {
       if (decision.kind === 'start') requestQueue.finish(job, undefined)
       else requestQueue.cancel(job)
       end(job, { kind: 'lost', reason: 'duplicate-attempt' })
@@ -359,6 +359,7 @@
     }
     job.cancel = () => {
       releaseJob(job)
+      heldBytes.release(job)
       return requestQueue.cancel(job)
     }
     schedule(limits)
