--- a/packages/decisions/src/serving/createHeldBytes.ts
+++ b/packages/decisions/src/serving/createHeldBytes.ts
@@ -1,6 +1,6 @@
 /**
- * Bounds the bytes of the requests that a backend server has or will get and has not answered: it crashes if they exceed
- * its memory, however few requests they are. Addresses large uploads on all slots at once.
+ * Bounds the bytes of the requests that a backend server has or will get and has not answered: it crashes if they
+ * exceed its memory, however few requests they are. Addresses large uploads on all slots at once.
  */
 export interface HeldBytes<Job> {
   /** Adds a request; false if there is no room for it. One request alone always has room. */
