perf(node): no cost of overload control where it is off

Change: the parts are not created then, and the queue looks for excess of teams only if there are teams.

--- a/packages/decisions/src/serving/createRequestQueue.ts
+++ b/packages/decisions/src/serving/createRequestQueue.ts
@@ -351,6 +351,7 @@
     },
     takeExcess: (limits, now) => {
       const excess: Array<{ readonly job: Job, readonly waitMs: number }> = []
+      if (teamShares.countTeams() === 0) return excess
       // As many as there are slots stay, so that no slot becomes idle.
       while (waiting.length > limits.slots && isQueueStanding(now)) {
         const last = findLastOverShare(now)
--- a/packages/node/src/entry/createBackpressure.ts
+++ b/packages/node/src/entry/createBackpressure.ts
@@ -17,9 +17,27 @@
   readonly stop: () => void
 }
 
-/** Creates the backpressure of a node. */
+const endNothing = (): void => undefined
+
+/** Backpressure that is switched off: all requests are admitted, and nothing is observed. */
+const INACTIVE_BACKPRESSURE: Backpressure = {
+  calls: {
+    startRun: () => endNothing,
+    recordOutcome: () => undefined,
+    startCall: () => endNothing,
+    getAdmittedShare: () => 1,
+    listShares: () => []
+  },
+  recordOutcome: () => undefined,
+  attach: (startExchange) => startExchange,
+  formatMetrics: () => '',
+  stop: () => undefined
+}
+
+/** Creates the backpressure of a node; it is active if the settings ask for overload control. */
 export function createBackpressure (context: NodeContext): Backpressure {
   const { clock, settings } = context
+  if (!settings.overloadControl) return INACTIVE_BACKPRESSURE
   const calls = createCallMonitor(context)
   const admission = createRouteAdmission()
   const sources = { calls, admission }
@@ -29,10 +47,7 @@
       calls.recordOutcome(route, outcome)
       if (outcome.load !== undefined) admission.recordReport(route, host, outcome.load.admittedShare ?? 1, clock.now())
     },
-    // Without observed calls, no share falls below 1.
-    attach: (startExchange) => settings.overloadControl
-      ? createAdmittedExchange({ context, startExchange, admission, calls })
-      : startExchange,
+    attach: (startExchange) => createAdmittedExchange({ context, startExchange, admission, calls }),
     formatMetrics: () => formatShareMetrics(context, sources),
     stop: createShareLogger(context, sources)
   }
