--- a/packages/node/src/entry/createCandidateFinder.ts
+++ b/packages/node/src/entry/createCandidateFinder.ts
@@ -2,6 +2,7 @@
 import { drawReleaseVersion, type BalancerCandidate, type VersionEvidence } from '@snipenotch/decisions'
 import type { NodeContext } from '../NodeContext.js'
 import { computeTransferMs } from '../peers/computeTransferMs.js'
+import { LARGE_BODY_BYTES } from '../peers/ForwardingMessage.js'
 import type { HostHealth } from '../peers/createHostHealth.js'
 import type { MeshView } from '../rows/createMeshView.js'
 
@@ -49,10 +50,8 @@
  * and those queued behind it on the link.
  */
 const TRANSFER_WEIGHT = 2
-/** Assumed size of the heads of a request and its response, in bytes. */
-const HEAD_BYTES = 400
-/** Size of a response body whose transfer time is negligible on every link, in bytes. */
-const SHORT_RESPONSE_BYTES = 2000
+/** Assumed size of a request head and a short response, in bytes. */
+const HEAD_AND_RESPONSE_BYTES = 1200
 
 /** Part of the mesh view that the finder uses. */
 type FinderView = Pick<MeshView, 'listServing' | 'isEvacuated' | 'isVersionAllowed' | 'getRelease'>
@@ -64,10 +63,11 @@
 ): CandidateFinder {
   function computeDistanceMs (record: HostRecord, { request, response }: RequestBytes): number {
     if (record.host === settings.host) return 0
-    const transferredBytes = request + Math.max(0, response - SHORT_RESPONSE_BYTES)
-    const transferMs = computeTransferMs(transferredBytes, record.linkMbps, settings.linkMbps) * TRANSFER_WEIGHT
+    // The sizes of small responses say little about the cost of a move; only those that are sent in parts count.
+    const bytes = request + (response > LARGE_BODY_BYTES ? response : 0)
+    const transferMs = computeTransferMs(bytes, record.linkMbps, settings.linkMbps) * TRANSFER_WEIGHT
     if (record.dataCentre === settings.dataCentre) return OTHER_HOST_COST_MS + transferMs
-    const costMs = (request + response + HEAD_BYTES) / 1024 * OTHER_DATA_CENTRE_COST_MS_PER_KB
+    const costMs = (bytes + HEAD_AND_RESPONSE_BYTES) / 1024 * OTHER_DATA_CENTRE_COST_MS_PER_KB
     return OTHER_DATA_CENTRE_COST_MS + transferMs + costMs
   }
 
--- a/packages/node/src/operations/createConnectionLimiter.ts
+++ b/packages/node/src/operations/createConnectionLimiter.ts
@@ -32,6 +32,8 @@
   openRequests: number
   /** Requests that have arrived. */
   requests: number
+  /** Stated length of the latest request's body, in bytes. */
+  bodyBytes: number
   /** Responses that have been composed and not been sent completely. */
   unreadResponses: number
   /** Bytes of responses that wait behind others of their connection. */
@@ -70,12 +72,13 @@
     reader.update()
   }
 
-  function handleRequest (connection: ClientConnection, response: ServerResponse): void {
+  function handleRequest (connection: ClientConnection, incoming: IncomingMessage, response: ServerResponse): void {
     const { socket } = connection
     let queued = 0
     let isComposed = false
     connection.openRequests += 1
     connection.requests += 1
+    connection.bodyBytes = Number(incoming.headers['content-length'] ?? 0) || 0
     const end = response.end.bind(response) as (...args: unknown[]) => ServerResponse
     // All responses are composed whole, with the last bytes in the call of `end`.
     response.end = (...args: unknown[]) => {
@@ -135,12 +138,14 @@
         listener,
         openRequests: 0,
         requests: 0,
+        bodyBytes: 0,
         unreadResponses: 0,
         queuedBytes: 0,
         reader: createPacedReader(socket, {
           mayRead: () => budget.mayRead(connection),
           getSliceBytes: () => budget.isTight() ? TIGHT_SLICE_BYTES : SLICE_BYTES,
           countRequests: () => connection.requests,
+          getBodyBytes: () => connection.bodyBytes,
           onChange: () => { update(connection) }
         })
       }
@@ -156,7 +161,7 @@
     })
     server.prependListener('request', (incoming: IncomingMessage, response: ServerResponse) => {
       const connection = connections.get(incoming.socket)
-      if (connection !== undefined) handleRequest(connection, response)
+      if (connection !== undefined) handleRequest(connection, incoming, response)
     })
     // Node.js hands over connections to another protocol only if there is a listener.
     if (server.listenerCount('upgrade') === 0) return
--- a/packages/node/src/operations/createPacedReader.ts
+++ b/packages/node/src/operations/createPacedReader.ts
@@ -18,6 +18,8 @@
   readonly getSliceBytes: () => number
   /** Number of requests that have arrived on the connection. */
   readonly countRequests: () => number
+  /** Length of the body of the request that arrived last, as stated in its head; 0 if it states none. */
+  readonly getBodyBytes: () => number
   /** Called when the number of bytes that the parser has not got may have changed. */
   readonly onChange: () => void
 }
@@ -34,11 +36,13 @@
  * to 64 KB of them, and pauses only afterwards; thousands of requests on each of many connections exhaust the heap.
  */
 export function createPacedReader (
-  socket: Socket, { mayRead, getSliceBytes, countRequests, onChange }: PacedReaderOptions
+  socket: Socket, { mayRead, getSliceBytes, countRequests, getBodyBytes, onChange }: PacedReaderOptions
 ): PacedReader {
   // The server's own listener, through which bytes reach the parser.
   const [feed] = socket.listeners('data') as Array<(bytes: Buffer) => void>
   let rest: Buffer = NO_BYTES
+  /** Bytes that still belong to the body of the latest request, at most; they hold no further requests. */
+  let bodyBytes = 0
   let isFeeding = false
   /** True if the connection was paused here. Node.js pauses it as well, and must not be resumed from here then. */
   let isHeld = false
@@ -54,11 +58,13 @@
     let growth = 1
     try {
       while (rest.length > 0 && !isEnded() && !socket.isPaused() && isAllowed()) {
-        const slice = rest.subarray(0, getSliceBytes() * growth)
+        const slice = rest.subarray(0, Math.max(bodyBytes, getSliceBytes() * growth))
         rest = rest.subarray(slice.length)
         const requests = countRequests()
         feed?.call(socket, slice)
-        growth = countRequests() > requests ? 1 : Math.min(MAX_GROWTH, growth * BODY_SLICE_GROWTH)
+        const hasRequest = countRequests() > requests
+        growth = hasRequest ? 1 : Math.min(MAX_GROWTH, growth * BODY_SLICE_GROWTH)
+        bodyBytes = hasRequest ? getBodyBytes() : Math.max(0, bodyBytes - slice.length)
         if (countRequests() >= requestsBefore + MAX_REQUESTS_PER_TURN) nextTurn = setImmediate(beginTurn)
       }
     } finally {
