--- a/packages/node/src/entry/createForwardingConnection.ts
+++ b/packages/node/src/entry/createForwardingConnection.ts
@@ -7,6 +7,7 @@
 import { createBatchSender } from '../peers/createBatchSender.js'
 import { WEBSOCKET_OPTIONS } from '../peers/WEBSOCKET_OPTIONS.js'
 import { decodeBatch, decodeLastRequest } from '../peers/forwardingCodec.js'
+import { isNarrowLink } from '../peers/isNarrowLink.js'
 import { LARGE_BODY_BYTES, type ForwardingMessage, type TableVersions } from '../peers/ForwardingMessage.js'
 
 /** Connection to the node of another host, multiplexing forwarded requests. */
@@ -67,6 +68,7 @@
     generateMask: () => undefined
   })
   const sender = createBatchSender(socket, context)
+  const isNarrow = isNarrowLink(record.linkMbps)
   const pending = new Map<number, PendingJob>()
   let nextId = 1
   let isOpen = false
@@ -191,7 +193,7 @@
       const isOffered = bytes > LARGE_BODY_BYTES
       const holder: BufferHolder = { drop: () => { cancelResponse(id) } }
       pending.set(id, { sentAt: clock.now(), sentBytes: isOffered ? 0 : bytes, job, parts: [], holder, onOutcome })
-      const forwarded = { ...job, acceptsParts: true }
+      const forwarded = isNarrow ? { ...job, acceptsParts: true } : job
       job.cancel = () => cancel(id)
       sender.add(isOffered ? { kind: 'offer', id, job: { ...forwarded, body: EMPTY_BODY }, bytes } : { kind: 'run', id, job: forwarded })
     },
--- a/packages/node/src/home/createResponseSender.ts
+++ b/packages/node/src/home/createResponseSender.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from '@snipenotch/contracts'
 import { createResponseScheduler, createResponseSizes, type ScheduledResponse } from '@snipenotch/decisions'
 import type { NodeContext } from '../NodeContext.js'
+import { isNarrowLink } from '../peers/isNarrowLink.js'
 import { LARGE_BODY_BYTES } from '../peers/ForwardingMessage.js'
 import type { BackendJob } from './BackendJob.js'
 
@@ -55,6 +56,7 @@
   const transferMsPerByte = settings.linkMbps > 0 ? 8 / (settings.linkMbps * 1000) : 0
   /** Expected bytes of the responses to requests that have no outcome yet. */
   let reservedBytes = 0
+  const isNarrow = isNarrowLink(settings.linkMbps)
   let timer: NodeJS.Timeout | undefined
 
   const computeBacklogMs = (now: Milliseconds): number =>
@@ -91,10 +93,11 @@
       scheduler.remove(response)
       offsets.delete(response)
     },
-    recordSent: (bytes) => { scheduler.recordSent(bytes + HEAD_BYTES, clock.now()) },
+    // On a wide link nothing is paced, so there is nothing to record.
+    recordSent: (bytes) => { if (isNarrow) scheduler.recordSent(bytes + HEAD_BYTES, clock.now()) },
     recordSize: sizes.record,
     findOverload: ({ route, deadlineAt }) => {
-      const bytes = sizes.get(route)
+      const bytes = isNarrow ? sizes.get(route) : 0
       if (bytes <= LARGE_BODY_BYTES) return undefined
       const now = clock.now()
       const backlogMs = computeBacklogMs(now)
@@ -102,7 +105,7 @@
       return backlogMs + bytes * transferMsPerByte > limitMs ? backlogMs : undefined
     },
     reserve: (route) => {
-      const bytes = sizes.get(route)
+      const bytes = isNarrow ? sizes.get(route) : 0
       if (bytes <= LARGE_BODY_BYTES) return 0
       reservedBytes += bytes
       return bytes
