--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,72 +1,97 @@
 /**
- * One status report of another writer, with a field missing, reaches the node. The instance leaves as planned some time
- * later. Does it get requests after `drain-ms`, and what becomes of them when it exits?
+ * One machine is partitioned from the store, and the operator moves a route just afterwards. All other machines reach
+ * the store. Which service runs the requests that they get later than `config-apply-ms` after the operator's ack?
  */
 import {
-  answer, awaitCondition, awaitMs, composeConfiguration, isReady, runCase, sendAttempt, startInstance, startNode,
-  startStore
+  awaitCondition, awaitMs, composeConfiguration, isReady, runCase, sendAttempt, startInstance, startNode,
+  startSilenceableProxy, startStore
 } from '../lib-2/harness.mjs'
 
-const DRAIN_MS = 2000
-/** The instance goes on for this time after `drain-ms`, then deregisters and exits. */
-const LINGER_MS = 500
-const WORK_MS = 200
-const REQUEST_INTERVAL_MS = 60
+const CONFIG_APPLY_MS = 2000
+/** Machines of each zone, as in fangst-nord. */
+const ZONES = { tromso: 6, hammerfest: 4, bodo: 4 }
+const ROUNDS = 5
+/** Length of the partition, as in the list of troubles of fangst-nord. */
+const CUT_MS = 5500
+/** Time from the partition to the change of the configuration. */
+const CHANGE_AFTER_MS = 50
+/** Calm time between two rounds: `contact-ms` and some more. */
+const CALM_MS = 6000
+/** Machines that asked the store for changes within this time count as readers of its list. */
+const READER_MS = 1500
+/** Pause between two requests at one machine. */
+const REQUEST_INTERVAL_MS = 100
+const SERVICES = ['declare', 'logbook']
 
 await runCase(import.meta.dirname, async ({ record, hasTrouble }) => {
   const store = await startStore()
-  const instance = await startInstance({
-    id: 'i-7f3a91c2',
-    service: 'declare',
-    handle: (incoming, response) => { setTimeout(() => { answer(incoming, response, 'landed') }, WORK_MS) }
-  })
-  store.putOperatorRow('config', composeConfiguration(1, {
-    decl: { service: 'declare', kind: 'unsafe', timeoutMs: 800 }
-  }, ['declare']))
-  const node = await startNode({ name: 'sidecar-tromso-1', service: 'declare', store, backendPort: instance.port })
-  await awaitCondition('the node is ready', () => isReady(node))
-  instance.startReports(() => node)
-  await awaitMs(4000)
-
-  if (hasTrouble) {
-    const report = instance.composeReport()
-    report.status = { state: 'ready', sequence: 1000 }
-    const { status } = await instance.sendReport(node, report)
-    record(`a report of another writer, without cold-remaining-ms: ${JSON.stringify(report)}; answered ${status}`)
+  const compose = (version, service) =>
+    composeConfiguration(version, { decl: { service, kind: 'unsafe', timeoutMs: 800 } }, SERVICES)
+  store.putOperatorRow('config', compose(1, SERVICES[0]))
+  const machines = []
+  for (const [zone, count] of Object.entries(ZONES)) {
+    for (let number = 1; number <= count; number++) {
+      const name = `sidecar-${zone}-${number}`
+      const service = SERVICES[number % 2]
+      const instance = await startInstance({ id: `i-${zone}-${number}`, service, zone })
+      const proxy = await startSilenceableProxy(store.port)
+      const node = await startNode({ name, zone, service, store: proxy, backendPort: instance.port })
+      instance.startReports(() => node)
+      machines.push({ name, service, instance, proxy, node })
+    }
   }
-  await awaitMs(1000)
+  for (const { node } of machines) await awaitCondition('all nodes are ready', () => isReady(node))
+  await awaitMs(6000)
 
-  const answers = new Map()
-  const sends = []
+  let version = 1
+  let service = SERVICES[0]
+  let late = 0
   let attempts = 0
-  const sender = setInterval(() => {
-    attempts += 1
-    const id = `attempt-${attempts}`
-    sends.push(sendAttempt(node.callers, id, { path: '/decl/x', method: 'POST', body: 'declaration' })
-      .then((result) => { answers.set(id, result.status ?? result.error) }))
-  }, REQUEST_INTERVAL_MS)
-  await awaitMs(1000)
 
-  instance.state = 'draining'
-  const report = instance.composeReport()
-  const { status } = await instance.sendReport(node, report)
-  const ackedAt = performance.now()
-  record(`the instance reports draining, sequence ${report.status.sequence}; answered ${status}`)
-  await awaitMs(DRAIN_MS + LINGER_MS)
-  instance.stopReports()
-  const { status: left } = await instance.deregister(node)
-  instance.close()
-  record(`the instance deregisters (answered ${left}) and exits`)
-  await awaitMs(1000)
-  clearInterval(sender)
-  await Promise.all(sends)
+  /** Sends requests to one machine and records those that the old service runs. */
+  async function probeMachine ({ name, node }, oldService, ackedAt) {
+    let lastOldMs = 0
+    while (performance.now() < ackedAt + CUT_MS - CHANGE_AFTER_MS - 500) {
+      attempts += 1
+      const id = `attempt-${attempts}`
+      const sentMs = performance.now() - ackedAt
+      const { status } = await sendAttempt(node.callers, id, { path: '/decl/x', method: 'POST', body: 'declaration' })
+      const runner = machines.find(({ instance }) => instance.seen.some((seen) => seen.id === id))
+      if (runner?.service === oldService) {
+        lastOldMs = sentMs
+        if (sentMs > CONFIG_APPLY_MS) {
+          late += 1
+          record(`${id} sent to ${name} ${Math.round(sentMs)} ms after the ack of version ${version}: answered ${status}, ` +
+            `run by ${runner.name} (${oldService}), which only an older version allows`)
+        }
+      }
+      await awaitMs(REQUEST_INTERVAL_MS)
+    }
+    record(`${name}: the last request that ${oldService} ran was sent ${Math.round(lastOldMs)} ms after the ack`)
+  }
 
-  const late = instance.seen.filter(({ at }) => at > ackedAt + DRAIN_MS)
-  for (const { id, at } of late) {
-    record(`${id} reached the instance ${Math.round(at - ackedAt)} ms after the ack; its requester got ${answers.get(id)}`)
+  for (let round = 1; round <= ROUNDS; round++) {
+    // One of the machines that read the platform's list, another one in each round.
+    const readers = machines.filter(({ proxy }) => performance.now() - proxy.lastFeedAt < READER_MS)
+    const cut = readers[round % readers.length]
+    const oldService = service
+    service = SERVICES.find((name) => name !== oldService)
+    version += 2
+    record(`round ${round}: ${cut.name} ${hasTrouble ? 'is partitioned from the store' : 'stays connected'}`)
+    cut.proxy.isSilent = hasTrouble
+    await awaitMs(CHANGE_AFTER_MS)
+    store.putOperatorRow('config', compose(version, service))
+    const ackedAt = performance.now()
+    record(`version ${version} is acknowledged: /decl/ moves from ${oldService} to ${service}`)
+    await Promise.all(machines.filter((machine) => machine !== cut)
+      .map((machine) => probeMachine(machine, oldService, ackedAt)))
+    cut.proxy.isSilent = false
+    await awaitMs(CALM_MS)
+  }
+  for (const { instance, proxy } of machines) {
+    instance.close()
+    proxy.close()
   }
-  const lost = late.filter(({ id }) => answers.get(id) !== 200).length
   store.close()
-  return late.length > 0 &&
-    `DRAIN: ${late.length} requests reached the instance later than drain-ms after the ack; ${lost} of them were lost`
+  return late > 0 && `CONFIG: ${late} requests to machines in touch were run by the old service too late`
 })
