--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -23,7 +23,10 @@
 const REQUEST_INTERVAL_MS = 100
 const SERVICES = ['declare', 'logbook']
 
-await runCase(import.meta.dirname, async ({ record, hasTrouble }) => {
+/** False with `TROUBLE=0`: the same without the disruption. */
+const hasTrouble = process.env.TROUBLE !== '0'
+
+await runCase(import.meta.dirname, async ({ record }) => {
   const store = await startStore()
   const compose = (version, service) =>
     composeConfiguration(version, { decl: { service, kind: 'unsafe', timeoutMs: 800 } }, SERVICES)
--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -413,7 +413,6 @@
 /** Runs a case and exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
 export async function runCase (folder, run) {
   const record = createRecord(folder)
-  const hasTrouble = process.env.TROUBLE !== '0'
   let code = 2
   process.on('SIGTERM', () => { endNodes().finally(() => process.exit(2)) })
   const timer = setTimeout(() => {
@@ -421,7 +420,7 @@
     endNodes().finally(() => process.exit(2))
   }, 110_000)
   try {
-    const broken = await run({ record, hasTrouble })
+    const broken = await run({ record })
     code = broken ? 1 : 0
     record(broken ? `BROKEN: ${broken}` : 'the rule held')
   } catch (error) {
