fix(node): verify a copy with the store when its reader may have lost it

Cause: a poll that the store holds looks the same as one that was lost, so a reader that loses the store says that it is connected until its poll and one more have timed out (1,200 + 700 + 300 + 700 ms), and its followers believe it and finish a poll of 600 ms. The reader did state how long ago its copy certainly contained everything that the store had; followers used it for removed keys only, and the time for a change of the deployment was not used at all.

Change: - A node whose copy of the operator's rows has not been proven for 0.75 of config-apply-ms makes one short call to the store, on a new connection, with growing delays while such calls fail or take too long. A reader does so at 0.675, so that it is found silent before its followers call. - A follower gives up a reader whose stated age shows that the store has answered others since the reader's poll should have ended. - A calm reader's copy stays below these ages, so that no calls are added: its next poll and the delay after a batch end at 0.6 of the bound, less the time by which the store was late last; it answers its followers' polls as soon as its own has proven the copy, and states for how long it has held them. - Evidence: event 846, proven ages in 824, 825 and 827, the reason in 824, and the same as metrics.

A reader that is paused: its followers miss its response.

--- a/packages/contracts/src/events/EVENTS.ts
+++ b/packages/contracts/src/events/EVENTS.ts
@@ -104,6 +104,7 @@
   connectionsAbandoned: { number: 843, level: 'warn', text: 'connections of callers end with this process' },
   requestDiscarded: { number: 844, level: 'info', text: 'request behind the last response of its connection discarded; it has not run' },
   linksAbandoned: { number: 845, level: 'warn', text: 'connections of other nodes end with this process' },
+  copyVerified: { number: 846, level: 'info', text: 'copy of a table was not proven for too long; the store was asked' },
   calledServiceShort: { number: 860, level: 'info', text: 'a service that the backend server calls is short of capacity' },
   requestsNotAdmitted: { number: 861, level: 'info', text: 'requests refused on arrival as a service that their runs call is short of capacity' },
   dutyAcquired: { number: 880, level: 'info', text: 'duty acquired by this node' },
--- a/packages/daemon/src/observability/createCounters.ts
+++ b/packages/daemon/src/observability/createCounters.ts
@@ -11,6 +11,8 @@
   peer_closes: CloseReason
   configurations: 'applied' | 'rejected' | 'conflicting'
   store_calls: 'ok' | 'unavailable' | 'conflict'
+  /** Calls by which a node verified its copy of a table with the store, by what they showed. */
+  copy_verifications: 'current' | 'outdated' | 'failed'
   control_bytes: 'sent' | 'received'
   requests: 'entry' | 'home' | 'completed' | 'cancelled'
   /** Requests that a node with a backend server did not send to one. */
--- /dev/null
+++ b/packages/decisions/tests/serving/copyLimits.test.ts
@@ -0,0 +1,66 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { computeCopyLimits, computePollDuration, isReaderOutdated } from '../../src/index.js'
+
+const MAX_POLL_MS = 1200
+
+describe('copyLimits', () => {
+  it('follow from the time for a change (guards against constants that suit one deployment)', () => {
+    expect([1000, 2000, 3000].map((applyMs) => computeCopyLimits(applyMs, MAX_POLL_MS))).toMatchSnapshot()
+  })
+
+  it('leave a follower time for its call, and a calm reader time for its poll', () => {
+    fc.assert(fc.property(fc.integer({ min: 400, max: 20_000 }), (applyMs) => {
+      const limits = computeCopyLimits(applyMs, MAX_POLL_MS)
+      expect(limits.longPollMs).to.be.below(limits.readerVerifyMs)
+      expect(limits.readerVerifyMs).to.be.below(limits.followerVerifyMs)
+      expect(limits.followerVerifyMs + limits.verifyWithinMs).to.be.at.most(applyMs)
+    }))
+  })
+
+  /** Polls a store that answers `lateMs` late; returns the greatest proven age of the copy, in milliseconds. */
+  function replayLateAnswers (lateMs: number, changesAtMs: readonly number[] = []): number {
+    const limits = computeCopyLimits(2000, MAX_POLL_MS)
+    let now = 0
+    let provenAt = 0
+    let latenessMs = 0
+    let greatestAgeMs = 0
+    while (now < 20_000) {
+      const askedAt = now
+      const pollMs = computePollDuration(limits, now - provenAt, latenessMs)
+      const changeAt = changesAtMs.find((at) => at > askedAt && at < askedAt + pollMs)
+      now = (changeAt ?? askedAt + pollMs) + lateMs
+      greatestAgeMs = Math.max(greatestAgeMs, now - provenAt)
+      provenAt = changeAt === undefined ? askedAt + pollMs : askedAt
+      if (changeAt === undefined) latenessMs = lateMs
+    }
+    return greatestAgeMs
+  }
+
+  it('keep a calm reader from being verified, also if the store is late (guards against calls of all followers)', () => {
+    for (const lateMs of [0, 10, 100, 300, 600]) {
+      // The lateness is known from the second poll on.
+      expect(replayLateAnswers(lateMs)).to.be.at.most(MAX_POLL_MS + lateMs)
+    }
+    const { readerVerifyMs } = computeCopyLimits(2000, MAX_POLL_MS)
+    expect(replayLateAnswers(10, [1100, 1900, 2900, 3000, 6000])).to.be.at.most(readerVerifyMs)
+  })
+
+  it('find a reader that has lost the store alone (guards against readers that are given up in an outage)', () => {
+    const limits = computeCopyLimits(2000, MAX_POLL_MS)
+    const ages = [
+      { readerAgeMs: 1700, ownAgeMs: 200 },
+      { readerAgeMs: 5500, ownAgeMs: 1300 },
+      // A call was just answered, and the reader's poll is about to end.
+      { readerAgeMs: 1300, ownAgeMs: 0 },
+      // The store responds to neither.
+      { readerAgeMs: 6000, ownAgeMs: 6010 },
+      { readerAgeMs: 6000, ownAgeMs: 4900 },
+      { readerAgeMs: Infinity, ownAgeMs: Infinity },
+      { readerAgeMs: Infinity, ownAgeMs: 1000 }
+    ]
+    expect(ages.map((each) => isReaderOutdated(limits, each))).to.deep.equal(
+      [true, true, false, false, false, false, true]
+    )
+  })
+})
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -130,19 +130,12 @@
   createLostRowPruner({ context, storeEra, replica, cursors, onRows: applyRows })
   const copyAges = createCopyAges(clock)
   const getStoreTime = (): number | undefined => followers[0]?.getStoreTime()
+  const copyOptions = { context, replica, cursors, copyAges, storeEra, onRows: applyRows }
   const reader = createReaderFollower({
-    context,
-    view,
-    health,
-    replica,
-    cursors,
-    copyAges,
-    storeEra,
-    onRows: applyRows,
-    onStoreTime: (storeTime) => { followers[0]?.setStoreTime(storeTime) }
+    ...copyOptions, view, health, onStoreTime: (storeTime) => { followers[0]?.setStoreTime(storeTime) }
   })
   const followers = FOLLOWED_TABLES.map((table) => createTableFollower({
-    context, store, replica, table, cursors, copyAges, storeEra, onRows: applyRows, isSuppliedByPeer: reader.isFollowing
+    ...copyOptions, store, table, isSuppliedByPeer: reader.isFollowing, getReader: reader.getReader
   }))
   const isStoreConnected = (): boolean =>
     reader.isFollowing() || followers.every((follower) => follower.isConnected())
--- a/packages/node/src/peers/createPeerServer.ts
+++ b/packages/node/src/peers/createPeerServer.ts
@@ -1,5 +1,6 @@
 import { composeRowVersion, getRowEra, getRowNumber, isStoreEra } from '@snipenotch/contracts'
 import type { Replica } from '@snipenotch/decisions'
+import { OPERATOR_TABLE } from '@snipenotch/platform'
 import { createServer, type IncomingHttpHeaders, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { CopyAges } from '../rows/createCopyAges.js'
 import type { TableCursors } from '../rows/createTableCursors.js'
@@ -18,7 +19,7 @@
 
 /**
  * Formats the path of a long poll for rows that changed after the given versions, one for each followed table. The
- * response is sent as soon as there is a change, or after `waitMs`.
+ * response is sent as soon as there is a change or a later proof of the operator's table, or after `waitMs`.
  */
 export function formatRowsPath (versions: readonly number[], waitMs: number): string {
   const path = `${PEER_PATHS.rows}?after=${versions.map(getRowNumber).join(',')}&wait=${waitMs}`
@@ -46,6 +47,18 @@
  */
 export const PROVEN_AGES_HEADER = 'x-proven-ages'
 
+/**
+ * Header with the time for which the sender held the request, in milliseconds: the ages are as of that long after it
+ * arrived, at least.
+ */
+const HELD_HEADER = 'x-held-ms'
+
+/** Parses the time for which a peer held a request, in milliseconds; undefined if the peer does not state it. */
+export function parseHeldTime (headers: IncomingHttpHeaders): number | undefined {
+  const heldMs = Number(headers[HELD_HEADER] ?? NaN)
+  return heldMs >= 0 ? heldMs : undefined
+}
+
 /** Parses the ages of a peer's copies, in milliseconds; Infinity where the peer states none. */
 export function parseCopyAges (headers: IncomingHttpHeaders, name = COPY_AGES_HEADER): number[] {
   const texts = String(headers[name] ?? '').split(',')
@@ -116,8 +129,7 @@
   }
 
   function computeProvenAge (table: string): number {
-    const { monotonicMs, wallMs } = copyAges.getProven(table)
-    return cursors.get(table) === undefined ? Infinity : Math.max(0, Math.ceil(Math.max(monotonicMs, wallMs)))
+    return cursors.get(table) === undefined ? Infinity : Math.ceil(copyAges.getProvenAge(table))
   }
 
   /**
@@ -128,26 +140,34 @@
     FOLLOWED_TABLES.some((table) => cursors.getEra(table) > 0)
 
   function sendRows (response: ServerResponse, after: readonly number[], waitMs: number): void {
+    const { monotonic: receivedAt } = copyAges.readClocks()
     const isHeld = isEraMissing(after)
     const collect = (): TableUpdate[] =>
       FOLLOWED_TABLES.map((table, index) => collectUpdate(table, after[index] ?? 0))
     const hasAnyChanges = (): boolean => !isHeld && collect().some(hasChanges)
     function send (): void {
-      clearTimeout(timer)
-      stopListening()
+      stopWaiting()
       const body = encodeResponse(collect(), after)
+      const heldMs = Math.floor(copyAges.readClocks().monotonic - receivedAt)
       const ages = FOLLOWED_TABLES.map((table) => Math.round(copyAges.get(table)))
       const provenAges = FOLLOWED_TABLES.map(computeProvenAge)
       response.writeHead(200, {
-        'content-length': body.length, [COPY_AGES_HEADER]: ages.join(','), [PROVEN_AGES_HEADER]: provenAges.join(',')
+        'content-length': body.length,
+        [COPY_AGES_HEADER]: ages.join(','),
+        [PROVEN_AGES_HEADER]: provenAges.join(','),
+        [HELD_HEADER]: heldMs
       }).end(body)
     }
     const timer = setTimeout(send, Math.min(MAX_WAIT_MS, waitMs))
     const stopListening = cursors.listen(() => { if (hasAnyChanges()) send() })
-    response.on('close', () => {
+    // A follower that learned of a proof with its next poll would take its copy for up to that much older.
+    const stopListeningProven = copyAges.listenProven((table) => { if (table === OPERATOR_TABLE && !isHeld) send() })
+    function stopWaiting (): void {
       clearTimeout(timer)
       stopListening()
-    })
+      stopListeningProven()
+    }
+    response.on('close', stopWaiting)
     if (hasAnyChanges()) send()
   }
 
--- a/packages/node/src/rows/createCopyAges.ts
+++ b/packages/node/src/rows/createCopyAges.ts
@@ -25,12 +25,24 @@
   readonly recordProven: (table: string, askedAt: ClockReadings, offsetMs: number) => void
   /** Time since the copy certainly contained everything that the store had; Infinity if it never did. */
   readonly getProven: (table: string) => ProvenAges
+  /** The same as one number in milliseconds: the greater of both clocks' values, and at least 0. */
+  readonly getProvenAge: (table: string) => number
+  /** Calls `listener` with the table whenever a later proof was recorded, until the returned function is called. */
+  readonly listenProven: (listener: (table: string) => void) => () => void
 }
 
 /** Creates ages of copies that have never been complete. */
 export function createCopyAges (clock: Clock): CopyAges {
   const completeAt = new Map<string, Milliseconds>()
   const provenAt = new Map<string, ClockReadings>()
+  const listeners = new Set<(table: string) => void>()
+
+  function getProven (table: string): ProvenAges {
+    const at = provenAt.get(table)
+    if (at === undefined) return { monotonicMs: Infinity, wallMs: Infinity }
+    return { monotonicMs: clock.now() - at.monotonic, wallMs: clock.wall() - at.wall }
+  }
+
   return {
     record: (table, ageMs) => {
       const at = addMilliseconds(clock.now(), -ageMs)
@@ -42,11 +54,16 @@
       const monotonic = addMilliseconds(askedAt.monotonic, offsetMs)
       if (monotonic <= (provenAt.get(table)?.monotonic ?? -Infinity)) return
       provenAt.set(table, { monotonic, wall: addMilliseconds(askedAt.wall, offsetMs) })
+      for (const listener of [...listeners]) listener(table)
+    },
+    getProven,
+    getProvenAge: (table) => {
+      const { monotonicMs, wallMs } = getProven(table)
+      return Math.max(0, monotonicMs, wallMs)
     },
-    getProven: (table) => {
-      const at = provenAt.get(table)
-      if (at === undefined) return { monotonicMs: Infinity, wallMs: Infinity }
-      return { monotonicMs: clock.now() - at.monotonic, wallMs: clock.wall() - at.wall }
+    listenProven: (listener) => {
+      listeners.add(listener)
+      return () => { listeners.delete(listener) }
     }
   }
 }
--- a/packages/node/src/rows/createReaderFollower.ts
+++ b/packages/node/src/rows/createReaderFollower.ts
@@ -1,13 +1,14 @@
 import { getRowEra, type Milliseconds } from '@snipenotch/contracts'
-import { chooseReader, type Replica, type ReplicaRow } from '@snipenotch/decisions'
+import { chooseReader, isReaderOutdated, type Replica, type ReplicaRow } from '@snipenotch/decisions'
 import { Agent } from 'node:http'
 import type { NodeContext } from '../NodeContext.js'
 import { startLoop } from '../operations/startLoop.js'
-import { formatRowsPath, parseCopyAges, PROVEN_AGES_HEADER } from '../peers/createPeerServer.js'
+import { formatRowsPath, parseCopyAges, parseHeldTime, PROVEN_AGES_HEADER } from '../peers/createPeerServer.js'
 import type { HostHealth } from '../peers/createHostHealth.js'
 import { requestPeer } from '../peers/requestPeer.js'
 import type { ClockReadings, CopyAges } from './createCopyAges.js'
 import type { MeshView } from './createMeshView.js'
+import { getCopyLimits } from './getCopyLimits.js'
 import { mergeUpdates } from './mergeUpdates.js'
 import type { StoreEra } from './createStoreEra.js'
 import type { TableCursors } from './createTableCursors.js'
@@ -52,6 +53,8 @@
 /** Interval at which the choice of a reader is checked while this node reads the store itself, in milliseconds. */
 const CHOICE_INTERVAL_MS = 300
 
+const toLoggedAge = (ageMs: number): number | null => Number.isFinite(ageMs) ? Math.round(ageMs) : null
+
 /** Creates a follower that has not chosen a reader; until it does, the node reads the store itself. */
 export function createReaderFollower (options: ReaderFollowerOptions): ReaderFollower {
   const { context, view, health, replica, cursors, copyAges, storeEra, onRows, onStoreTime } = options
@@ -64,17 +67,29 @@
   let readerAges: readonly number[] = []
   /** The same, counted from when its copies certainly contained everything that the store had. */
   let provenAges: readonly number[] = []
+  /** Time for which the reader held the last request, in milliseconds; undefined if it is of an earlier build. */
+  let statedHeldMs: number | undefined
   /** Time since which the reader sends rows of an earlier era, as one of an earlier build does. */
   let behindSince: Milliseconds | undefined
+  /** Why the last reader was given up. */
+  let lostDetail: string | undefined
 
   const isUsable = (host: string): boolean =>
     !health.isDown(host) && (avoidedUntil.get(host) ?? 0) <= clock.now()
 
+  /** Returns log fields: proven ages of this node's copies in milliseconds, by table; null if one was never proven. */
+  function describeProof (): { readonly provenAgesMs: ReadonlyArray<number | null> } {
+    return { provenAgesMs: FOLLOWED_TABLES.map((table) => toLoggedAge(copyAges.getProvenAge(table))) }
+  }
+
   /** Chooses a reader and returns its address; undefined if this node reads the store itself. */
   function chooseAddress (): string | undefined {
     const chosen = chooseReader(settings, view.listHosts(), isUsable)
-    if (chosen !== reader) log('readerChosen', { reader: chosen, before: reader })
+    if (chosen !== reader) {
+      log('readerChosen', { reader: chosen, before: reader, reason: lostDetail ?? 'ranking', ...describeProof() })
+    }
     reader = chosen
+    lostDetail = undefined
     return chosen === settings.host ? undefined : view.getHost(chosen)?.peerAddress
   }
 
@@ -89,14 +104,20 @@
     else {
       readerAges = parseCopyAges(response.headers)
       provenAges = parseCopyAges(response.headers, PROVEN_AGES_HEADER)
+      statedHeldMs = parseHeldTime(response.headers)
     }
     return decoded
   }
 
-  function recordAges (askedAt: ClockReadings, { updates }: RowsResponse): void {
-    // The reader holds a poll without changes for the time requested.
+  /** A reader of an earlier build holds a poll without changes for the time requested, and states no time. */
+  function computeHeldTime (updates: RowsResponse['updates'], elapsedMs: number): number {
     const hasChanges = updates.some(({ isFullTable, rows }) => isFullTable || rows.length > 0)
-    const heldMs = hasChanges || clock.now() - askedAt.monotonic < LONG_POLL_MS ? 0 : LONG_POLL_MS
+    return hasChanges || elapsedMs < LONG_POLL_MS ? 0 : LONG_POLL_MS
+  }
+
+  function recordAges (askedAt: ClockReadings, { updates }: RowsResponse): void {
+    const elapsedMs = clock.now() - askedAt.monotonic
+    const heldMs = Math.min(elapsedMs, statedHeldMs ?? computeHeldTime(updates, elapsedMs))
     for (const [index, table] of FOLLOWED_TABLES.entries()) {
       copyAges.record(table, readerAges[index] ?? Infinity)
       copyAges.recordProven(table, askedAt, heldMs - (provenAges[index] ?? Infinity))
@@ -105,7 +126,15 @@
 
   function refuseReader (detail: string): void {
     avoidedUntil.set(reader, clock.now() + AVOID_MS)
-    log('readerLost', { reader, detail })
+    lostDetail = detail
+    log('readerLost', { reader, detail, readerProvenAgesMs: provenAges.map(toLoggedAge), ...describeProof() })
+  }
+
+  /** Table whose age in the reader's last response shows that the reader has lost the store; undefined if none does. */
+  function findOutdatedTable (): string | undefined {
+    return FOLLOWED_TABLES.find((table, index) => isReaderOutdated(getCopyLimits(settings, table), {
+      readerAgeMs: provenAges[index] ?? Infinity, ownAgeMs: copyAges.getProvenAge(table)
+    }))
   }
 
   /** Returns whether some updates are from before a restore; the reader is avoided if they are for too long. */
@@ -130,7 +159,10 @@
     if (response.storeTime > 0) onStoreTime(response.storeTime)
     storeEra.observeUpdates(response.updates)
     mergeUpdates(response.updates, replica, cursors, onRows)
-    if (!checkBehind(response.updates)) recordAges(askedAt, response)
+    if (checkBehind(response.updates)) return
+    recordAges(askedAt, response)
+    const table = findOutdatedTable()
+    if (table !== undefined) refuseReader(`its copy of ${table} is outdated, and the store responds to others`)
   }
 
   async function readNext (): Promise<void> {
--- a/packages/node/src/rows/createTableFollower.ts
+++ b/packages/node/src/rows/createTableFollower.ts
@@ -1,25 +1,10 @@
-import { getRowEra } from '@snipenotch/contracts'
-import type { Replica, ReplicaRow } from '@snipenotch/decisions'
-import { OPERATOR_TABLE, type StoreClient, type StoreError, type StoreRows } from '@snipenotch/platform'
-import type { Result } from 'ts-results-es'
-import type { NodeContext } from '../NodeContext.js'
+import { computePollDuration } from '@snipenotch/decisions'
+import type { StoreError, StoreRow, StoreRows } from '@snipenotch/platform'
 import { startLoop } from '../operations/startLoop.js'
-import type { CopyAges } from './createCopyAges.js'
-import type { StoreEra } from './createStoreEra.js'
-import type { TableCursor, TableCursors } from './createTableCursors.js'
+import { createCopyVerifier } from './createCopyVerifier.js'
+import { createTableReader, type TableReaderOptions } from './createTableReader.js'
+import { getCopyLimits } from './getCopyLimits.js'
 
-/**
- * Duration of a long poll for changes of the operator's rows, in milliseconds. A connection that has gone silent is
- * detected after it, and these changes must be in force in time.
- */
-const OPERATOR_LONG_POLL_MS = 1200
-/**
- * The same while requests with keys are refused unless the copy is recent, in milliseconds. A node that loses the store
- * has a copy that is at most this much older, and must serve for 3 s of the usual 5 s of revocation.
- */
-const FAIL_CLOSED_POLL_MS = 600
-/** Duration of a long poll for changes of other rows, in milliseconds. */
-const LONG_POLL_MS = 4000
 /** Duration of the poll that follows a long poll without a response, in milliseconds. */
 const RETRIED_POLL_MS = 300
 /**
@@ -50,30 +35,27 @@
 }
 
 /** Options of `createTableFollower`. */
-export interface TableFollowerOptions {
-  readonly context: NodeContext
-  readonly store: StoreClient
-  readonly replica: Replica
-  readonly table: string
-  readonly cursors: TableCursors
-  readonly copyAges: CopyAges
-  readonly storeEra: Pick<StoreEra, 'get'>
-  readonly onRows: (rows: readonly ReplicaRow[]) => void
+export interface TableFollowerOptions extends Omit<TableReaderOptions, 'onResponse'> {
   /** True while another host supplies the rows, so that the store need not be read. */
   readonly isSuppliedByPeer: () => boolean
+  /** Host that reads the store for this one; this host itself if it reads the store. */
+  readonly getReader: () => string
 }
 
 /** Creates a follower that has not read the table. */
 export function createTableFollower (options: TableFollowerOptions): TableFollower {
-  const { context, store, replica, table, cursors, copyAges, storeEra, onRows, isSuppliedByPeer } = options
+  const { context, table, copyAges, isSuppliedByPeer, getReader } = options
   const { settings, clock, log, counters, ticker, random } = context
-  const operatorPollMs = settings.failClosed ? FAIL_CLOSED_POLL_MS : OPERATOR_LONG_POLL_MS
+  const limits = getCopyLimits(settings, table)
+  const reader = createTableReader({ ...options, onResponse: recordSuccess })
   const stopping = new AbortController()
   let isConnected = false
   let storeClockOffset: number | undefined
   let backoff = FIRST_BACKOFF_MS
   /** The last poll ended without a response. */
   let isConnectionSuspect = false
+  /** Time by which the last poll without changes was answered late, in milliseconds. */
+  let latenessMs = 0
 
   const awaitPause = (duration: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, duration) })
 
@@ -92,42 +74,11 @@
     storeClockOffset = answer.storeTime - clock.now()
   }
 
-  async function readTable (): Promise<Result<StoreRows, StoreError>> {
-    const askedAt = copyAges.readClocks()
-    const answer = await store.readTable(table)
-    if (answer.isErr()) return answer
-    recordSuccess(answer.value)
-    log('tableRead', { table, version: answer.value.version, rows: answer.value.rows.length })
-    onRows(replica.mergeTable(table, answer.value.rows, answer.value.version))
-    cursors.set(table, { version: answer.value.version, fullReadVersion: answer.value.version })
-    copyAges.record(table, 0)
-    copyAges.recordProven(table, askedAt, 0)
-    return answer
-  }
-
-  async function readChanges ({ version, fullReadVersion }: TableCursor): Promise<Result<StoreRows, StoreError>> {
-    const pollMs = isConnectionSuspect ? RETRIED_POLL_MS : table === OPERATOR_TABLE ? operatorPollMs : LONG_POLL_MS
-    const askedAt = copyAges.readClocks()
-    const answer = await store.awaitChanges(table, version, pollMs)
-    if (answer.isErr()) {
-      if (answer.error.kind === 'history-lost') cursors.set(table, undefined)
-      return answer
-    }
-    recordSuccess(answer.value)
-    onRows(replica.merge(answer.value.rows))
-    cursors.set(table, { version: Math.max(version, answer.value.version), fullReadVersion })
-    copyAges.record(table, 0)
-    // The store holds a poll without changes for the time requested.
-    const wasHeld = answer.value.rows.length === 0 && clock.now() - askedAt.monotonic >= pollMs
-    copyAges.recordProven(table, askedAt, wasHeld ? pollMs : 0)
-    if (answer.value.rows.length > 0) await awaitPause(computePause(answer.value.rows))
-    return answer
-  }
-
-  function computePause (rows: readonly ReplicaRow[]): number {
+  /** The delay keeps the copy below the age at which the next poll ends, so that followers need not verify theirs. */
+  function computePause (rows: readonly StoreRow[]): number {
     const kilobytes = rows.reduce((sum, row) => sum + (row.value?.length ?? 0), 0) / 1024
     const pause = BATCH_PAUSE_MS + kilobytes * BATCH_PAUSE_PER_KB_MS
-    return Math.min(MAX_BATCH_PAUSE_MS, pause)
+    return Math.min(MAX_BATCH_PAUSE_MS, pause, Math.max(0, limits.pollEndMs - copyAges.getProvenAge(table)))
   }
 
   async function readNext (): Promise<void> {
@@ -135,10 +86,15 @@
       await ticker.awaitPause(FOLLOWING_CHECK_MS)
       return
     }
-    const cursor = cursors.get(table)
-    const isOutdated = cursor === undefined || getRowEra(cursor.version) < storeEra.get()
-    const answer = isOutdated ? await readTable() : await readChanges(cursor)
-    if (answer.isOk() || answer.error.kind === 'history-lost') return
+    const pollMs = computePollDuration(limits, copyAges.getProvenAge(table), latenessMs)
+    const answer = await reader.readNext(isConnectionSuspect ? Math.min(RETRIED_POLL_MS, pollMs) : pollMs)
+    if (answer.isOk()) {
+      const { rows, isFullTable } = answer.value
+      latenessMs = answer.value.latenessMs ?? latenessMs
+      if (!isFullTable && rows.length > 0) await awaitPause(computePause(rows))
+      return
+    }
+    if (answer.error.kind === 'history-lost') return
     // Only the connection may be lost; the next call, on a new one, shows whether the store responds.
     if (answer.error.kind === 'unknown' && !isConnectionSuspect) {
       isConnectionSuspect = true
@@ -150,9 +106,20 @@
     backoff = Math.min(MAX_BACKOFF_MS, backoff * 2)
   }
 
+  // While the store responds to no poll of this node, its polls are repeated anyway.
+  const verifier = createCopyVerifier({
+    context, table, limits, copyAges, reader, getReader, isNeeded: () => isSuppliedByPeer() || isConnected
+  })
+
   return {
-    start: () => { startLoop({ log, isActive: () => !stopping.signal.aborted, step: readNext }) },
-    stop: () => { stopping.abort() },
+    start: () => {
+      startLoop({ log, isActive: () => !stopping.signal.aborted, step: readNext })
+      verifier.start()
+    },
+    stop: () => {
+      stopping.abort()
+      verifier.stop()
+    },
     isConnected: () => isConnected,
     setStoreTime: (storeTime) => { storeClockOffset = storeTime - clock.now() },
     getStoreTime: () => storeClockOffset === undefined ? undefined : clock.now() + storeClockOffset
--- a/packages/node/tests/backgroundLoops.test.ts
+++ b/packages/node/tests/backgroundLoops.test.ts
@@ -115,7 +115,8 @@
       copyAges: createCopyAges(context.clock),
       storeEra: createStoreEra(context),
       onRows: failOnce((changed) => { applied.push(...changed.map(({ key }) => key)) }),
-      isSuppliedByPeer: () => false
+      isSuppliedByPeer: () => false,
+      getReader: () => context.settings.host
     })
     stops.push(follower.stop)
     follower.start()
