fix(platform): give up long polls when another call is not answered

Callers saw: hosts learned 4.7 s after the open connections to the store had gone silent that another host had joined (4 s are left after the time for a change), and late changes of releases in the same way.

A silent connection looks like one without changes until its poll ends, after 4,000 + 700 ms for the rows of hosts. The poll of the operator's rows finds it out after 1.9 s, but only idle connections were closed then.

Change: a call that is not answered ends the open polls too; they are repeated on new connections and do not count as failed.

--- a/packages/node/src/rows/createTableFollower.ts
+++ b/packages/node/src/rows/createTableFollower.ts
@@ -94,7 +94,7 @@
       if (!isFullTable && rows.length > 0) await awaitPause(computePause(rows))
       return
     }
-    if (answer.error.kind === 'history-lost') return
+    if (answer.error.kind === 'history-lost' || answer.error.kind === 'interrupted') return
     // Only the connection may be lost; the next call, on a new one, shows whether the store responds.
     if (answer.error.kind === 'unknown' && !isConnectionSuspect) {
       isConnectionSuspect = true
--- a/packages/node/tests/rows/silentReaders.test.ts
+++ b/packages/node/tests/rows/silentReaders.test.ts
@@ -14,6 +14,7 @@
 /** Time in which a host must be known to the others, in milliseconds: the time for a change and 2 s. */
 const JOIN_KNOWN_MS = 4000
 
+const HOSTS_POLL = '/rows-feed?table=mesh&'
 const OPERATOR_POLL = '/rows-feed?table=op&'
 
 // A reader that loses the store without notice looks like one without changes until its poll should have ended. Hosts
@@ -172,6 +173,20 @@
     expect(performance.now() - joinedAt).to.be.below(JOIN_KNOWN_MS)
   })
 
+  it('know a host that joins in time after open connections went silent (guards against one that hosts are awaited on)', async () => {
+    const readers = listReaders()
+    const counts = readers.map(({ proxy }) => proxy.listRequests(HOSTS_POLL).length)
+    await awaitCondition('all readers have begun a poll for hosts', () =>
+      readers.every(({ proxy }, index) => proxy.listRequests(HOSTS_POLL).length > (counts[index] ?? 0)))
+    mesh.store.silenceConnections()
+    const silentAt = performance.now()
+    const joined = await mesh.startHost('krakow-9', 'parts')
+    await joined.report()
+    await awaitCondition('it is known', async () => (await Promise.all(hosts.map(listKeys)))
+      .every((list) => list.includes('host/krakow-9')))
+    expect(performance.now() - silentAt).to.be.below(JOIN_KNOWN_MS)
+  })
+
   it('make no calls while the readers are calm or the configuration changes (guards against a call of each host per change)', async () => {
     for (let round = 0; round < 3; round++) {
       await putConfiguration()
