--- a/packages/node/tests/peers/createPeerServer.test.ts
+++ b/packages/node/tests/peers/createPeerServer.test.ts
@@ -1,9 +1,12 @@
 import { composeRowVersion, createSystemClock } from '@snipenotch/contracts'
 import { createReplica, type Replica, type ReplicaRow } from '@snipenotch/decisions'
+import { OPERATOR_TABLE } from '@snipenotch/platform'
 import { expect } from 'chai'
 import { Agent, request, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { createPeerServer, formatRowsPath, parseCopyAges, PEER_PATHS } from '../../src/peers/createPeerServer.js'
+import {
+  createPeerServer, formatRowsPath, parseCopyAges, parseHeldTime, PEER_PATHS, PROVEN_AGES_HEADER
+} from '../../src/peers/createPeerServer.js'
 import { requestPeer } from '../../src/peers/requestPeer.js'
 import { type CopyAges, createCopyAges } from '../../src/rows/createCopyAges.js'
 import { createTableCursors, type TableCursors } from '../../src/rows/createTableCursors.js'
@@ -93,6 +96,24 @@
     }
   })
 
+  it('responds when the copy of the operator is proven, and states how long it held the request (guards against followers that take their copies for older)', async () => {
+    const path = formatRowsPath(askFrom(8), 9000)
+    cursors.set(OPERATOR_TABLE, { version: 1, fullReadVersion: 1 })
+    const responding = requestPeer(agent, address, path, 10_000)
+    await new Promise((resolve) => { setTimeout(resolve, 50) })
+    copyAges.recordProven(MESH_TABLE, copyAges.readClocks(), 0)
+    await new Promise((resolve) => { setTimeout(resolve, 50) })
+    copyAges.recordProven(OPERATOR_TABLE, copyAges.readClocks(), -30)
+    const headers = (await responding)?.headers ?? {}
+    expect(parseHeldTime(headers)).to.be.within(90, 5000)
+    const ages = parseCopyAges(headers, PROVEN_AGES_HEADER)
+    expect(ages[FOLLOWED_TABLES.indexOf(OPERATOR_TABLE)]).to.be.within(30, 5000)
+  })
+
+  it('states no time that an earlier build does not state', () => {
+    expect([{}, { 'x-held-ms': '600' }, { 'x-held-ms': 'x' }].map(parseHeldTime)).to.deep.equal([undefined, 600, undefined])
+  })
+
   it('sends the whole table if the requested version is older than its full read (guards against missed removals)', async () => {
     const update = (await ask(4, 9000)).updates.find(({ table }) => table === MESH_TABLE)
     expect(update).to.include({ isFullTable: true, version: 8 })
