fix(node): treat a copy that was never proven as of unknown age

Found by reading the change: a poll for the rows of hosts was requested for NaN milliseconds while the copy had no proven age (rows from a peer that states none), and a reader that states none, because it reads the whole table or is of an earlier build, was given up. A verification that finds its history lost reads the whole table at once.

--- a/packages/decisions/src/serving/copyLimits.ts
+++ b/packages/decisions/src/serving/copyLimits.ts
@@ -38,13 +38,17 @@
   }
 }
 
+/** Returns the time until a reader's copy reaches the age at which its poll ends, in milliseconds; 0 if it has. */
+export function computeTimeToPollEnd (limits: CopyLimits, provenAgeMs: number): number {
+  return limits.pollEndMs === Infinity ? Infinity : Math.max(0, limits.pollEndMs - provenAgeMs)
+}
+
 /**
  * Computes the duration of a reader's next poll from the proven age of its copy and from how late the last poll was
  * answered. The copies of its followers thus stay below their limit beside a store that answers each poll late.
  */
 export function computePollDuration (limits: CopyLimits, provenAgeMs: number, latenessMs: number): number {
-  const remainingMs = limits.pollEndMs - provenAgeMs - latenessMs
-  return Math.floor(Math.max(0, Math.min(limits.longPollMs, remainingMs)))
+  return Math.floor(Math.min(limits.longPollMs, computeTimeToPollEnd(limits, provenAgeMs + latenessMs)))
 }
 
 /** Proven ages of a copy at a follower and at its reader, in milliseconds. */
@@ -56,8 +60,10 @@
 /**
  * Returns whether a reader has lost the store while other hosts reach it: its copy is too old, and the follower's own
  * was proven so much later, by a call of its own or by another reader, that a poll of this reader would have ended in
- * between. While the store responds to nobody, both copies age alike, and the reader is as good as any.
+ * between. While the store responds to nobody, both copies age alike, and the reader is as good as any. A reader
+ * without a proven age is reading the whole table, or is of an earlier build.
  */
 export function isReaderOutdated (limits: CopyLimits, { readerAgeMs, ownAgeMs }: CopyComparison): boolean {
-  return readerAgeMs > limits.followerVerifyMs && readerAgeMs - ownAgeMs > limits.longPollMs
+  return Number.isFinite(readerAgeMs) &&
+    readerAgeMs > limits.followerVerifyMs && readerAgeMs - ownAgeMs > limits.longPollMs
 }
--- a/packages/node/src/rows/createCopyVerifier.ts
+++ b/packages/node/src/rows/createCopyVerifier.ts
@@ -39,7 +39,10 @@
   async function verifyCopy (provenAgeMs: number): Promise<void> {
     const begunAt = clock.now()
     schedule.begin(begunAt)
-    const answer = await reader.readNext(0, { usesNewConnection: true })
+    const first = await reader.readNext(0, { usesNewConnection: true })
+    // The next read is one of the whole table.
+    const isHistoryLost = first.isErr() && first.error.kind === 'history-lost'
+    const answer = isHistoryLost ? await reader.readNext(0) : first
     const endedAt = clock.now()
     schedule.end(endedAt, answer.isOk())
     const outcome = answer.isErr() ? 'failed' : answer.value.rows.length > 0 ? 'outdated' : 'current'
--- a/packages/node/src/rows/createReaderFollower.ts
+++ b/packages/node/src/rows/createReaderFollower.ts
@@ -87,6 +87,7 @@
     const chosen = chooseReader(settings, view.listHosts(), isUsable)
     if (chosen !== reader) {
       log('readerChosen', { reader: chosen, before: reader, reason: lostDetail ?? 'ranking', ...describeProof() })
+      provenAges = []
     }
     reader = chosen
     lostDetail = undefined
--- a/packages/node/src/rows/createTableFollower.ts
+++ b/packages/node/src/rows/createTableFollower.ts
@@ -1,4 +1,4 @@
-import { computePollDuration } from '@snipenotch/decisions'
+import { computePollDuration, computeTimeToPollEnd } from '@snipenotch/decisions'
 import type { StoreError, StoreRow, StoreRows } from '@snipenotch/platform'
 import { startLoop } from '../operations/startLoop.js'
 import { createCopyVerifier } from './createCopyVerifier.js'
@@ -78,7 +78,7 @@
   function computePause (rows: readonly StoreRow[]): number {
     const kilobytes = rows.reduce((sum, row) => sum + (row.value?.length ?? 0), 0) / 1024
     const pause = BATCH_PAUSE_MS + kilobytes * BATCH_PAUSE_PER_KB_MS
-    return Math.min(MAX_BATCH_PAUSE_MS, pause, Math.max(0, limits.pollEndMs - copyAges.getProvenAge(table)))
+    return Math.min(MAX_BATCH_PAUSE_MS, pause, computeTimeToPollEnd(limits, copyAges.getProvenAge(table)))
   }
 
   async function readNext (): Promise<void> {
