fix(node): leave a calm reader its whole poll

Change: a poll ends at a proven age of 0.62 of the time for a change instead of with its longest duration. A reader still verifies its copy at 0.675.

--- a/packages/decisions/src/serving/copyLimits.ts
+++ b/packages/decisions/src/serving/copyLimits.ts
@@ -15,9 +15,11 @@
   readonly verifyWithinMs: number
 }
 
-/** Part of the time for a change that a reader's copy may age before the store is asked again. */
-const POLL_END_SHARE = 0.6
-/** The same for the calls by which a reader, and then its followers, verify the copy. */
+/** Part of the time for a change that a reader's poll takes at most. */
+const LONG_POLL_SHARE = 0.6
+/** The same for the proven age at which a poll ends; the difference covers the way to the store. */
+const POLL_END_SHARE = 0.62
+/** The same for the age at which a reader, and then its followers, verify the copy. */
 const READER_VERIFY_SHARE = 0.675
 /** The rest of the time for a change is left for the follower's call and the decoding of a large configuration. */
 const FOLLOWER_VERIFY_SHARE = 0.75
@@ -27,11 +29,10 @@
  * the readers; a poll takes at most `maxPollMs`.
  */
 export function computeCopyLimits (applyMs: number, maxPollMs: number): CopyLimits {
-  const longPollMs = Math.min(maxPollMs, applyMs * POLL_END_SHARE)
   const followerVerifyMs = Math.round(applyMs * FOLLOWER_VERIFY_SHARE)
   return {
-    longPollMs,
-    pollEndMs: longPollMs,
+    longPollMs: Math.min(maxPollMs, Math.round(applyMs * LONG_POLL_SHARE)),
+    pollEndMs: Math.round(applyMs * POLL_END_SHARE),
     readerVerifyMs: Math.round(applyMs * READER_VERIFY_SHARE),
     followerVerifyMs,
     verifyWithinMs: applyMs - followerVerifyMs
