--- a/packages/node/tests/rows/silentReaders.test.ts
+++ b/packages/node/tests/rows/silentReaders.test.ts
@@ -188,20 +188,26 @@
   })
 
   it('make no calls while the readers are calm or the configuration changes (guards against a call of each host per change)', async () => {
+    const atStart = listVerifications(hosts)
     for (let round = 0; round < 3; round++) {
       await putConfiguration()
       await awaitCondition('the version is in force everywhere', () => hosts.every(isInForce(version)))
       await new Promise((resolve) => { setTimeout(resolve, 700 * (round + 1)) })
     }
-    expect(listVerifications(hosts)).to.deep.equal([])
+    expect(listVerifications(hosts)).to.deep.equal(atStart)
   })
 
   it('make no calls while the store answers each poll late (guards against load on a store that is slow)', async () => {
     const readers = listReaders()
+    const followers = hosts.filter((host) => !readers.includes(host))
+    const atStart = listVerifications(followers)
+    const counts = readers.map((reader) => listVerifications([reader]).length)
     for (const { proxy } of hosts) proxy.setDelay(200)
     await new Promise((resolve) => { setTimeout(resolve, 5000) })
-    expect(listVerifications(hosts.filter((host) => !readers.includes(host)))).to.deep.equal([])
+    expect(listVerifications(followers)).to.deep.equal(atStart)
     // A reader does not expect the first late answer.
-    for (const reader of readers) expect(listVerifications([reader])).to.have.length.at.most(1)
+    for (const [index, reader] of readers.entries()) {
+      expect(listVerifications([reader])).to.have.length.at.most((counts[index] ?? 0) + 1)
+    }
   })
 })
